Add the thin whole path: entry hosts, stand-ins and a virtual site

A request goes from a caller through any entry host to the owner of its shard, whose claim is made durable in the platform's service before an endpoint gets it. A gang job is kept in the platform's service, placed by the owner of its availability zone, reserved on every worker, started and followed to its end.

--- /dev/null
+++ b/src/jujubehall/callers/interface.py
@@ -0,0 +1,101 @@
+"""Routes for callers: requests and jobs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err
+
+from jujubehall.core.jobs.job import JobSpec
+from jujubehall.core.requests.request import Answer
+from jujubehall.core.requests.request import Outcome
+from jujubehall.core.requests.request import Request
+from jujubehall.errors import Failure
+from jujubehall.errors import FailureKind
+from jujubehall.http.router import Call
+from jujubehall.http.router import Reply
+from jujubehall.http.router import Router
+from jujubehall.http.site import ErrorBody
+from jujubehall.http.site import retry_after
+from jujubehall.identifiers import JobId
+
+if TYPE_CHECKING:
+    from jujubehall.daemon.entry_host import EntryHost
+
+RETRY_AFTER_MS = 1_000
+
+_STATUS_OF_OUTCOME = {Outcome.COMPLETED: 200, Outcome.NOT_RUN: 503, Outcome.UNKNOWN: 504}
+_STATUS_OF_FAILURE = {
+    FailureKind.INVALID: 400,
+    FailureKind.NOT_FOUND: 404,
+    FailureKind.CONFLICT: 409,
+    FailureKind.NO_ANSWER: 504,
+}
+
+routes = Router()
+
+
+class Submission(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A job as submitted; ``id`` makes the submission idempotent."""
+
+    spec: JobSpec
+    id: JobId | None = None
+
+
+class CallerInterface:
+    """What callers can ask of an entry host."""
+
+    def __init__(self, host: EntryHost) -> None:
+        self._host = host
+
+    @routes.register("POST", "/v1/requests")
+    async def request(self, call: Call) -> Reply:
+        """Runs a request at an endpoint and answers with its outcome."""
+        answer = await self._host.requests.serve(call.decode(Request))
+        return _answer_reply(answer)
+
+    @routes.register("POST", "/v1/jobs")
+    async def submit(self, call: Call) -> Reply:
+        """Accepts a job."""
+        submission = call.decode(Submission)
+        submitted = await self._host.jobs.submit(submission.spec, submission.id)
+        if isinstance(submitted, Err):
+            return failure_reply(submitted.err_value)
+        return Reply(201, submitted.ok_value)
+
+    @routes.register("GET", "/v1/jobs")
+    async def list_jobs(self, call: Call) -> Reply:
+        """Lists the jobs."""
+        return Reply(200, self._host.jobs.jobs)
+
+    @routes.register("GET", "/v1/jobs/{job}")
+    async def show_job(self, call: Call) -> Reply:
+        """Shows one job."""
+        job = JobId(call.parameters["job"])
+        record = self._host.jobs.job(job)
+        if record is None:
+            return failure_reply(Failure(FailureKind.NOT_FOUND, "show job", "caller", job))
+        return Reply(200, record)
+
+    @routes.register("DELETE", "/v1/jobs/{job}")
+    async def cancel_job(self, call: Call) -> Reply:
+        """Asks for a job's end."""
+        cancelled = await self._host.jobs.cancel(JobId(call.parameters["job"]))
+        if isinstance(cancelled, Err):
+            return failure_reply(cancelled.err_value)
+        return Reply(202, cancelled.ok_value)
+
+
+def failure_reply(failure: Failure) -> Reply:
+    """Makes the error answer of a failure."""
+    status = _STATUS_OF_FAILURE.get(failure.kind, 503)
+    if status != 503:
+        return Reply(status, ErrorBody(failure.detail, failure.step, failure.peer))
+    body = ErrorBody(failure.detail, failure.step, failure.peer, RETRY_AFTER_MS)
+    return Reply(status, body, retry_after(RETRY_AFTER_MS))
+
+
+def _answer_reply(answer: Answer) -> Reply:
+    headers = retry_after(answer.retry_after_ms) if answer.retry_after_ms else {}
+    return Reply(_STATUS_OF_OUTCOME[answer.outcome], answer, headers)
--- /dev/null
+++ b/src/jujubehall/console/__init__.py
@@ -0,0 +1,3 @@
+"""The command-line tool ``jujubehall``."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/jujubehall/core/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration: fleet defaults, exceptions, teams and the audit trail."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/jujubehall/core/jobs/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about jobs: placement, guarantees, preemption and the gang protocol."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/jujubehall/core/ownership/scopes.py
@@ -0,0 +1,41 @@
+"""Names of the scopes that entry hosts own: shards of request identifiers, availability zones."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jujubehall.identifiers import RequestId
+    from jujubehall.identifiers import ZoneName
+
+REQUEST_SHARDS = 64
+HASH_BYTES = 8
+
+
+def request_scope(request: RequestId) -> str:
+    """The scope of the shard that ``request`` belongs to."""
+    return shard_scope(stable_hash(request) % REQUEST_SHARDS)
+
+
+def shard_scope(shard: int) -> str:
+    """The scope of a shard of request identifiers."""
+    return f"requests/{shard:02d}"
+
+
+def zone_scope(zone: ZoneName) -> str:
+    """The scope of placement in an availability zone."""
+    return f"zone/{zone}"
+
+
+def all_scopes(zones: Iterable[ZoneName]) -> list[str]:
+    """Every scope of a site with the given availability zones."""
+    shards = [shard_scope(shard) for shard in range(REQUEST_SHARDS)]
+    return shards + [zone_scope(zone) for zone in sorted(set(zones))]
+
+
+def stable_hash(text: str) -> int:
+    """A hash that is the same in every process and on every machine."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=HASH_BYTES).digest())
--- /dev/null
+++ b/src/jujubehall/core/requests/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about requests: claims, choice of endpoint, limits and retries."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/jujubehall/endpoints/interface.py
@@ -0,0 +1,21 @@
+"""Endpoints as the services see them; implemented by the HTTP client and by test fakes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from jujubehall.endpoints.messages import Work
+    from jujubehall.errors import Failure
+
+
+class Endpoints(Protocol):
+    """Runs requests at endpoints; ``EndpointClient`` states what each failure proves."""
+
+    async def run(
+        self, name: str, address: str, work: Work, timeout_ms: int
+    ) -> Result[Any, Failure]: ...
--- /dev/null
+++ b/src/jujubehall/entry_hosts/__init__.py
@@ -0,0 +1,3 @@
+"""Messages and transport between entry hosts."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -0,0 +1,81 @@
+"""Messages between entry hosts, encoded as MessagePack.
+
+Every message is a tagged struct of the union ``Message``. A message that asks for an answer is
+answered by another message of the union, or by ``Refused``.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from jujubehall.core.requests.request import Answer
+from jujubehall.core.requests.request import Request
+from jujubehall.identifiers import EntryHostName
+from jujubehall.identifiers import Epoch
+from jujubehall.identifiers import Incarnation
+from jujubehall.identifiers import Version
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
+    """Sent to every member each second; carries what a member cut off from the platform needs."""
+
+    epoch: Epoch
+    configuration_version: Version
+    platform_reachable: bool
+    draining: bool = False
+
+
+class HeartbeatAnswer(msgspec.Struct, frozen=True, tag="heartbeat-answer"):
+    """Answers a heartbeat with the answerer's own."""
+
+    heartbeat: Heartbeat
+
+
+class ForwardedRequest(msgspec.Struct, frozen=True, tag="forwarded-request"):
+    """A request passed on to the owner of its shard in ``epoch``."""
+
+    request: Request
+    epoch: Epoch
+
+
+class ForwardedAnswer(msgspec.Struct, frozen=True, tag="forwarded-answer"):
+    """The owner's answer to a forwarded request."""
+
+    answer: Answer
+
+
+class ConfigurationWanted(msgspec.Struct, frozen=True, tag="configuration-wanted"):
+    """Asks a member for its configuration, because its heartbeat shows a later version."""
+
+
+class ConfigurationOffered(msgspec.Struct, frozen=True, tag="configuration-offered"):
+    """A configuration as read from the platform at ``version``, undecoded."""
+
+    version: Version
+    value: msgspec.Raw
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused"):
+    """The receiver did not act on a message."""
+
+    reason: str
+
+
+Message = (
+    Heartbeat
+    | HeartbeatAnswer
+    | ForwardedRequest
+    | ForwardedAnswer
+    | ConfigurationWanted
+    | ConfigurationOffered
+    | Refused
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with its sender; ``id`` ties an answer to the question."""
+
+    id: int
+    sender: EntryHostName
+    incarnation: Incarnation
+    message: Message
--- /dev/null
+++ b/src/jujubehall/http/client.py
@@ -0,0 +1,107 @@
+"""JSON client on twisted's ``Agent`` that tells "never sent" from "no answer"."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+from twisted.internet.error import ConnectError
+from twisted.internet.error import DNSLookupError
+from twisted.web._newclient import RequestNotSent
+from twisted.web.client import Agent
+from twisted.web.client import HTTPConnectionPool
+from twisted.web.client import readBody
+from twisted.web.http_headers import Headers
+
+from jujubehall.clock import to_seconds
+from jujubehall.errors import Failure
+from jujubehall.errors import FailureKind
+from jujubehall.http.body import BytesBody
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+    from jujubehall.clock import Reactor
+
+CONNECT_TIMEOUT_MS = 1_000
+IDLE_CONNECTION_TIMEOUT_MS = 15_000
+DEFAULT_CONNECTIONS_PER_PEER = 4
+
+
+class Response(msgspec.Struct, frozen=True):
+    """A complete answer: the status code and the undecoded body."""
+
+    status: int
+    body: bytes
+
+    def decode(self, type_: type[Any]) -> Any:
+        """Decodes the JSON body; raises ``msgspec.DecodeError`` if it doesn't fit ``type_``."""
+        return msgspec.json.decode(self.body, type=type_)
+
+
+class HttpClient:
+    """Sends one request over a pooled connection and classifies each way in which it can fail."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        peer: str,
+        connections_per_peer: int = DEFAULT_CONNECTIONS_PER_PEER,
+    ) -> None:
+        self._reactor: Any = reactor
+        self._peer = peer
+        self._pool: Any = HTTPConnectionPool(reactor)
+        self._pool.maxPersistentPerHost = connections_per_peer
+        self._pool.cachedConnectionTimeout = int(to_seconds(IDLE_CONNECTION_TIMEOUT_MS))
+        # A repeated send must be a decision of ours: the pool can't know what is idempotent.
+        self._pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=to_seconds(CONNECT_TIMEOUT_MS), pool=self._pool)
+
+    async def call(
+        self,
+        step: str,
+        method: str,
+        url: str,
+        body: object | None = None,
+        *,
+        timeout_ms: int,
+        peer: str | None = None,
+    ) -> Result[Response, Failure]:
+        """Sends a request and waits for the whole answer, at most ``timeout_ms`` milliseconds.
+
+        Any status code counts as an answer. The failure is ``NOT_SENT`` only if no byte can have
+        reached the peer.
+        """
+        peer = peer or self._peer
+        producer: Any = None if body is None else BytesBody(msgspec.json.encode(body))
+        headers = Headers({b"Content-Type": [b"application/json"]})
+        deferred: Deferred[Any] = self._agent.request(
+            method.encode(), url.encode(), headers, producer
+        )
+        deferred.addCallback(_read_response)
+        deferred.addTimeout(to_seconds(timeout_ms), self._reactor)
+        try:
+            return Ok(await deferred)
+        except (ConnectError, DNSLookupError, RequestNotSent) as error:
+            return Err(Failure(FailureKind.NOT_SENT, step, peer, _describe(error)))
+        except Exception as error:
+            return Err(Failure(FailureKind.NO_ANSWER, step, peer, _describe(error)))
+
+    def close(self) -> Deferred[Any]:
+        """Closes the idle connections."""
+        closed: Deferred[Any] = self._pool.closeCachedConnections()
+        return closed
+
+
+def _read_response(response: Any) -> Deferred[Response]:
+    body: Deferred[Any] = readBody(response)
+    return body.addCallback(lambda content: Response(response.code, content))
+
+
+def _describe(error: Exception) -> str:
+    text = str(error)
+    return f"{type(error).__name__}: {text}" if text else type(error).__name__
--- /dev/null
+++ b/src/jujubehall/platform/client.py
@@ -0,0 +1,128 @@
+"""Client of the platform's key-value service and host list.
+
+The protocol is stated in docs/PLATFORM.md. Every method returns a ``Result``; a failure of kind
+``NO_ANSWER`` means that a write may have taken effect.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import quote
+from urllib.parse import urlencode
+
+from result import Err
+from result import Ok
+from result import Result
+
+from jujubehall.errors import Failure
+from jujubehall.errors import FailureKind
+from jujubehall.http.client import HttpClient
+from jujubehall.platform.entry import Changes
+from jujubehall.platform.entry import Entry
+from jujubehall.platform.entry import LeaseBody
+from jujubehall.platform.entry import LeaseGranted
+from jujubehall.platform.entry import PutBody
+from jujubehall.platform.entry import Written
+from jujubehall.platform.host import Host
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Reactor
+    from jujubehall.identifiers import Version
+
+CALL_TIMEOUT_MS = 2_000
+WATCH_WAIT_MS = 30_000
+PEER = "platform"
+
+_FAILURE_OF_STATUS = {
+    404: FailureKind.NOT_FOUND,
+    409: FailureKind.CONFLICT,
+    503: FailureKind.UNAVAILABLE,
+}
+
+
+class PlatformClient:
+    """Calls the platform; counts each call by kind, since the platform bills by call."""
+
+    def __init__(self, reactor: Reactor, address: str) -> None:
+        self._http = HttpClient(reactor, PEER)
+        self._address = address.rstrip("/")
+        self.calls: dict[str, int] = {}
+
+    async def get(self, key: str) -> Result[Entry, Failure]:
+        """Reads one key."""
+        return await self._call("get", "GET", _key_path(key), type_=Entry)
+
+    async def list_entries(self, prefix: str) -> Result[Changes, Failure]:
+        """Reads all keys under ``prefix``."""
+        query = urlencode({"prefix": prefix})
+        return await self._call("list", "GET", f"/v1/kv?{query}", type_=Changes)
+
+    async def put(
+        self, key: str, value: Any, expected_version: Version, lease: str = ""
+    ) -> Result[Version, Failure]:
+        """Writes ``key`` if it has ``expected_version``; returns the new version.
+
+        With ``lease``, the key is deleted when the lease lapses.
+        """
+        body = PutBody(value, expected_version, lease)
+        written = await self._call("put", "PUT", _key_path(key), body, type_=Written)
+        return written.map(lambda answer: answer.version)
+
+    async def delete(self, key: str, expected_version: Version) -> Result[None, Failure]:
+        """Deletes ``key`` if it has ``expected_version``."""
+        query = urlencode({"expected_version": expected_version})
+        return await self._call("delete", "DELETE", f"{_key_path(key)}?{query}")
+
+    async def watch(self, prefix: str, after_revision: int) -> Result[Changes, Failure]:
+        """Waits for changes under ``prefix`` later than ``after_revision``.
+
+        Returns no entries when nothing changed within ``WATCH_WAIT_MS``.
+        """
+        query = urlencode({"prefix": prefix, "after": after_revision, "wait_ms": WATCH_WAIT_MS})
+        timeout_ms = WATCH_WAIT_MS + CALL_TIMEOUT_MS
+        path = f"/v1/watch?{query}"
+        return await self._call("watch", "GET", path, type_=Changes, timeout_ms=timeout_ms)
+
+    async def grant_lease(self, ttl_ms: int) -> Result[str, Failure]:
+        """Asks for a lease; returns its identifier."""
+        body = LeaseBody(ttl_ms)
+        granted = await self._call("grant lease", "POST", "/v1/leases", body, type_=LeaseGranted)
+        return granted.map(lambda answer: answer.lease)
+
+    async def renew_lease(self, lease: str) -> Result[None, Failure]:
+        """Extends a lease to its full time from now; ``NOT_FOUND`` if it has lapsed."""
+        return await self._call("renew lease", "PUT", f"/v1/leases/{quote(lease)}")
+
+    async def revoke_lease(self, lease: str) -> Result[None, Failure]:
+        """Ends a lease and deletes its keys."""
+        return await self._call("revoke lease", "DELETE", f"/v1/leases/{quote(lease)}")
+
+    async def hosts(self) -> Result[list[Host], Failure]:
+        """Reads the lagging list of live and leaving hosts."""
+        return await self._call("list hosts", "GET", "/v1/hosts", type_=list[Host])
+
+    async def _call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: object | None = None,
+        *,
+        type_: Any = None,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> Result[Any, Failure]:
+        self.calls[step] = self.calls.get(step, 0) + 1
+        url = self._address + path
+        answer = await self._http.call(step, method, url, body, timeout_ms=timeout_ms)
+        if isinstance(answer, Err):
+            return answer
+        response = answer.ok_value
+        if response.status != 200:
+            kind = _FAILURE_OF_STATUS.get(response.status, FailureKind.NO_ANSWER)
+            return Err(Failure(kind, step, PEER, f"status {response.status}"))
+        return Ok(None if type_ is None else response.decode(type_))
+
+
+def _key_path(key: str) -> str:
+    return f"/v1/kv/{quote(key)}"
--- /dev/null
+++ b/src/jujubehall/services/shard_takeover.py
@@ -0,0 +1,152 @@
+"""Makes an entry host ready to serve the request shards that it owns in an epoch."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import structlog
+from result import Err
+from result import Ok
+
+from jujubehall.core.ownership.scopes import REQUEST_SHARDS
+from jujubehall.core.ownership.scopes import shard_scope
+from jujubehall.core.requests.claim_records import ARCHIVES_PREFIX
+from jujubehall.core.requests.claim_records import HEADS_PREFIX
+from jujubehall.core.requests.claim_records import ClaimArchive
+from jujubehall.core.requests.claim_records import ClaimHead
+from jujubehall.services.claim_log import seal_head
+from jujubehall.services.timing import BackOff
+from jujubehall.services.timing import sleep
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
+    from jujubehall.core.requests.claim_table import ClaimTable
+    from jujubehall.identifiers import Epoch
+    from jujubehall.platform.interface import Platform
+    from jujubehall.services.claim_log import ClaimLog
+    from jujubehall.services.membership import Membership
+
+CHECK_INTERVAL_MS = 50
+PATIENCE_MS = 1_000
+
+log = structlog.get_logger()
+
+
+class ShardTakeover:
+    """Follows the ownership record; a shard is served only once all earlier owners are fenced.
+
+    In each epoch this entry host opens its claim log for that epoch. Before it serves a shard
+    that it gained, every other entry host's claims must hold for that epoch or be sealed; then
+    the recorded claims are inherited.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        clock: Clock,
+        platform: Platform,
+        membership: Membership,
+        claim_log: ClaimLog,
+        table: ClaimTable,
+        random: Random,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._platform = platform
+        self._membership = membership
+        self._claim_log = claim_log
+        self._table = table
+        self._back_off = BackOff(random)
+        self._ready: dict[str, Epoch] = {}
+        self._running = True
+
+    def is_ready(self, scope: str) -> bool:
+        """Whether this entry host owns ``scope`` and may claim requests of it."""
+        record = self._membership.record
+        return (
+            self._membership.owns(scope)
+            and self._claim_log.epoch == record.epoch
+            and self._ready.get(scope) == record.owned_since.get(scope)
+        )
+
+    def stop(self) -> None:
+        """Ends the following of the record."""
+        self._running = False
+
+    async def run(self) -> None:
+        """Takes over what the record gives to this entry host, until stopped."""
+        while self._running:
+            if await self._step():
+                self._back_off.reset()
+                await sleep(self._reactor, CHECK_INTERVAL_MS)
+            else:
+                await sleep(self._reactor, self._back_off.next_ms())
+
+    async def _step(self) -> bool:
+        self._table.expire(self._clock.now_ms)
+        record = self._membership.record
+        if not self._membership.is_member:
+            return True
+        if self._claim_log.epoch != record.epoch:
+            opened = await self._claim_log.open(record.epoch)
+            if isinstance(opened, Err):
+                return False
+        gained = [scope for scope in self._owned_shards() if not self.is_ready(scope)]
+        if not gained:
+            return True
+        if not await self._fence_others(record.epoch) or not await self._inherit():
+            return False
+        if self._membership.record.epoch != record.epoch:
+            return True
+        for scope in gained:
+            self._ready[scope] = record.owned_since[scope]
+        log.info("request shards taken over", epoch=record.epoch, shards=len(gained))
+        return True
+
+    def _owned_shards(self) -> list[str]:
+        scopes = [shard_scope(shard) for shard in range(REQUEST_SHARDS)]
+        return [scope for scope in scopes if self._membership.owns(scope)]
+
+    async def _fence_others(self, epoch: Epoch) -> bool:
+        waited_ms = 0
+        while True:
+            heads = await self._read(HEADS_PREFIX, ClaimHead)
+            if heads is None:
+                return False
+            unfenced = [head for head in heads if not head.fences(epoch)]
+            if not unfenced:
+                return True
+            # A live member opens its log for the new epoch by itself within a moment.
+            if waited_ms >= PATIENCE_MS or not any(self._is_live(head) for head in unfenced):
+                for head in unfenced:
+                    await seal_head(self._platform, head.name)
+            else:
+                await sleep(self._reactor, CHECK_INTERVAL_MS)
+                waited_ms += CHECK_INTERVAL_MS
+
+    def _is_live(self, head: ClaimHead) -> bool:
+        member = self._membership.record.member(head.name)
+        return member is not None and member.incarnation == head.incarnation
+
+    async def _inherit(self) -> bool:
+        heads = await self._read(HEADS_PREFIX, ClaimHead)
+        archives = await self._read(ARCHIVES_PREFIX, ClaimArchive)
+        if heads is None or archives is None:
+            return False
+        own = self._membership.member.incarnation
+        for record in (*heads, *archives):
+            # What this incarnation claimed is in its table, with the answer.
+            if record.incarnation != own:
+                self._table.inherit(record.claims, self._clock.now_ms)
+        return True
+
+    async def _read(self, prefix: str, type_: type[Any]) -> list[Any] | None:
+        listed = await self._platform.list_entries(prefix)
+        if isinstance(listed, Ok):
+            return [msgspec.convert(entry.value, type_) for entry in listed.ok_value.entries]
+        return None
--- /dev/null
+++ b/src/jujubehall/services/timing.py
@@ -0,0 +1,49 @@
+"""Waiting and repeating on a reactor, real or virtual."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from jujubehall.clock import to_seconds
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from random import Random
+
+    from jujubehall.clock import Reactor
+
+FIRST_BACK_OFF_MS = 100
+MAX_BACK_OFF_MS = 5_000
+
+
+def sleep(reactor: Reactor, duration_ms: int) -> Deferred[None]:
+    """Waits ``duration_ms`` milliseconds of the reactor's time."""
+    slept: Deferred[None] = Deferred()
+    reactor.callLater(to_seconds(duration_ms), slept.callback, None)
+    return slept
+
+
+def start(coroutine: Coroutine[Any, Any, Any]) -> Deferred[Any]:
+    """Runs a coroutine in the background; an escaping exception is logged by twisted."""
+    return Deferred.fromCoroutine(coroutine)
+
+
+class BackOff:
+    """Exponential back-off with full jitter, so that the end of an outage is no stampede."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._bound_ms = FIRST_BACK_OFF_MS
+
+    def next_ms(self) -> int:
+        """The next waiting time in milliseconds, between half the present bound and the bound."""
+        wait_ms = self._random.randint(self._bound_ms // 2, self._bound_ms)
+        self._bound_ms = min(2 * self._bound_ms, MAX_BACK_OFF_MS)
+        return wait_ms
+
+    def reset(self) -> None:
+        """Starts again from the first bound, after a success."""
+        self._bound_ms = FIRST_BACK_OFF_MS
--- /dev/null
+++ b/src/jujubehall/testing/platform_stand_in.py
@@ -0,0 +1,187 @@
+"""The platform's stand-in as an HTTP process: key-value service, host list and faults."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err
+from twisted.internet.defer import Deferred
+
+from jujubehall.clock import to_seconds
+from jujubehall.errors import FailureKind
+from jujubehall.http.router import Call
+from jujubehall.http.router import Reply
+from jujubehall.http.router import Router
+from jujubehall.platform.entry import LeaseBody
+from jujubehall.platform.entry import LeaseGranted
+from jujubehall.platform.entry import PutBody
+from jujubehall.platform.entry import Written
+from jujubehall.platform.host import Host
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from jujubehall.clock import Reactor
+    from jujubehall.errors import Failure
+    from jujubehall.testing.key_value_store import KeyValueStore
+
+LEASE_CHECK_INTERVAL_MS = 100
+WATCH_POLL_INTERVAL_MS = 5
+
+_STATUS_OF_FAILURE = {
+    FailureKind.NOT_FOUND: 404,
+    FailureKind.CONFLICT: 409,
+    FailureKind.INVALID: 400,
+}
+
+routes = Router()
+
+
+class Faults(msgspec.Struct, frozen=True):
+    """What the stand-in does wrong on purpose.
+
+    ``down`` refuses every call; ``delay_ms`` holds each answer back; ``lose_answers`` carries out
+    that many of the next writes but closes the connection in place of the answer.
+    """
+
+    down: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+
+
+class PlatformStandIn:
+    """Serves a ``KeyValueStore`` and a host list; counts calls by kind."""
+
+    def __init__(self, reactor: Reactor, store: KeyValueStore, hosts: list[Host]) -> None:
+        self._reactor = reactor
+        self._store = store
+        self._hosts = hosts
+        self._faults = Faults()
+        self._answers_to_lose = 0
+        self._calls: dict[str, int] = {}
+
+    @routes.register("GET", "/v1/kv")
+    async def list(self, call: Call) -> Reply:
+        """Reads the keys under a prefix."""
+        if refusal := await self._admit("list"):
+            return refusal
+        return Reply(200, self._store.list_entries(call.query.get("prefix", "")))
+
+    @routes.register("GET", "/v1/kv/{key*}")
+    async def get(self, call: Call) -> Reply:
+        """Reads one key."""
+        if refusal := await self._admit("get"):
+            return refusal
+        return _reply(self._store.get(call.parameters["key"]))
+
+    @routes.register("PUT", "/v1/kv/{key*}")
+    async def put(self, call: Call) -> Reply:
+        """Writes one key by compare-and-swap."""
+        if refusal := await self._admit("put"):
+            return refusal
+        body = call.decode(PutBody)
+        key = call.parameters["key"]
+        written = self._store.put(key, body.value, body.expected_version, body.lease)
+        return self._answer_write(_reply(written.map(Written)))
+
+    @routes.register("DELETE", "/v1/kv/{key*}")
+    async def delete(self, call: Call) -> Reply:
+        """Deletes one key by compare-and-swap."""
+        if refusal := await self._admit("delete"):
+            return refusal
+        deleted = self._store.delete(call.parameters["key"], int(call.query["expected_version"]))
+        return self._answer_write(_reply(deleted))
+
+    @routes.register("GET", "/v1/watch")
+    async def watch(self, call: Call) -> Reply:
+        """Waits for changes under a prefix."""
+        if refusal := await self._admit("watch"):
+            return refusal
+        prefix = call.query.get("prefix", "")
+        after = int(call.query["after"])
+        waited_ms = 0
+        changes = self._store.changes(prefix, after)
+        while not changes.entries and waited_ms < int(call.query["wait_ms"]):
+            await self._sleep(WATCH_POLL_INTERVAL_MS)
+            waited_ms += WATCH_POLL_INTERVAL_MS
+            if self._faults.down:
+                return _UNAVAILABLE
+            if self._store.revision > after or waited_ms % LEASE_CHECK_INTERVAL_MS == 0:
+                changes = self._store.changes(prefix, after)
+        return Reply(200, changes)
+
+    @routes.register("POST", "/v1/leases")
+    async def grant_lease(self, call: Call) -> Reply:
+        """Grants a lease."""
+        if refusal := await self._admit("grant lease"):
+            return refusal
+        lease = self._store.grant_lease(call.decode(LeaseBody).ttl_ms)
+        return self._answer_write(Reply(200, LeaseGranted(lease)))
+
+    @routes.register("PUT", "/v1/leases/{lease}")
+    async def renew_lease(self, call: Call) -> Reply:
+        """Renews a lease."""
+        if refusal := await self._admit("renew lease"):
+            return refusal
+        return self._answer_write(_reply(self._store.renew_lease(call.parameters["lease"])))
+
+    @routes.register("DELETE", "/v1/leases/{lease}")
+    async def revoke_lease(self, call: Call) -> Reply:
+        """Revokes a lease."""
+        if refusal := await self._admit("revoke lease"):
+            return refusal
+        self._store.revoke_lease(call.parameters["lease"])
+        return self._answer_write(Reply(200))
+
+    @routes.register("GET", "/v1/hosts")
+    async def hosts(self, call: Call) -> Reply:
+        """Reads the list of hosts."""
+        if refusal := await self._admit("list hosts"):
+            return refusal
+        return Reply(200, self._hosts)
+
+    @routes.register("PUT", "/test/hosts")
+    async def set_hosts(self, call: Call) -> Reply:
+        """Replaces the list of hosts."""
+        self._hosts = call.decode(list[Host])
+        return Reply(200)
+
+    @routes.register("PUT", "/test/faults")
+    async def set_faults(self, call: Call) -> Reply:
+        """Replaces the faults in force."""
+        self._faults = call.decode(Faults)
+        self._answers_to_lose = self._faults.lose_answers
+        return Reply(200)
+
+    @routes.register("GET", "/test/calls")
+    async def calls(self, call: Call) -> Reply:
+        """Reads the number of calls so far, by kind."""
+        return Reply(200, self._calls)
+
+    async def _admit(self, kind: str) -> Reply | None:
+        self._calls[kind] = self._calls.get(kind, 0) + 1
+        if self._faults.delay_ms:
+            await self._sleep(self._faults.delay_ms)
+        return _UNAVAILABLE if self._faults.down else None
+
+    def _answer_write(self, reply: Reply) -> Reply:
+        if self._answers_to_lose and reply.status == 200:
+            self._answers_to_lose -= 1
+            return Reply(504, "the answer was lost")
+        return reply
+
+    def _sleep(self, duration_ms: int) -> Deferred[None]:
+        slept: Deferred[None] = Deferred()
+        self._reactor.callLater(to_seconds(duration_ms), slept.callback, None)
+        return slept
+
+
+_UNAVAILABLE = Reply(503, "the service is down")
+
+
+def _reply(result: Result[object, Failure]) -> Reply:
+    if isinstance(result, Err):
+        failure = result.err_value
+        return Reply(_STATUS_OF_FAILURE[failure.kind], failure.detail)
+    return Reply(200, result.ok_value)
--- /dev/null
+++ b/src/jujubehall/testing/virtual/endpoints.py
@@ -0,0 +1,121 @@
+"""The endpoints of a virtual site, which count every run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+from twisted.internet.defer import Deferred
+
+from jujubehall.clock import to_seconds
+from jujubehall.errors import Failure
+from jujubehall.errors import FailureKind
+from jujubehall.testing.endpoint_stand_in import EndpointBehaviour
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Reactor
+    from jujubehall.endpoints.messages import Work
+    from jujubehall.identifiers import RequestId
+    from jujubehall.testing.virtual.host_reactor import HostReactor
+    from jujubehall.testing.virtual.network import Network
+
+SLOTS = 8
+STEP = "run request"
+
+
+class VirtualEndpoint:
+    """One endpoint: its behaviour, what it runs, and how often it has run each identifier."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.behaviour = EndpointBehaviour()
+        self.down = False
+        self.running = 0
+        self.most_running = 0
+        self.runs: dict[RequestId, int] = {}
+
+
+class VirtualEndpoints:
+    """Implements ``jujubehall.endpoints.interface.Endpoints`` for one entry host."""
+
+    def __init__(
+        self,
+        reactor: HostReactor,
+        time: Reactor,
+        network: Network,
+        host: str,
+        endpoints: dict[str, VirtualEndpoint],
+    ) -> None:
+        self._reactor = reactor
+        self._time = time
+        self._network = network
+        self._host = host
+        self._endpoints = endpoints
+
+    async def run(
+        self, name: str, address: str, work: Work, timeout_ms: int
+    ) -> Result[Any, Failure]:
+        """Runs a request; the endpoint goes on also if the entry host dies meanwhile."""
+        endpoint = self._endpoints[name]
+        if endpoint.down:
+            return Err(Failure(FailureKind.NOT_SENT, STEP, name, "connection refused"))
+        answered: Deferred[Result[Any, Failure]] = Deferred()
+        answered.addTimeout(to_seconds(timeout_ms), self._reactor)  # type: ignore[arg-type]
+        delay_s = to_seconds(self._network.delay_ms())
+        self._time.callLater(delay_s, self._arrive, endpoint, work, answered)
+        try:
+            return await answered
+        except Exception as error:
+            return Err(Failure(FailureKind.NO_ANSWER, STEP, name, type(error).__name__))
+
+    def _arrive(self, endpoint: VirtualEndpoint, work: Work, answered: Deferred[Any]) -> None:
+        if self._network.is_cut(self._host, endpoint.name) or endpoint.down:
+            return
+        behaviour = endpoint.behaviour
+        if behaviour.leaving or endpoint.running >= SLOTS:
+            detail = "leaving" if behaviour.leaving else "busy"
+            failure = Failure(FailureKind.UNAVAILABLE, STEP, endpoint.name, detail)
+            self._answer(endpoint, answered, Err(failure))
+            return
+        endpoint.runs[work.id] = endpoint.runs.get(work.id, 0) + 1
+        if behaviour.fail:
+            failure = Failure(FailureKind.NO_ANSWER, STEP, endpoint.name, "status 500")
+            self._answer(endpoint, answered, Err(failure))
+            return
+        endpoint.running += 1
+        endpoint.most_running = max(endpoint.most_running, endpoint.running)
+        self._time.callLater(
+            to_seconds(behaviour.run_ms), self._finish, endpoint, behaviour, work, answered
+        )
+
+    def _finish(
+        self,
+        endpoint: VirtualEndpoint,
+        behaviour: EndpointBehaviour,
+        work: Work,
+        answered: Deferred[Any],
+    ) -> None:
+        endpoint.running -= 1
+        if behaviour.cross or behaviour.truncate:
+            failure = Failure(FailureKind.NO_ANSWER, STEP, endpoint.name, "crossed answer")
+            self._answer(endpoint, answered, Err(failure), behaviour.late_ms)
+            return
+        result = msgspec.to_builtins({"endpoint": endpoint.name, "id": work.id})
+        self._answer(endpoint, answered, Ok(result), behaviour.late_ms)
+
+    def _answer(
+        self,
+        endpoint: VirtualEndpoint,
+        answered: Deferred[Any],
+        result: Result[Any, Failure],
+        late_ms: int = 0,
+    ) -> None:
+        def arrive() -> None:
+            if not answered.called and not self._network.is_cut(self._host, endpoint.name):
+                answered.callback(result)
+
+        self._reactor.callLater(to_seconds(self._network.delay_ms() + late_ms), arrive)
--- /dev/null
+++ b/src/jujubehall/testing/virtual/site.py
@@ -0,0 +1,136 @@
+"""A virtual site: entry hosts, endpoints, workers and the platform under one virtual time."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from twisted.internet.task import Clock as VirtualTime
+
+from jujubehall.clock import MS_PER_SECOND
+from jujubehall.clock import reactor_clock
+from jujubehall.clock import to_seconds
+from jujubehall.core.ownership.record import Member
+from jujubehall.daemon.entry_host import EntryHost
+from jujubehall.identifiers import EntryHostName
+from jujubehall.identifiers import Incarnation
+from jujubehall.identifiers import RackName
+from jujubehall.identifiers import WorkerName
+from jujubehall.identifiers import ZoneName
+from jujubehall.services.timing import start
+from jujubehall.testing.key_value_store import KeyValueStore
+from jujubehall.testing.virtual.endpoints import VirtualEndpoint
+from jujubehall.testing.virtual.endpoints import VirtualEndpoints
+from jujubehall.testing.virtual.host_reactor import HostReactor
+from jujubehall.testing.virtual.mesh import VirtualMesh
+from jujubehall.testing.virtual.network import Network
+from jujubehall.testing.virtual.platform import VirtualPlatform
+from jujubehall.testing.virtual.workers import VirtualWorkers
+from jujubehall.testing.worker_state import WorkerBehaviour
+from jujubehall.testing.worker_state import WorkerState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from jujubehall.platform.host import Host
+    from jujubehall.testing.site_file import SiteFile
+
+
+LEASE_CHECK_INTERVAL_MS = 100
+
+
+class VirtualHost:
+    """One started entry host of a virtual site, with its reactor and its view of the platform."""
+
+    def __init__(self, host: EntryHost, reactor: HostReactor, platform: VirtualPlatform) -> None:
+        self.host = host
+        self.reactor = reactor
+        self.platform = platform
+
+    @property
+    def name(self) -> EntryHostName:
+        """The entry host's name."""
+        return self.host.membership.member.name
+
+
+class VirtualSite:
+    """Runs real entry hosts over fakes; everything random comes from one seed."""
+
+    def __init__(self, site: SiteFile, seed: int) -> None:
+        self.random = Random(seed)
+        self.time = VirtualTime()
+        self.clock = reactor_clock(self.time)
+        self.network = Network(Random(self.random.random()))
+        self.store = KeyValueStore(self.clock)
+        self.endpoints = {host.name: VirtualEndpoint(host.name) for host in site.endpoint_hosts()}
+        self.workers = {host.name: self._worker(site, host) for host in site.worker_hosts()}
+        self.listed = [
+            *(msgspec.structs.replace(host, address=host.name) for host in site.worker_hosts()),
+            *site.endpoint_hosts(),
+        ]
+        self.hosts: dict[EntryHostName, VirtualHost] = {}
+        self._site = site
+        self._switchboard: dict[str, VirtualMesh] = {}
+        self._expire_leases()
+        for number in range(site.entry_hosts):
+            self.start_host(number)
+
+    def start_host(self, number: int) -> VirtualHost:
+        """Starts an entry host; in place of a killed one, a new incarnation of the same name."""
+        name = EntryHostName(f"entry-{number}")
+        incarnation = Incarnation(f"{self.random.getrandbits(64):016x}")
+        zone = ZoneName(self._site.zone(number))
+        member = Member(name, incarnation, zone, f"http://{name}", f"tcp://{name}/{incarnation}")
+        reactor = HostReactor(self.time)
+        platform = VirtualPlatform(reactor, self.network, name, self.store, lambda: self.listed)
+        host = EntryHost(
+            reactor,
+            reactor_clock(reactor),
+            member,
+            platform,
+            VirtualMesh(reactor, self.network, member, self._switchboard),
+            VirtualEndpoints(reactor, self.time, self.network, name, self.endpoints),
+            VirtualWorkers(reactor, self.network, name, self.workers),
+            Random(self.random.random()),
+        )
+        self.hosts[name] = VirtualHost(host, reactor, platform)
+        host.start()
+        return self.hosts[name]
+
+    def run_for(self, duration_ms: int) -> None:
+        """Lets virtual time pass."""
+        end = self.time.seconds() + duration_ms / MS_PER_SECOND
+        while self.time.calls and self.time.calls[0].getTime() <= end:
+            self.time.advance(max(0.0, self.time.calls[0].getTime() - self.time.seconds()))
+        self.time.advance(max(0.0, end - self.time.seconds()))
+
+    def run_until(self, condition: Callable[[], bool], timeout_ms: int = 60_000) -> None:
+        """Lets virtual time pass until ``condition`` holds."""
+        give_up_at_ms = self.clock.now_ms + timeout_ms
+        while not condition():
+            assert self.clock.now_ms < give_up_at_ms, f"not met within {timeout_ms} ms"
+            self.run_for(10)
+
+    def finish(self, coroutine: Coroutine[Any, Any, Any], timeout_ms: int = 60_000) -> Any:
+        """Runs a coroutine to its end in virtual time and returns its result."""
+        results: list[Any] = []
+        start(coroutine).addCallback(results.append)
+        self.run_until(lambda: bool(results), timeout_ms)
+        return results[0]
+
+    def _expire_leases(self) -> None:
+        self.store.expire_leases()
+        self.time.callLater(to_seconds(LEASE_CHECK_INTERVAL_MS), self._expire_leases)
+
+    def _worker(self, site: SiteFile, host: Host) -> WorkerState:
+        return WorkerState(
+            self.clock,
+            WorkerName(host.name),
+            ZoneName(host.zone),
+            RackName(host.rack),
+            site.worker_capacity,
+            WorkerBehaviour(),
+        )
--- /dev/null
+++ b/src/jujubehall/testing/worker_stand_in.py
@@ -0,0 +1,102 @@
+"""A worker's stand-in as an HTTP process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err
+
+from jujubehall.http.router import Call
+from jujubehall.http.router import Reply
+from jujubehall.http.router import Router
+from jujubehall.testing.worker_state import WorkerBehaviour
+from jujubehall.workers.messages import Checkpoint
+from jujubehall.workers.messages import CommandRefused
+from jujubehall.workers.messages import Fence
+from jujubehall.workers.messages import Renew
+from jujubehall.workers.messages import Reserve
+from jujubehall.workers.messages import Resources
+from jujubehall.workers.messages import StartTask
+from jujubehall.workers.messages import StopTask
+from jujubehall.workers.messages import Throttle
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from jujubehall.errors import Failure
+    from jujubehall.testing.worker_state import WorkerState
+    from jujubehall.workers.messages import Inventory
+
+routes = Router()
+
+
+class WorkerStandIn:
+    """Serves a ``WorkerState``."""
+
+    def __init__(self, state: WorkerState) -> None:
+        self._state = state
+
+    @routes.register("GET", "/v1/inventory")
+    async def inventory(self, call: Call) -> Reply:
+        """Reads the inventory."""
+        return Reply(200, self._state.inventory())
+
+    @routes.register("POST", "/v1/fence")
+    async def fence(self, call: Call) -> Reply:
+        """Raises the epoch."""
+        return self._reply(self._state.fence(call.decode(Fence)))
+
+    @routes.register("POST", "/v1/reserve")
+    async def reserve(self, call: Call) -> Reply:
+        """Sets resources aside."""
+        return self._reply(self._state.reserve(call.decode(Reserve)))
+
+    @routes.register("POST", "/v1/start")
+    async def start(self, call: Call) -> Reply:
+        """Starts a task."""
+        return self._reply(self._state.start(call.decode(StartTask)))
+
+    @routes.register("POST", "/v1/renew")
+    async def renew(self, call: Call) -> Reply:
+        """Extends leases."""
+        return self._reply(self._state.renew(call.decode(Renew)))
+
+    @routes.register("POST", "/v1/checkpoint")
+    async def checkpoint(self, call: Call) -> Reply:
+        """Saves a task's state."""
+        return self._reply(self._state.checkpoint(call.decode(Checkpoint)))
+
+    @routes.register("POST", "/v1/stop")
+    async def stop(self, call: Call) -> Reply:
+        """Stops a task."""
+        return self._reply(self._state.stop(call.decode(StopTask)))
+
+    @routes.register("POST", "/v1/throttle")
+    async def throttle(self, call: Call) -> Reply:
+        """Limits a task's processor time."""
+        return self._reply(self._state.throttle(call.decode(Throttle)))
+
+    @routes.register("PUT", "/test/behaviour")
+    async def set_behaviour(self, call: Call) -> Reply:
+        """Replaces the behaviour."""
+        self._state.behaviour = call.decode(WorkerBehaviour)
+        return Reply(200)
+
+    @routes.register("PUT", "/test/foreign")
+    async def set_foreign(self, call: Call) -> Reply:
+        """Sets the older scheduler's use."""
+        self._state.set_foreign(call.decode(Resources))
+        return Reply(200)
+
+    @routes.register("GET", "/test/started")
+    async def started(self, call: Call) -> Reply:
+        """Reads how often each task was started."""
+        started = [(msgspec.to_builtins(key), n) for key, n in self._state.started.items()]
+        return Reply(200, started)
+
+    def _reply(self, result: Result[Inventory, Failure]) -> Reply:
+        if isinstance(result, Err):
+            epoch = self._state.inventory().epoch
+            return Reply(409, CommandRefused(result.err_value.detail, epoch))
+        return Reply(200, result.ok_value)
--- /dev/null
+++ b/src/jujubehall/workers/__init__.py
@@ -0,0 +1,3 @@
+"""Client of the workers, which run tasks under leases."""
+
+from __future__ import annotations
