--- a/src/jujubehall/clock.py
+++ b/src/jujubehall/clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
--- a/src/jujubehall/daemon/main.py
+++ b/src/jujubehall/daemon/main.py
@@ -6,6 +6,7 @@
 import asyncio
 import signal
 import sys
+
 from pathlib import Path
 from random import SystemRandom
 from typing import TYPE_CHECKING
--- a/src/jujubehall/daemon/process.py
+++ b/src/jujubehall/daemon/process.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+
 from typing import TYPE_CHECKING
 from typing import Any
 
 import structlog
 import zmq
+
 from twisted.internet import reactor as _reactor
 from twisted.internet.error import CannotListenError
 
--- a/src/jujubehall/entry_hosts/zmq_mesh.py
+++ b/src/jujubehall/entry_hosts/zmq_mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+
 from itertools import count
 from typing import TYPE_CHECKING
 from typing import Any
@@ -11,6 +12,7 @@
 import structlog
 import zmq
 import zmq.asyncio
+
 from result import Err
 from result import Ok
 from result import Result
--- a/src/jujubehall/http/router.py
+++ b/src/jujubehall/http/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
--- a/src/jujubehall/http/site.py
+++ b/src/jujubehall/http/site.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import math
+
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import unquote
 
 import msgspec
 import structlog
+
 from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
--- a/src/jujubehall/services/job_service.py
+++ b/src/jujubehall/services/job_service.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+
 from result import Err
 from result import Ok
 from result import Result
--- a/src/jujubehall/services/peer_monitor.py
+++ b/src/jujubehall/services/peer_monitor.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import structlog
+
 from result import Ok
 
 from jujubehall.core.configuration.document import CONFIGURATION_KEY
--- a/src/jujubehall/services/shard_takeover.py
+++ b/src/jujubehall/services/shard_takeover.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import structlog
+
 from result import Err
 from result import Ok
 
--- a/src/jujubehall/services/zone_scheduler.py
+++ b/src/jujubehall/services/zone_scheduler.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import structlog
+
 from result import Err
 from result import Ok
 
--- a/src/jujubehall/testing/endpoint_stand_in.py
+++ b/src/jujubehall/testing/endpoint_stand_in.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+
 from twisted.internet.defer import Deferred
 
 from jujubehall.clock import to_seconds
--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+
 from functools import partial
 from pathlib import Path
 from tempfile import TemporaryDirectory
--- a/src/jujubehall/testing/stand_in.py
+++ b/src/jujubehall/testing/stand_in.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import argparse
+
 from pathlib import Path
 from typing import Any
 
 import msgspec
+
 from twisted.internet import reactor as _reactor
 
 from jujubehall.clock import system_clock
--- a/src/jujubehall/testing/virtual/mesh.py
+++ b/src/jujubehall/testing/virtual/mesh.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+
 from result import Err
 from result import Ok
 from result import Result
--- a/src/jujubehall/testing/virtual/site.py
+++ b/src/jujubehall/testing/virtual/site.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+
 from twisted.internet.task import Clock as VirtualTime
 
 from jujubehall.clock import MS_PER_SECOND
--- a/src/jujubehall/workers/client.py
+++ b/src/jujubehall/workers/client.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+
 from result import Err
 from result import Ok
 from result import Result
