--- a/src/jujubehall/clock.py
+++ b/src/jujubehall/clock.py
@@ -23,6 +23,9 @@
     ) -> Any:
         """Calls a function after ``delay`` seconds."""
 
+    def seconds(self) -> float:
+        """The reactor's time in seconds since an arbitrary point in the past."""
+
 
 class Clock:
     """Reads a monotonic time source in milliseconds.
--- a/src/jujubehall/core/configuration/change.py
+++ b/src/jujubehall/core/configuration/change.py
@@ -5,8 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from collections.abc import Sequence
+from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
@@ -29,13 +28,11 @@
 from jujubehall.core.configuration.scope import check_scope
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
-from jujubehall.identifiers import TeamName
-from jujubehall.identifiers import ZoneName
 
-PEER = "operator"
+if TYPE_CHECKING:
+    from jujubehall.identifiers import TeamName
 
-PackGuarantees = Callable[[Sequence[Team]], Result[dict[TeamName, dict[ZoneName, int]], Failure]]
-"""Finds room for the guarantees of all teams: the blocks of each team in each zone."""
+PEER = "operator"
 
 
 class ChangeAuthor(msgspec.Struct, frozen=True):
@@ -112,14 +109,11 @@
 
 
 def put_team(
-    configuration: Configuration,
-    author: ChangeAuthor,
-    team: Team,
-    pack: PackGuarantees | None = None,
+    configuration: Configuration, author: ChangeAuthor, team: Team
 ) -> Result[Configuration, Failure]:
     """Creates a team, or replaces the one of the same name.
 
-    With ``pack``, the change is refused if the guarantees of all teams can't be met together.
+    ``place_guarantees`` then says whether there is room for its guarantee.
     """
     step = "put team"
     path = f"teams.{team.name}"
@@ -130,13 +124,12 @@
     others = [each for each in configuration.teams if each.name != team.name]
     if len(others) >= MAX_TEAMS:
         return Err(_invalid(step, f"$.teams: there are {MAX_TEAMS} already"))
-    unplaced = msgspec.structs.replace(team, blocks_by_zone={})
-    teams = tuple(sorted((*others, unplaced), key=lambda each: each.name))
-    placed = _place_guarantees(teams, pack)
-    if isinstance(placed, Err):
-        return placed
-    changed = msgspec.structs.replace(configuration, teams=placed.ok_value)
-    return _recorded(step, changed, author, path, before, changed.team(team.name))
+    # What is kept for the team so far stays until its guarantee has been placed anew.
+    blocks_by_zone = before.blocks_by_zone if before and team.guarantee else {}
+    put = msgspec.structs.replace(team, blocks_by_zone=blocks_by_zone)
+    teams = tuple(sorted((*others, put), key=lambda each: each.name))
+    changed = msgspec.structs.replace(configuration, teams=teams)
+    return _recorded(step, changed, author, path, _unplaced(before), _unplaced(put))
 
 
 def remove_team(
@@ -155,7 +148,7 @@
         return Err(_invalid(step, detail))
     teams = tuple(each for each in configuration.teams if each.name != name)
     changed = msgspec.structs.replace(configuration, teams=teams)
-    return _recorded(step, changed, author, path, before, None)
+    return _recorded(step, changed, author, path, _unplaced(before), None)
 
 
 def exception_path(scope: str, key: str) -> str:
@@ -163,21 +156,9 @@
     return f"exceptions[{scope}].{key}"
 
 
-def _place_guarantees(
-    teams: tuple[Team, ...], pack: PackGuarantees | None
-) -> Result[tuple[Team, ...], Failure]:
-    if pack is None:
-        return Ok(teams)
-    packed = pack(teams)
-    if isinstance(packed, Err):
-        return packed
-    blocks = packed.ok_value
-    return Ok(
-        tuple(
-            msgspec.structs.replace(team, blocks_by_zone=dict(blocks.get(team.name, {})))
-            for team in teams
-        )
-    )
+def _unplaced(team: Team | None) -> Team | None:
+    # The audit trail holds what operators decide, not what is worked out from it.
+    return team and msgspec.structs.replace(team, blocks_by_zone={})
 
 
 def _recorded(
--- a/src/jujubehall/core/configuration/document.py
+++ b/src/jujubehall/core/configuration/document.py
@@ -22,7 +22,7 @@
 MAX_CONTENT_BYTES = 400_000
 """Bound on the encoded document without its audit entries."""
 
-PRINTABLE = r"^[^\x00-\x1f\x7f]+$"
+PRINTABLE = r"^[^\x00-\x1f\x7f]+\Z"
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=500, pattern=PRINTABLE)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128, pattern=PRINTABLE)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=100_000)]
--- a/src/jujubehall/core/ownership/scopes.py
+++ b/src/jujubehall/core/ownership/scopes.py
@@ -13,6 +13,7 @@
 
 REQUEST_SHARDS = 64
 HASH_BYTES = 8
+ZONE_SCOPE_PREFIX = "zone/"
 
 
 def request_scope(request: RequestId) -> str:
@@ -27,7 +28,7 @@
 
 def zone_scope(zone: ZoneName) -> str:
     """The scope of placement in an availability zone."""
-    return f"zone/{zone}"
+    return ZONE_SCOPE_PREFIX + zone
 
 
 def all_scopes(zones: Iterable[ZoneName]) -> list[str]:
--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -13,6 +13,7 @@
 from jujubehall.identifiers import ZoneName
 from jujubehall.platform.host import HostState
 from jujubehall.services.claim_log import ClaimLog
+from jujubehall.services.configuration_relay import ConfigurationRelay
 from jujubehall.services.configuration_service import ConfigurationService
 from jujubehall.services.dispatcher import Dispatcher
 from jujubehall.services.host_list import HostList
@@ -27,6 +28,7 @@
 from jujubehall.services.zone_scheduler import ZoneScheduler
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from random import Random
 
     from jujubehall.clock import Clock
@@ -38,6 +40,7 @@
     from jujubehall.workers.interface import Workers
 
 DRAIN_CHECK_INTERVAL_MS = 50
+HAND_OVER_TIMEOUT_MS = 5_000
 
 log = structlog.get_logger()
 
@@ -58,6 +61,7 @@
         endpoints: Endpoints,
         workers: Workers,
         random: Random,
+        seeds: Sequence[str] = (),
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -67,7 +71,7 @@
         self.membership = Membership(
             reactor, platform, self.cache, member, self._known_zones, random
         )
-        self.configuration = ConfigurationService(self.cache)
+        self.configuration = ConfigurationService(platform, self.cache)
         self.endpoint_table = EndpointTable(random)
         self.hosts.listen(lambda _: self._update_endpoints())
         claim_table = ClaimTable()
@@ -79,7 +83,10 @@
         self.requests = RequestService(
             clock, mesh, self.membership, self._takeover, self._claim_log, claim_table, dispatcher
         )
-        self.peers = PeerMonitor(reactor, clock, mesh, self.membership, self.cache)
+        self.peers = PeerMonitor(reactor, clock, mesh, self.membership, self.cache, seeds)
+        self.membership.follow_peers(self.peers.has_heard)
+        relay = ConfigurationRelay(mesh, self.cache)
+        self.peers.listen(lambda peer, heartbeat: start(relay.compare(peer, heartbeat)))
         self.jobs = JobService(platform, self.cache, self.hosts, random)
         self._scheduler = ZoneScheduler(reactor, self.cache, self.membership, self.hosts, workers)
         self._draining = False
@@ -87,7 +94,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self.cache.is_loaded and self.membership.is_member and not self._draining
+        is_known = self.cache.is_loaded and self.configuration.is_known
+        return is_known and self.membership.is_member and not self._draining
 
     def start(self) -> None:
         """Starts all services; works also while the platform is down."""
@@ -105,9 +113,10 @@
         """Stops gracefully; returns whether everything in progress was finished in time."""
         self._draining = True
         log.info("stopping", in_progress=self.requests.in_progress)
+        give_up_at_ms = self._clock.now_ms + timeout_ms
         await self.membership.drain()
         self.requests.drain()
-        give_up_at_ms = self._clock.now_ms + timeout_ms
+        await self.membership.hand_over(min(timeout_ms, HAND_OVER_TIMEOUT_MS))
         while self.requests.in_progress and self._clock.now_ms < give_up_at_ms:
             await sleep(self._reactor, DRAIN_CHECK_INTERVAL_MS)
         finished = self.requests.in_progress == 0
--- a/src/jujubehall/daemon/process.py
+++ b/src/jujubehall/daemon/process.py
@@ -99,6 +99,7 @@
         EndpointClient(reactor, CONNECTIONS_PER_ENDPOINT),
         WorkerClient(reactor),
         random,
+        settings.seeds,
     )
     site = make_site(
         (caller_routes, CallerInterface(host)), (operator_routes, OperatorInterface(host))
@@ -107,9 +108,11 @@
         port = reactor.listenTCP(listen.http_port, site, interface=listen.host)
     except CannotListenError as error:
         return f"listen.http_port: {error}"
+    process = Process(host, mesh, port, settings.stop_timeout_ms)
+    host.membership.on_replaced(process.begin_stop)
     host.start()
     log.info("started", incarnation=incarnation, address=member.http_address)
-    return Process(host, mesh, port, settings.stop_timeout_ms)
+    return process
 
 
 def configure_logging(settings: Settings) -> None:
--- a/src/jujubehall/daemon/settings.py
+++ b/src/jujubehall/daemon/settings.py
@@ -20,6 +20,7 @@
 
 Host = Annotated[str, msgspec.Meta(min_length=1, max_length=253)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+MeshAddress = Annotated[str, msgspec.Meta(pattern=r"^tcp://[^/]+:[0-9]+$")]
 Url = Annotated[str, msgspec.Meta(pattern=r"^http://[^/]+$")]
 
 
@@ -38,6 +39,9 @@
     zone: Annotated[ZoneName, msgspec.Meta(min_length=1, max_length=128)]
     platform: Url
     listen: ListenSettings
+    seeds: tuple[MeshAddress, ...] = ()
+    """Mesh addresses of entry hosts to ask for the configuration while the platform is down."""
+
     stop_timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 30_000
     """How long a planned stop waits for the requests in progress."""
 
--- a/src/jujubehall/platform/client.py
+++ b/src/jujubehall/platform/client.py
@@ -25,18 +25,21 @@
 from jujubehall.platform.entry import PutBody
 from jujubehall.platform.entry import Written
 from jujubehall.platform.host import Host
+from jujubehall.platform.interface import WATCH_WAIT_MS
 
 if TYPE_CHECKING:
     from jujubehall.clock import Reactor
     from jujubehall.identifiers import Version
 
 CALL_TIMEOUT_MS = 2_000
-WATCH_WAIT_MS = 30_000
 PEER = "platform"
 
 _FAILURE_OF_STATUS = {
+    400: FailureKind.INVALID,
     404: FailureKind.NOT_FOUND,
     409: FailureKind.CONFLICT,
+    410: FailureKind.NOT_FOUND,
+    413: FailureKind.INVALID,
     503: FailureKind.UNAVAILABLE,
 }
 
@@ -74,13 +77,15 @@
         query = urlencode({"expected_version": expected_version})
         return await self._call("delete", "DELETE", f"{_key_path(key)}?{query}")
 
-    async def watch(self, prefix: str, after_revision: int) -> Result[Changes, Failure]:
+    async def watch(
+        self, prefix: str, after_revision: int, wait_ms: int = WATCH_WAIT_MS
+    ) -> Result[Changes, Failure]:
         """Waits for changes under ``prefix`` later than ``after_revision``.
 
-        Returns no entries when nothing changed within ``WATCH_WAIT_MS``.
+        Returns no entries when nothing changed within ``wait_ms``.
         """
-        query = urlencode({"prefix": prefix, "after": after_revision, "wait_ms": WATCH_WAIT_MS})
-        timeout_ms = WATCH_WAIT_MS + CALL_TIMEOUT_MS
+        query = urlencode({"prefix": prefix, "after": after_revision, "wait_ms": wait_ms})
+        timeout_ms = wait_ms + CALL_TIMEOUT_MS
         path = f"/v1/watch?{query}"
         return await self._call("watch", "GET", path, type_=Changes, timeout_ms=timeout_ms)
 
--- a/src/jujubehall/platform/interface.py
+++ b/src/jujubehall/platform/interface.py
@@ -6,6 +6,8 @@
 from typing import Any
 from typing import Protocol
 
+WATCH_WAIT_MS = 30_000
+
 if TYPE_CHECKING:
     from result import Result
 
@@ -32,7 +34,9 @@
 
     async def delete(self, key: str, expected_version: Version) -> Result[None, Failure]: ...
 
-    async def watch(self, prefix: str, after_revision: int) -> Result[Changes, Failure]: ...
+    async def watch(
+        self, prefix: str, after_revision: int, wait_ms: int = WATCH_WAIT_MS
+    ) -> Result[Changes, Failure]: ...
 
     async def grant_lease(self, ttl_ms: int) -> Result[str, Failure]: ...
 
--- a/src/jujubehall/services/membership.py
+++ b/src/jujubehall/services/membership.py
@@ -10,14 +10,19 @@
 from result import Err
 from result import Ok
 
+from jujubehall.clock import MS_PER_SECOND
 from jujubehall.core.ownership.assignment import next_record
 from jujubehall.core.ownership.record import EMPTY_RECORD
 from jujubehall.core.ownership.record import MEMBERS_PREFIX
 from jujubehall.core.ownership.record import OWNERSHIP_KEY
 from jujubehall.core.ownership.record import Member
 from jujubehall.core.ownership.record import OwnershipRecord
+from jujubehall.core.ownership.retention import with_retained
+from jujubehall.core.ownership.scopes import ZONE_SCOPE_PREFIX
 from jujubehall.core.ownership.scopes import all_scopes
 from jujubehall.errors import FailureKind
+from jujubehall.identifiers import Epoch
+from jujubehall.identifiers import ZoneName
 from jujubehall.services.timing import BackOff
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -27,7 +32,7 @@
     from random import Random
 
     from jujubehall.clock import Reactor
-    from jujubehall.identifiers import ZoneName
+    from jujubehall.identifiers import EntryHostName
     from jujubehall.platform.interface import Platform
     from jujubehall.services.state_cache import StateCache
 
@@ -35,6 +40,16 @@
 RENEWAL_INTERVAL_MS = 1_000
 RECORD_CHECK_INTERVAL_MS = 100
 TURN_DELAY_MS = 300
+HAND_OVER_CHECK_INTERVAL_MS = 50
+
+RETURN_GRACE_MS = 10_000
+"""How long after an outage lapsed members that are alive keep their scopes."""
+
+FIRST_HEARTBEAT_MS = 2_500
+"""How long after an outage a member may be alive although it wasn't heard yet."""
+
+HEARD_WITHIN_MS = 3_500
+LONG_PAUSE_MS = 1_000
 
 log = structlog.get_logger()
 
@@ -59,7 +74,16 @@
         self._back_off = BackOff(random)
         self._lease = ""
         self._running = True
-        self._mismatched_for_ms = 0
+        self._is_renewed = False
+        self._was_registered = False
+        self._is_replaced = False
+        self._replaced_listeners: list[Callable[[], None]] = []
+        self._highest = EMPTY_RECORD
+        self._mismatched_since_ms: int | None = None
+        self._contact_since_ms: int | None = None
+        self._last_check_ms = self._now_ms
+        self._settled: object = None
+        self._has_heard: Callable[[EntryHostName, int], bool] = lambda name, within_ms: False
 
     @property
     def member(self) -> Member:
@@ -68,9 +92,11 @@
 
     @property
     def record(self) -> OwnershipRecord:
-        """The latest known ownership record."""
-        record = self._cache.read(OWNERSHIP_KEY, OwnershipRecord)
-        return EMPTY_RECORD if record is None else record
+        """The latest known ownership record; its epoch never falls."""
+        known = self._cache.read(OWNERSHIP_KEY, OwnershipRecord)
+        if known is not None and known.epoch > self._highest.epoch:
+            self._highest = known
+        return self._highest
 
     @property
     def members(self) -> list[Member]:
@@ -83,16 +109,30 @@
         member = self.record.member(self._member.name)
         return member is not None and member.incarnation == self._member.incarnation
 
+    @property
+    def is_replaced(self) -> bool:
+        """Whether another incarnation took this one's name; this process must end."""
+        return self._is_replaced
+
     def owns(self, scope: str) -> bool:
         """Whether the record in force gives ``scope`` to this incarnation."""
         owner = self.record.owner_of(scope)
         return owner is not None and owner.incarnation == self._member.incarnation
 
+    def follow_peers(self, has_heard: Callable[[EntryHostName, int], bool]) -> None:
+        """Has the direct heartbeats tell which members live on while the platform is down."""
+        self._has_heard = has_heard
+
+    def on_replaced(self, listener: Callable[[], None]) -> None:
+        """Calls ``listener`` once if another incarnation takes this one's name."""
+        self._replaced_listeners.append(listener)
+
     async def run(self) -> None:
         """Registers, renews the registration and proposes records until stopped."""
         start(self._propose_records())
         while self._running:
-            if await self._register():
+            self._is_renewed = await self._register()
+            if self._is_renewed:
                 self._back_off.reset()
                 await sleep(self._reactor, RENEWAL_INTERVAL_MS)
             else:
@@ -103,12 +143,31 @@
         self._member = msgspec.structs.replace(self._member, draining=True)
         await self._write_member()
 
+    async def hand_over(self, timeout_ms: int) -> bool:
+        """Waits until others own the scopes of this draining host; returns whether they do."""
+        give_up_at_ms = self._now_ms + timeout_ms
+        while self._owns_any():
+            if self._now_ms >= give_up_at_ms or not self._has_successor():
+                return False
+            await sleep(self._reactor, HAND_OVER_CHECK_INTERVAL_MS)
+        return True
+
     async def leave(self) -> None:
         """Ends the registration."""
         self._running = False
         if self._lease:
             await self._platform.revoke_lease(self._lease)
 
+    @property
+    def _now_ms(self) -> int:
+        return round(self._reactor.seconds() * MS_PER_SECOND)
+
+    def _owns_any(self) -> bool:
+        return self.is_member and self._member.name in self.record.owners.values()
+
+    def _has_successor(self) -> bool:
+        return any(not m.draining for m in self.members if m.name != self._member.name)
+
     async def _register(self) -> bool:
         if self._lease:
             renewed = await self._platform.renew_lease(self._lease)
@@ -117,6 +176,8 @@
             if renewed.err_value.kind is not FailureKind.NOT_FOUND:
                 return False
             self._lease = ""
+        if not self._running:
+            return False
         granted = await self._platform.grant_lease(LEASE_TTL_MS)
         if isinstance(granted, Err):
             return False
@@ -132,33 +193,95 @@
         return bool(self._cache.read(self._key, Member) == self._member)
 
     async def _write_member(self) -> bool:
-        if not self._cache.is_loaded:
+        if not self._cache.is_loaded or not self._running:
             return False
-        # An earlier incarnation's registration may still be there: its name is ours now.
+        known: Member | None = self._cache.read(self._key, Member)
+        if known is not None and known.incarnation != self._member.incarnation:
+            if self._was_registered:
+                self._step_down(known)
+                return False
+            log.info("registration of an earlier incarnation replaced", earlier=known.incarnation)
         version = self._cache.version(self._key)
         written = await self._cache.put(self._key, self._member, version, self._lease)
+        if isinstance(written, Ok):
+            self._was_registered = True
         return isinstance(written, Ok)
 
+    def _step_down(self, other: Member) -> None:
+        # Two processes that take the name from each other would change the record for ever. The
+        # one that was registered first is the one that was paused or cut off.
+        log.error("replaced by another incarnation", other=other.incarnation)
+        self._running = False
+        self._is_replaced = True
+        for listener in self._replaced_listeners:
+            listener()
+
     async def _propose_records(self) -> None:
         while self._running:
             await sleep(self._reactor, RECORD_CHECK_INTERVAL_MS)
-            if self._cache.is_connected and self._is_registered:
+            self._note_contact()
+            if self._contact_since_ms is not None and self._is_registered:
                 await self._propose_record()
 
+    def _note_contact(self) -> None:
+        # After a long pause of this process, nothing that it believes to know is recent.
+        paused = self._now_ms - self._last_check_ms > LONG_PAUSE_MS
+        self._last_check_ms = self._now_ms
+        if paused or not self._is_renewed or not self._cache.is_connected:
+            self._contact_since_ms = None
+        elif self._contact_since_ms is None:
+            self._contact_since_ms = self._now_ms
+
+    def _may_return(self, member: Member) -> bool:
+        assert self._contact_since_ms is not None
+        contact_ms = self._now_ms - self._contact_since_ms
+        if contact_ms >= RETURN_GRACE_MS:
+            return False
+        return contact_ms < FIRST_HEARTBEAT_MS or self._has_heard(member.name, HEARD_WITHIN_MS)
+
     async def _propose_record(self) -> None:
         record = self.record
-        members = self.members
-        proposal = next_record(record, members, all_scopes(self._zones()))
+        proposal = self._next_record(record)
         if proposal is None:
-            self._mismatched_for_ms = 0
+            self._mismatched_since_ms = None
             return
+        if self._mismatched_since_ms is None:
+            self._mismatched_since_ms = self._now_ms
         # Members take turns, so that a change is normally proposed by one of them only.
-        self._mismatched_for_ms += RECORD_CHECK_INTERVAL_MS
-        turn = [member.name for member in members].index(self._member.name)
-        if self._mismatched_for_ms < turn * TURN_DELAY_MS:
+        turn = [member.name for member in self.members].index(self._member.name)
+        if self._now_ms - self._mismatched_since_ms < turn * TURN_DELAY_MS:
             return
+        assert proposal.epoch > record.epoch, "the epoch rises with each record"
         version = self._cache.version(OWNERSHIP_KEY)
         written = await self._cache.put(OWNERSHIP_KEY, proposal, version)
         if isinstance(written, Ok):
-            log.info("ownership changed", epoch=proposal.epoch, members=len(members))
-        self._mismatched_for_ms = 0
+            members = len(proposal.members)
+            log.info("ownership changed", epoch=proposal.epoch, members=members)
+        self._mismatched_since_ms = None
+
+    def _next_record(self, record: OwnershipRecord) -> OwnershipRecord | None:
+        members = with_retained(record, self.members, self._may_return)
+        scopes = all_scopes(self._scoped_zones(record))
+        stored = self._cache.version(OWNERSHIP_KEY)
+        inputs = (record.epoch, stored, members, scopes)
+        if inputs == self._settled:
+            return None
+        proposal = next_record(record, members, scopes)
+        if proposal is None and self._is_record_lost(record):
+            return msgspec.structs.replace(record, epoch=Epoch(record.epoch + 1))
+        if proposal is None:
+            self._settled = inputs
+        return proposal
+
+    def _scoped_zones(self, record: OwnershipRecord) -> set[ZoneName]:
+        # A list of hosts that is empty, lags or misses a lost zone takes no zone its owner.
+        owned = {
+            ZoneName(scope.removeprefix(ZONE_SCOPE_PREFIX))
+            for scope in record.owners
+            if scope.startswith(ZONE_SCOPE_PREFIX)
+        }
+        return owned | set(self._zones())
+
+    def _is_record_lost(self, record: OwnershipRecord) -> bool:
+        stored = self._cache.read(OWNERSHIP_KEY, OwnershipRecord)
+        return record.epoch > 0 and (stored is None or stored.epoch < record.epoch)
--- a/src/jujubehall/services/state_cache.py
+++ b/src/jujubehall/services/state_cache.py
@@ -10,14 +10,17 @@
 from result import Err
 from result import Ok
 
+from jujubehall.clock import MS_PER_SECOND
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import Version
 from jujubehall.platform.entry import Entry
+from jujubehall.platform.interface import WATCH_WAIT_MS
 from jujubehall.services.timing import BackOff
 from jujubehall.services.timing import sleep
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from random import Random
 
     from result import Result
@@ -27,6 +30,9 @@
     from jujubehall.platform.interface import Platform
 
 STATE_PREFIX = "state/"
+MIN_WATCH_INTERVAL_MS = 50
+
+_REVISION_UNKNOWN = (FailureKind.NOT_FOUND, FailureKind.CONFLICT, FailureKind.INVALID)
 
 
 class StateCache:
@@ -41,8 +47,11 @@
         self._platform = platform
         self._back_off = BackOff(random)
         self._entries: dict[str, Entry] = {}
+        self._folders: dict[str, set[str]] = {}
         self._decoded: dict[str, tuple[Version, Any]] = {}
+        self._lists: dict[tuple[str, type[Any]], list[Any]] = {}
         self._revision = 0
+        self._is_catching_up = False
         self._loaded = False
         self._needs_load = True
         self._connected = False
@@ -59,6 +68,10 @@
         """Whether the last call to the platform succeeded."""
         return self._connected
 
+    def entry(self, key: str) -> Entry | None:
+        """A key as the platform holds it, undecoded, or None if it is absent."""
+        return self._entries.get(key)
+
     def version(self, key: str) -> Version:
         """The version of a key, 0 if it is absent."""
         entry = self._entries.get(key)
@@ -71,8 +84,12 @@
 
     def read_all(self, prefix: str, type_: type[Any]) -> list[Any]:
         """The values of all keys under ``prefix``, as ``type_``, ordered by key."""
-        keys = sorted(key for key in self._entries if key.startswith(prefix))
-        return [self._decode(self._entries[key], type_) for key in keys]
+        known = self._lists.get((prefix, type_))
+        if known is None:
+            keys = sorted(key for key in self._keys_near(prefix) if key.startswith(prefix))
+            known = [self._decode(self._entries[key], type_) for key in keys]
+            self._lists[prefix, type_] = known
+        return list(known)
 
     def listen(self, prefix: str, listener: Callable[[Entry], None]) -> None:
         """Calls ``listener`` with each later change under ``prefix``."""
@@ -85,9 +102,11 @@
     async def run(self) -> None:
         """Follows the prefix until stopped."""
         while self._running:
+            started_at_s = self._reactor.seconds()
             step = self._load() if self._needs_load else self._follow()
             if await step:
                 self._back_off.reset()
+                await self._pause(started_at_s)
             else:
                 await sleep(self._reactor, self._back_off.next_ms())
 
@@ -96,19 +115,25 @@
     ) -> Result[Version, Failure]:
         """Writes a key of the prefix by compare-and-swap; a success is seen here at once.
 
-        ``value`` may be a struct. After a lost race the later state is read before returning.
+        ``value`` may be a struct. After a lost race or a lost answer, what the key holds is read
+        before returning.
         """
         plain = msgspec.to_builtins(value)
         written = await self._platform.put(key, plain, expected_version, lease)
         if isinstance(written, Ok):
             self.apply(Entry(key, plain, written.ok_value))
         elif written.err_value.kind in (FailureKind.CONFLICT, FailureKind.NO_ANSWER):
-            await self._load()
+            await self.refresh_key(key)
         return written
 
-    async def refresh(self) -> bool:
-        """Reads the whole prefix now; for the settling of a lost race or a lost answer."""
-        return await self._load()
+    async def refresh_key(self, key: str) -> bool:
+        """Reads one key now; returns whether the platform answered."""
+        found = await self._platform.get(key)
+        if isinstance(found, Ok):
+            self.apply(found.ok_value)
+            return True
+        # That the key is gone will show in the watch, which a stale read can't mislead.
+        return found.err_value.kind is FailureKind.NOT_FOUND
 
     def apply(self, entry: Entry) -> None:
         """Takes over one entry, learned from the platform, unless a later one is known."""
@@ -116,11 +141,24 @@
         if known is not None and known.version >= entry.version:
             return
         if entry.deleted:
-            self._entries.pop(entry.key, None)
+            self._remove(entry.key)
         else:
             self._entries[entry.key] = entry
+            self._folders.setdefault(_folder(entry.key), set()).add(entry.key)
         self._notify(entry)
 
+    def _remove(self, key: str) -> None:
+        self._entries.pop(key, None)
+        self._folders.get(_folder(key), set()).discard(key)
+
+    def _keys_near(self, prefix: str) -> Iterable[str]:
+        # Keys are read by folder nearly always: no need to look at those of all others.
+        if prefix.endswith("/") and not any(
+            folder.startswith(prefix) for folder in self._folders if folder != prefix
+        ):
+            return self._folders.get(prefix, ())
+        return self._entries
+
     def _decode(self, entry: Entry, type_: type[Any]) -> Any:
         # Values are read far more often than they change.
         decoded = self._decoded.get(entry.key)
@@ -154,14 +192,18 @@
             gone = msgspec.structs.replace(
                 known, value=None, version=Version(revision), deleted=True
             )
-            del self._entries[key]
+            self._remove(key)
             self._notify(gone)
 
     async def _follow(self) -> bool:
-        watched = await self._platform.watch(STATE_PREFIX, self._revision)
+        # After a failure the first answer must come at once: it ends the outage for the readers.
+        wait_ms = 0 if self._is_catching_up else WATCH_WAIT_MS
+        watched = await self._platform.watch(STATE_PREFIX, self._revision, wait_ms)
         self._connected = isinstance(watched, Ok)
+        self._is_catching_up = isinstance(watched, Err)
         if isinstance(watched, Err):
-            self._needs_load = True
+            # The platform can't tell the changes since our revision: only a full read can.
+            self._needs_load = watched.err_value.kind in _REVISION_UNKNOWN
             return False
         changes = watched.ok_value
         for entry in changes.entries:
@@ -169,9 +211,21 @@
         self._revision = max(self._revision, changes.revision)
         return True
 
+    async def _pause(self, started_at_s: float) -> None:
+        # Bounds the watches of a burst: the changes of the interval come with the next one.
+        elapsed_ms = round((self._reactor.seconds() - started_at_s) * MS_PER_SECOND)
+        if elapsed_ms < MIN_WATCH_INTERVAL_MS:
+            await sleep(self._reactor, MIN_WATCH_INTERVAL_MS - elapsed_ms)
+
     def _notify(self, entry: Entry) -> None:
         if entry.deleted:
             self._decoded.pop(entry.key, None)
+        for stale in [each for each in self._lists if entry.key.startswith(each[0])]:
+            del self._lists[stale]
         for prefix, listener in self._listeners:
             if entry.key.startswith(prefix):
                 listener(entry)
+
+
+def _folder(key: str) -> str:
+    return key[: key.rfind("/") + 1]
--- a/src/jujubehall/testing/virtual/platform.py
+++ b/src/jujubehall/testing/virtual/platform.py
@@ -16,7 +16,7 @@
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.platform.client import CALL_TIMEOUT_MS
-from jujubehall.platform.client import WATCH_WAIT_MS
+from jujubehall.platform.interface import WATCH_WAIT_MS
 from jujubehall.services.timing import sleep
 from jujubehall.testing.virtual.network import PLATFORM
 
@@ -74,10 +74,12 @@
         """Deletes one key by compare-and-swap."""
         return await self._write("delete", lambda: self._store.delete(key, expected_version))
 
-    async def watch(self, prefix: str, after_revision: int) -> Result[Changes, Failure]:
+    async def watch(
+        self, prefix: str, after_revision: int, wait_ms: int = WATCH_WAIT_MS
+    ) -> Result[Changes, Failure]:
         """Waits for changes under a prefix."""
         self.calls["watch"] = self.calls.get("watch", 0) + 1
-        give_up_at_s = self._reactor.seconds() + to_seconds(WATCH_WAIT_MS)
+        give_up_at_s = self._reactor.seconds() + to_seconds(wait_ms)
         while True:
             answered = await self._carry_out(
                 "watch", lambda: Ok(self._store.changes(prefix, after_revision))
--- a/src/jujubehall/testing/virtual/site.py
+++ b/src/jujubehall/testing/virtual/site.py
@@ -84,7 +84,7 @@
         name = EntryHostName(f"entry-{number}")
         incarnation = Incarnation(f"{self.random.getrandbits(64):016x}")
         zone = ZoneName(self._site.zone(number))
-        member = Member(name, incarnation, zone, f"http://{name}", f"tcp://{name}/{incarnation}")
+        member = Member(name, incarnation, zone, f"http://{name}", f"tcp://{name}")
         reactor = HostReactor(self.time)
         platform = VirtualPlatform(reactor, self.network, name, self.store, lambda: self.listed)
         host = EntryHost(
@@ -96,6 +96,7 @@
             VirtualEndpoints(reactor, self.time, self.network, name, self.endpoints),
             VirtualWorkers(reactor, self.network, name, self.workers),
             Random(self.random.random()),
+            [f"tcp://entry-{each}" for each in range(self._site.entry_hosts)],
         )
         self.hosts[name] = VirtualHost(host, reactor, platform)
         host.start()
