Close four gaps of the claim path and prove it in seeded storms

Causes, each found by reading the path step by step: - A restarted entry host carried the claims of its earlier incarnation in its head under its own incarnation and skipped them when it inherited, so a retry could run a second time. - A thawed owner with a stale ownership record could open a sealed or absent head again for its past epoch. The seal now raises the head's epoch, and an opening is confirmed by reading the ownership record after the head is written. - An opening and a claim write could overlap; a lock now orders them, and claims keep the epoch in which they were gathered. - A caller's identifier used again for other content got the first caller's answer; it is now refused.

--- a/src/jujubehall/core/requests/claim_table.py
+++ b/src/jujubehall/core/requests/claim_table.py
@@ -7,9 +7,11 @@
 
 import msgspec
 
+from jujubehall.core.ownership.scopes import stable_hash
 from jujubehall.core.requests.claim_records import claim_hash
 from jujubehall.core.requests.request import Answer
 from jujubehall.core.requests.request import Outcome
+from jujubehall.core.requests.request import not_run
 from jujubehall.core.requests.request import unknown
 
 if TYPE_CHECKING:
@@ -33,6 +35,8 @@
 
     state: ClaimState
     expires_at_ms: int
+    content: int
+    """A hash of what the caller asked for, since two callers may choose the same identifier."""
     answer: Answer | None = None
 
 
@@ -57,16 +61,21 @@
     def known_answer(self, request: Request) -> Answer | None:
         """The answer to repeat to the caller, or None if the request is new or in progress."""
         claim = self._claims.get(request.id)
+        if claim is not None and claim.content != content_hash(request):
+            return not_run(request, "its identifier names another request", "claim")
         if claim is not None:
             return claim.answer
         if claim_hash(request.id) in self._inherited:
             return unknown(request, "claimed by an earlier owner", "claim", "entry host")
         return None
 
-    def begin(self, request: RequestId, now_ms: int) -> None:
+    def begin(self, request: Request, now_ms: int) -> None:
         """Records that an attempt begins; it must be new."""
-        assert request not in self._claims, f"{request} is claimed already"
-        self._claims[request] = Claim(ClaimState.IN_PROGRESS, now_ms + CLAIM_RETENTION_MS)
+        assert request.id not in self._claims, f"{request.id} is claimed already"
+        expires_at_ms = now_ms + CLAIM_RETENTION_MS
+        self._claims[request.id] = Claim(
+            ClaimState.IN_PROGRESS, expires_at_ms, content_hash(request)
+        )
 
     def finish(self, answer: Answer, now_ms: int) -> None:
         """Records the answer of the attempt in progress."""
@@ -96,3 +105,8 @@
             for claim, expires_at_ms in self._inherited.items()
             if expires_at_ms > now_ms
         }
+
+
+def content_hash(request: Request) -> int:
+    """A hash of what a request asks for, the same on every attempt of its caller."""
+    return stable_hash(repr((request.team, request.kind, msgspec.json.encode(request.payload))))
--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -77,7 +77,14 @@
         )
         dispatcher = Dispatcher(clock, endpoints, self.endpoint_table, self._slot_allotment)
         self.requests = RequestService(
-            clock, mesh, self.membership, self._takeover, self._claim_log, claim_table, dispatcher
+            reactor,
+            clock,
+            mesh,
+            self.membership,
+            self._takeover,
+            self._claim_log,
+            claim_table,
+            dispatcher,
         )
         self.peers = PeerMonitor(reactor, clock, mesh, self.membership, self.cache)
         self.jobs = JobService(platform, self.cache, self.hosts, random)
--- a/src/jujubehall/endpoints/client.py
+++ b/src/jujubehall/endpoints/client.py
@@ -43,10 +43,11 @@
         answer = await self._http.call(STEP, "POST", url, work, timeout_ms=timeout_ms, peer=name)
         if isinstance(answer, Err):
             return answer
-        return _interpret(answer.ok_value, work, name)
+        return interpret(answer.ok_value, work, name)
 
 
-def _interpret(response: Response, work: Work, name: str) -> Result[Any, Failure]:
+def interpret(response: Response, work: Work, name: str) -> Result[Any, Failure]:
+    """States what an endpoint's answer proves about ``work``."""
     try:
         if response.status == 200:
             done = response.decode(WorkDone)
--- a/src/jujubehall/entry_hosts/zmq_mesh.py
+++ b/src/jujubehall/entry_hosts/zmq_mesh.py
@@ -130,18 +130,31 @@
         except msgspec.DecodeError as error:
             log.warning("undecodable message", error=str(error))
             return
-        handler = self._handlers.get(type(envelope.message))
-        if handler is None:
-            message: Message = Refused(f"no handler for {type(envelope.message).__name__}")
-        else:
-            message = await _as_future(handler(envelope.sender, envelope.message))
+        message = await self._handle(envelope)
         answer = Envelope(envelope.id, self._name, self._incarnation, message)
         await router.send_multipart([identity, msgspec.msgpack.encode(answer)])
 
+    async def _handle(self, envelope: Envelope) -> Message:
+        step = type(envelope.message).__name__
+        handler = self._handlers.get(type(envelope.message))
+        if handler is None:
+            return Refused(f"no handler for {step}")
+        try:
+            answer: Message = await _as_future(handler(envelope.sender, envelope.message))
+        except Exception as error:
+            log.error("handler failed", step=step, peer=envelope.sender, error=repr(error))
+            return Refused(f"{step} failed")
+        return answer
+
     async def _receive(self, dealer: Any) -> None:
         while not dealer.closed:
-            (content,) = await dealer.recv_multipart()
-            envelope = msgspec.msgpack.decode(content, type=Envelope)
+            content = (await dealer.recv_multipart())[-1]
+            try:
+                envelope = msgspec.msgpack.decode(content, type=Envelope)
+            except msgspec.DecodeError as error:
+                # An undecodable answer must not end the receiving of later ones.
+                log.warning("undecodable message", error=str(error))
+                continue
             answered = self._waiting.pop(envelope.id, None)
             if answered is not None and not answered.called:
                 answered.callback(envelope.message)
--- a/src/jujubehall/services/claim_log.py
+++ b/src/jujubehall/services/claim_log.py
@@ -10,7 +10,10 @@
 from result import Ok
 from result import Result
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import DeferredLock
 
+from jujubehall.core.ownership.record import OWNERSHIP_KEY
+from jujubehall.core.ownership.record import OwnershipRecord
 from jujubehall.core.requests.claim_records import MAX_CLAIMS_IN_HEAD
 from jujubehall.core.requests.claim_records import ClaimArchive
 from jujubehall.core.requests.claim_records import ClaimHead
@@ -55,32 +58,29 @@
         self._lease_granted_at_ms = 0
         self._gathered: list[tuple[RequestId, Deferred[Result[None, Failure]]]] = []
         self._writing = False
+        self._write_lock = DeferredLock()
+        self._carried: set[int] = set()
+        self._released: set[int] = set()
 
     @property
     def epoch(self) -> Epoch:
         """The epoch for which the log is open, 0 while it is closed."""
         return self._head.epoch if self._is_open else Epoch(0)
 
+    @property
+    def carried(self) -> frozenset[int]:
+        """Claims of earlier incarnations of this entry host, found in its head."""
+        return frozenset(self._carried)
+
     async def open(self, epoch: Epoch) -> Result[None, Failure]:
         """Opens the log for ``epoch``; claims gathered for an earlier epoch fail."""
         self._is_open = False
         self._fail_gathered(_closed_failure(self._head.name))
-        found = await self._platform.get(head_key(self._head.name))
-        if isinstance(found, Err):
-            if found.err_value.kind is not FailureKind.NOT_FOUND:
-                return found
-            claims: tuple[int, ...] = ()
-            self._version = ABSENT
-        else:
-            previous = msgspec.convert(found.ok_value.value, ClaimHead)
-            if previous.epoch > epoch:
-                return Err(_closed_failure(self._head.name))
-            claims = previous.claims
-            self._version = found.ok_value.version
-        self._head = msgspec.structs.replace(self._head, epoch=epoch, sealed=False, claims=claims)
-        written = await self._write(claims)
-        self._is_open = isinstance(written, Ok)
-        return written
+        await self._write_lock.acquire()
+        try:
+            return await self._open(epoch)
+        finally:
+            self._write_lock.release()
 
     async def claim(self, request: RequestId) -> Result[None, Failure]:
         """Makes a claim durable.
@@ -90,41 +90,102 @@
         """
         if not self._is_open:
             return Err(_closed_failure(self._head.name))
+        self._released.discard(claim_hash(request))
         written: Deferred[Result[None, Failure]] = Deferred()
         self._gathered.append((request, written))
         if not self._writing:
             start(self._write_gathered())
         return await written
 
+    def release(self, request: RequestId) -> None:
+        """Drops the claim of a request that no endpoint ran, with the next write of others.
+
+        A later owner that doesn't find the claim may run the request when the caller tries again.
+        """
+        self._released.add(claim_hash(request))
+
     async def seal(self) -> None:
         """Closes the log at a planned stop, so that a successor needn't wait for it."""
         self._is_open = False
-        self._head = msgspec.structs.replace(self._head, sealed=True)
-        await self._write(self._head.claims)
+        await self._write_lock.acquire()
+        try:
+            self._head = msgspec.structs.replace(self._head, sealed=True)
+            await self._write(self._head.claims)
+        finally:
+            self._write_lock.release()
+
+    async def _open(self, epoch: Epoch) -> Result[None, Failure]:
+        found = await self._platform.get(head_key(self._head.name))
+        claims: tuple[int, ...] = ()
+        if isinstance(found, Ok):
+            previous = msgspec.convert(found.ok_value.value, ClaimHead)
+            if previous.epoch > epoch:
+                return Err(_closed_failure(self._head.name))
+            if previous.incarnation != self._head.incarnation:
+                self._carried.update(previous.claims)
+            claims = previous.claims
+            self._version = found.ok_value.version
+        elif found.err_value.kind is FailureKind.NOT_FOUND:
+            self._version = ABSENT
+        else:
+            return found
+        self._head = msgspec.structs.replace(self._head, epoch=epoch, sealed=False, claims=claims)
+        written = await self._write(claims)
+        if isinstance(written, Err):
+            return written
+        confirmed = await self._confirm(epoch)
+        self._is_open = isinstance(confirmed, Ok)
+        return confirmed
+
+    async def _confirm(self, epoch: Epoch) -> Result[None, Failure]:
+        """Reads after the write of the head that ``epoch`` is still the latest.
+
+        A successor writes the ownership record first and reads the heads afterwards. So either it
+        has seen this head and seals it, or its record is found here.
+        """
+        found = await self._platform.get(OWNERSHIP_KEY)
+        if isinstance(found, Err):
+            return found
+        record = msgspec.convert(found.ok_value.value, OwnershipRecord)
+        if record.epoch != epoch:
+            return Err(_closed_failure(self._head.name))
+        return Ok(None)
 
     async def _write_gathered(self) -> None:
         self._writing = True
         while self._gathered:
             batch = self._gathered[:MAX_CLAIMS_IN_HEAD]
             del self._gathered[:MAX_CLAIMS_IN_HEAD]
-            result = await self._write_claims([claim_hash(request) for request, _ in batch])
+            result = await self._write_batch([claim_hash(request) for request, _ in batch])
             for _, written in batch:
                 written.callback(result)
         self._writing = False
 
-    async def _write_claims(self, claims: list[int]) -> Result[None, Failure]:
-        if not self._is_open:
+    async def _write_batch(self, claims: list[int]) -> Result[None, Failure]:
+        # The epoch of the claims: while they wait, the log may be opened for a later one.
+        epoch = self.epoch
+        await self._write_lock.acquire()
+        try:
+            return await self._write_claims(claims, epoch)
+        finally:
+            self._write_lock.release()
+
+    async def _write_claims(self, claims: list[int], epoch: Epoch) -> Result[None, Failure]:
+        if not self._is_open or self.epoch != epoch:
             return Err(_closed_failure(self._head.name))
-        epoch = self._head.epoch
-        kept = self._head.claims
+        released = frozenset(self._released)
+        kept = tuple(claim for claim in self._head.claims if claim not in released)
         if len(kept) + len(claims) > MAX_CLAIMS_IN_HEAD:
             archived = await self._archive(kept)
             if isinstance(archived, Err):
                 return archived
             kept = ()
-        if not self._is_open or self._head.epoch != epoch:
+        if not self._is_open or self.epoch != epoch:
             return Err(_closed_failure(self._head.name))
-        return await self._write((*kept, *claims))
+        written = await self._write((*kept, *claims))
+        if isinstance(written, Ok):
+            self._released -= released
+        return written
 
     async def _write(self, claims: tuple[int, ...]) -> Result[None, Failure]:
         sequence = self._head.sequence + 1
@@ -184,17 +245,21 @@
             written.callback(Err(failure))
 
 
-async def seal_head(platform: Platform, name: EntryHostName) -> Result[None, Failure]:
-    """Seals another entry host's head, whatever it writes meanwhile."""
+async def seal_head(platform: Platform, name: EntryHostName, epoch: Epoch) -> Result[None, Failure]:
+    """Seals another entry host's head for ``epoch``, whatever it writes meanwhile.
+
+    The head takes on the epoch, so that its entry host can't open it again for an earlier one.
+    """
     while True:
         found = await platform.get(head_key(name))
         if isinstance(found, Err):
             return found.map(lambda _: None)
         head = msgspec.convert(found.ok_value.value, ClaimHead)
-        if head.sealed:
+        if head.fences(epoch):
             return Ok(None)
-        sealed = msgspec.to_builtins(msgspec.structs.replace(head, sealed=True))
-        written = await platform.put(head_key(name), sealed, found.ok_value.version)
+        sealed = msgspec.structs.replace(head, sealed=True, epoch=epoch)
+        key = head_key(name)
+        written = await platform.put(key, msgspec.to_builtins(sealed), found.ok_value.version)
         if isinstance(written, Ok):
             return Ok(None)
         if written.err_value.kind is not FailureKind.CONFLICT:
--- a/src/jujubehall/services/dispatcher.py
+++ b/src/jujubehall/services/dispatcher.py
@@ -48,16 +48,15 @@
         """The number of requests being dispatched."""
         return self._in_flight
 
-    async def dispatch(self, request: Request) -> Answer:
+    async def dispatch(self, request: Request, give_up_at_ms: int) -> Answer:
         """Runs ``request``, trying other endpoints while that is safe and in time."""
         self._in_flight += 1
         try:
-            return await self._attempt(request)
+            return await self._attempt(request, give_up_at_ms)
         finally:
             self._in_flight -= 1
 
-    async def _attempt(self, request: Request) -> Answer:
-        give_up_at_ms = self._clock.now_ms + request.deadline_ms
+    async def _attempt(self, request: Request, give_up_at_ms: int) -> Answer:
         tried: set[EndpointName] = set()
         last: Failure | None = None
         while len(tried) < MAX_ATTEMPTS:
--- a/src/jujubehall/services/shard_takeover.py
+++ b/src/jujubehall/services/shard_takeover.py
@@ -125,7 +125,7 @@
             # A live member opens its log for the new epoch by itself within a moment.
             if waited_ms >= PATIENCE_MS or not any(self._is_live(head) for head in unfenced):
                 for head in unfenced:
-                    await seal_head(self._platform, head.name)
+                    await seal_head(self._platform, head.name, epoch)
             else:
                 await sleep(self._reactor, CHECK_INTERVAL_MS)
                 waited_ms += CHECK_INTERVAL_MS
@@ -140,6 +140,7 @@
         if heads is None or archives is None:
             return False
         own = self._membership.member.incarnation
+        self._table.inherit(self._claim_log.carried, self._clock.now_ms)
         for record in (*heads, *archives):
             # What this incarnation claimed is in its table, with the answer.
             if record.incarnation != own:
--- a/src/jujubehall/testing/virtual/endpoints.py
+++ b/src/jujubehall/testing/virtual/endpoints.py
@@ -8,13 +8,16 @@
 import msgspec
 
 from result import Err
-from result import Ok
 from result import Result
 from twisted.internet.defer import Deferred
 
 from jujubehall.clock import to_seconds
+from jujubehall.endpoints import client
+from jujubehall.endpoints.messages import WorkDone
+from jujubehall.endpoints.messages import WorkRefused
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
+from jujubehall.http.client import Response
 from jujubehall.testing.endpoint_stand_in import EndpointBehaviour
 
 if TYPE_CHECKING:
@@ -37,6 +40,8 @@
         self.down = False
         self.running = 0
         self.most_running = 0
+        self.refused_busy = 0
+        self.held_back = b""
         self.runs: dict[RequestId, int] = {}
 
 
@@ -78,14 +83,13 @@
             return
         behaviour = endpoint.behaviour
         if behaviour.leaving or endpoint.running >= SLOTS:
-            detail = "leaving" if behaviour.leaving else "busy"
-            failure = Failure(FailureKind.UNAVAILABLE, STEP, endpoint.name, detail)
-            self._answer(endpoint, answered, Err(failure))
+            endpoint.refused_busy += 0 if behaviour.leaving else 1
+            refused = WorkRefused(work.id, behaviour.leaving, not behaviour.leaving)
+            self._answer(endpoint, work, answered, 503, msgspec.json.encode(refused))
             return
         endpoint.runs[work.id] = endpoint.runs.get(work.id, 0) + 1
         if behaviour.fail:
-            failure = Failure(FailureKind.NO_ANSWER, STEP, endpoint.name, "status 500")
-            self._answer(endpoint, answered, Err(failure))
+            self._answer(endpoint, work, answered, 500, b'"failed"')
             return
         endpoint.running += 1
         endpoint.most_running = max(endpoint.most_running, endpoint.running)
@@ -101,22 +105,26 @@
         answered: Deferred[Any],
     ) -> None:
         endpoint.running -= 1
-        if behaviour.cross or behaviour.truncate:
-            failure = Failure(FailureKind.NO_ANSWER, STEP, endpoint.name, "crossed answer")
-            self._answer(endpoint, answered, Err(failure), behaviour.late_ms)
-            return
-        result = msgspec.to_builtins({"endpoint": endpoint.name, "id": work.id})
-        self._answer(endpoint, answered, Ok(result), behaviour.late_ms)
+        body = msgspec.json.encode(WorkDone(work.id, {"endpoint": endpoint.name, "id": work.id}))
+        if behaviour.cross:
+            # Each answer goes to the caller before: all are whole, and none is at its place.
+            crossed, endpoint.held_back = endpoint.held_back, body
+            body = crossed or b"{}"
+        if behaviour.truncate:
+            body = body[: len(body) // 2]
+        self._answer(endpoint, work, answered, 200, body, behaviour.late_ms)
 
     def _answer(
         self,
         endpoint: VirtualEndpoint,
+        work: Work,
         answered: Deferred[Any],
-        result: Result[Any, Failure],
+        status: int,
+        body: bytes,
         late_ms: int = 0,
     ) -> None:
         def arrive() -> None:
             if not answered.called and not self._network.is_cut(self._host, endpoint.name):
-                answered.callback(result)
+                answered.callback(client.interpret(Response(status, body), work, endpoint.name))
 
         self._reactor.callLater(to_seconds(self._network.delay_ms() + late_ms), arrive)
--- a/src/jujubehall/testing/virtual/mesh.py
+++ b/src/jujubehall/testing/virtual/mesh.py
@@ -73,7 +73,8 @@
 
     def _deliver(self, target: VirtualMesh, content: bytes, answered: Deferred[bytes]) -> None:
         if not self._network.is_cut(self._member.name, target._member.name):
-            target._reactor.callLater(0, start, target._answer(self, content, answered))
+            # A frozen target reads the message at its thaw, a killed one never.
+            target._reactor.callLater(0, lambda: start(target._answer(self, content, answered)))
 
     async def _answer(self, asker: VirtualMesh, content: bytes, answered: Deferred[bytes]) -> None:
         message = msgspec.msgpack.decode(content, type=Message)
--- /dev/null
+++ b/tests/services/request_storm.py
@@ -0,0 +1,212 @@
+"""Seeded storms of requests and failures over a virtual site, and the promises they must keep."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jujubehall.core.requests.request import Outcome
+from jujubehall.core.requests.request import Request
+from jujubehall.core.requests.tickets import parse_ticket
+from jujubehall.identifiers import EntryHostName
+from jujubehall.identifiers import RequestId
+from jujubehall.identifiers import TeamName
+from jujubehall.services.timing import start
+from jujubehall.testing.endpoint_stand_in import EndpointBehaviour
+from jujubehall.testing.site_file import SiteFile
+from jujubehall.testing.virtual.network import PLATFORM
+from jujubehall.testing.virtual.site import VirtualSite
+from jujubehall.workers.messages import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jujubehall.core.requests.request import Answer
+
+SITE = SiteFile(
+    zones=("zone-a", "zone-b"),
+    entry_hosts=4,
+    endpoints=3,
+    workers=1,
+    workers_per_rack=1,
+    worker_capacity=Resources(8, 60, 250),
+    first_port=20_000,
+)
+TEAM = TeamName("studio")
+STEP_MS = 100
+SETTLE_MS = 40_000
+DEADLINE_MS = 3_000
+BEHAVIOURS = (
+    EndpointBehaviour(),
+    EndpointBehaviour(run_ms=300),
+    EndpointBehaviour(late_ms=4_000),
+    EndpointBehaviour(cross=True, run_ms=50),
+    EndpointBehaviour(truncate=True),
+    EndpointBehaviour(fail=True),
+    EndpointBehaviour(leaving=True),
+)
+
+
+def ready_site(seed: int, site_file: SiteFile = SITE) -> VirtualSite:
+    """Makes a site whose entry hosts have all taken over their shards."""
+    site = VirtualSite(site_file, seed)
+    site.run_until(lambda: all(each.host.is_ready for each in site.hosts.values()))
+    site.run_for(3_000)
+    return site
+
+
+class Violation(AssertionError):
+    """A promise to callers was broken."""
+
+
+class RequestStorm:
+    """Callers that send, lose patience and try again, while everything fails around them."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.site = ready_site(seed)
+        self.answers: dict[RequestId, list[Answer]] = {}
+        self.attempts: dict[RequestId, int] = {}
+        self._open: list[Request] = []
+        self._failures: tuple[Callable[[], None], ...] = (
+            self._kill,
+            self._freeze,
+            self._cut_from_platform,
+            self._cut_from_peer,
+            self._outage,
+            self._lose_answers,
+            self._slow_platform,
+            self._misbehave,
+            self._refuse_connections,
+            self._change_owners,
+        )
+
+    def run(self, steps: int) -> None:
+        """Runs the storm, lets the site settle, and checks every promise."""
+        for _ in range(steps):
+            for _ in range(self.random.randint(0, 4)):
+                self._send()
+            if self.random.random() < 0.12:
+                self.random.choice(self._failures)()
+            self.site.run_for(STEP_MS)
+        self._end_failures()
+        self.site.run_for(SETTLE_MS)
+        self.check()
+
+    def check(self) -> None:
+        """Raises ``Violation`` if a promise was broken."""
+        for request, answers in self.answers.items():
+            runs = self._runs(request)
+            if runs > 1:
+                raise Violation(f"{request} ran {runs} times")
+            completed = [each for each in answers if each.outcome is Outcome.COMPLETED]
+            if any(each.id != request or each.result["id"] != request for each in completed):
+                raise Violation(f"{request} got the answer of another request")
+            if completed and runs != 1:
+                raise Violation(f"{request} completed without a run")
+            refused = [each for each in answers if each.outcome is Outcome.NOT_RUN]
+            if runs and len(refused) == self.attempts[request]:
+                raise Violation(f"{request} ran although every attempt was answered: not run")
+
+    def _runs(self, request: RequestId) -> int:
+        return sum(each.runs.get(request, 0) for each in self.site.endpoints.values())
+
+    def _send(self) -> None:
+        hosts = [each for each in self.site.hosts.values() if not each.reactor.is_killed]
+        host = self.random.choice(hosts)
+        if self._open and self.random.random() < 0.5:
+            request = self.random.choice(self._open)
+        else:
+            request = self._new_request()
+        self.attempts[request.id] = self.attempts.get(request.id, 0) + 1
+        # A frozen process reads the request when it is thawed.
+        host.reactor.callLater(0, self._serve, host, request)
+
+    def _serve(self, host: object, request: Request) -> None:
+        served = start(host.host.requests.serve(request))  # type: ignore[attr-defined]
+        served.addCallback(self.answers[request.id].append)
+
+    def _new_request(self) -> Request:
+        identifier = RequestId(f"hold-{len(self.answers)}")
+        if self.random.random() < 0.3:
+            living = [each for each in self.site.hosts.values() if not each.reactor.is_killed]
+            identifier = self.random.choice(living).host.requests.issue_tickets(1)[0]
+            assert parse_ticket(identifier) is not None
+        request = Request(identifier, TEAM, "slot-hold", deadline_ms=DEADLINE_MS)
+        self.answers[identifier] = []
+        self._open.append(request)
+        del self._open[:-60]
+        return request
+
+    def _later(self, undo: Callable[[], object], at_most_ms: int = 9_000) -> None:
+        self.site.time.callLater(self.random.randint(50, at_most_ms) / 1_000, undo)
+
+    def _some_host(self) -> EntryHostName:
+        return self.random.choice(list(self.site.hosts))
+
+    def _kill(self) -> None:
+        name = self._some_host()
+        number = int(name.rsplit("-", 1)[1])
+        victim = self.site.hosts[name]
+        if victim.reactor.is_killed:
+            return
+        victim.reactor.kill()
+        self._later(lambda: self.site.start_host(number))
+
+    def _freeze(self) -> None:
+        victim = self.site.hosts[self._some_host()]
+        victim.reactor.freeze()
+        self._later(victim.reactor.thaw)
+
+    def _cut_from_platform(self) -> None:
+        name = self._some_host()
+        self.site.network.cut(name, PLATFORM)
+        self._later(lambda: self.site.network.join(name, PLATFORM))
+
+    def _cut_from_peer(self) -> None:
+        one = self._some_host()
+        other = self._some_host()
+        self.site.network.cut(one, other)
+        self._later(lambda: self.site.network.join(one, other))
+
+    def _outage(self) -> None:
+        self.site.network.platform_down = True
+        self._later(lambda: setattr(self.site.network, "platform_down", False))
+
+    def _lose_answers(self) -> None:
+        self.site.network.lost_answer_share = 0.4
+        self._later(lambda: setattr(self.site.network, "lost_answer_share", 0.0))
+
+    def _slow_platform(self) -> None:
+        self.site.network.platform_delay_ms = self.random.choice((50, 400, 1_500))
+        self._later(lambda: setattr(self.site.network, "platform_delay_ms", 0), 4_000)
+
+    def _misbehave(self) -> None:
+        endpoint = self.random.choice(list(self.site.endpoints.values()))
+        endpoint.behaviour = self.random.choice(BEHAVIOURS)
+        self._later(lambda: setattr(endpoint, "behaviour", EndpointBehaviour()))
+
+    def _refuse_connections(self) -> None:
+        endpoint = self.random.choice(list(self.site.endpoints.values()))
+        endpoint.down = True
+        self._later(lambda: setattr(endpoint, "down", False), 2_000)
+
+    def _change_owners(self) -> None:
+        # A member that comes or goes moves shards between live owners.
+        name = self._some_host()
+        host = self.site.hosts[name]
+        member = host.host.membership.member
+        changed = msgspec.structs.replace(member, draining=not member.draining)
+        host.host.membership._member = changed
+        self._later(lambda: setattr(host.host.membership, "_member", member), 4_000)
+
+    def _end_failures(self) -> None:
+        self.site.network.join_all()
+        self.site.network.platform_down = False
+        self.site.network.lost_answer_share = 0.0
+        self.site.network.platform_delay_ms = 0
+        for endpoint in self.site.endpoints.values():
+            endpoint.behaviour = EndpointBehaviour()
+            endpoint.down = False
