--- a/src/jujubehall/core/ownership/scopes.py
+++ b/src/jujubehall/core/ownership/scopes.py
@@ -17,7 +17,12 @@
 
 def request_scope(request: RequestId) -> str:
     """The scope of the shard that ``request`` belongs to."""
-    return shard_scope(stable_hash(request) % REQUEST_SHARDS)
+    return shard_scope(shard_of(request))
+
+
+def shard_of(request: RequestId) -> int:
+    """The number of the shard that ``request`` belongs to."""
+    return stable_hash(request) % REQUEST_SHARDS
 
 
 def shard_scope(shard: int) -> str:
--- a/src/jujubehall/core/requests/claim_records.py
+++ b/src/jujubehall/core/requests/claim_records.py
@@ -18,7 +18,17 @@
 
 HEADS_PREFIX = "claims/heads/"
 ARCHIVES_PREFIX = "claims/archives/"
+LOST_PREFIX = "claims/lost/"
 MAX_CLAIMS_IN_HEAD = 64
+MAX_CLAIMS_IN_ARCHIVE = 4_096
+
+
+class Granter(msgspec.Struct, frozen=True):
+    """A member of the record for which a head was opened; ``grants`` says what it grants."""
+
+    name: EntryHostName
+    incarnation: Incarnation
+    mesh_address: str
 
 
 class ClaimHead(msgspec.Struct, frozen=True):
@@ -31,15 +41,31 @@
     name: EntryHostName
     incarnation: Incarnation
     epoch: Epoch
+    opened: Epoch = Epoch(0)
+    """The epoch of the last opening; ``epoch`` rises above it when the head is sealed."""
+
     sequence: int = 0
     sealed: bool = False
     claims: tuple[int, ...] = ()
+    shards: tuple[int, ...] = ()
+    """The request shards that its entry host owned at the last opening."""
+
+    granters: tuple[Granter, ...] = ()
+    cleared: bool = False
+    """Whether a sealed head has no more claims in its entry host's memory that count."""
 
     def fences(self, epoch: Epoch) -> bool:
         """Whether its entry host can no longer claim on the ground of an epoch before ``epoch``."""
         return self.sealed or self.epoch >= epoch
 
 
+class LostClaims(msgspec.Struct, frozen=True):
+    """Shards whose owner died with claims in memory; kept until every such claim is too old."""
+
+    incarnation: Incarnation
+    shards: tuple[int, ...]
+
+
 class ClaimArchive(msgspec.Struct, frozen=True):
     """Claims moved out of a head."""
 
@@ -57,6 +83,11 @@
     return HEADS_PREFIX + name
 
 
+def lost_key(incarnation: Incarnation) -> str:
+    """The key of the lost claims of one incarnation of an entry host."""
+    return LOST_PREFIX + incarnation
+
+
 def archive_key(name: EntryHostName, incarnation: Incarnation, number: int) -> str:
     """The key of one archive."""
     return f"{ARCHIVES_PREFIX}{name}/{incarnation}/{number:08d}"
--- a/src/jujubehall/core/requests/claim_table.py
+++ b/src/jujubehall/core/requests/claim_table.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jujubehall.core.ownership.scopes import shard_of
 from jujubehall.core.ownership.scopes import stable_hash
 from jujubehall.core.requests.claim_records import claim_hash
 from jujubehall.core.requests.request import Answer
@@ -18,6 +19,7 @@
     from collections.abc import Iterable
 
     from jujubehall.core.requests.request import Request
+    from jujubehall.identifiers import Incarnation
     from jujubehall.identifiers import RequestId
 
 CLAIM_RETENTION_MS = 600_000
@@ -49,6 +51,8 @@
     def __init__(self) -> None:
         self._claims: dict[RequestId, Claim] = {}
         self._inherited: dict[int, int] = {}
+        self._lost: dict[int, int] = {}
+        self._losses: set[Incarnation] = set()
 
     def __len__(self) -> int:
         return len(self._claims) + len(self._inherited)
@@ -93,6 +97,18 @@
         for claim in claims:
             self._inherited[claim] = now_ms + CLAIM_RETENTION_MS
 
+    def lose(self, owner: Incarnation, shards: Iterable[int], now_ms: int) -> None:
+        """Records that claims of an earlier owner of ``shards`` were lost with its memory."""
+        if owner in self._losses:
+            return
+        self._losses.add(owner)
+        for shard in shards:
+            self._lost[shard] = now_ms + CLAIM_RETENTION_MS
+
+    def may_be_lost(self, request: RequestId) -> bool:
+        """Whether the claim of an unknown request may have been lost."""
+        return shard_of(request) in self._lost
+
     def expire(self, now_ms: int) -> None:
         """Forgets the claims whose time has passed, except those in progress."""
         self._claims = {
@@ -100,11 +116,12 @@
             for request, claim in self._claims.items()
             if claim.expires_at_ms > now_ms or claim.state is ClaimState.IN_PROGRESS
         }
-        self._inherited = {
-            claim: expires_at_ms
-            for claim, expires_at_ms in self._inherited.items()
-            if expires_at_ms > now_ms
-        }
+        self._inherited = _unexpired(self._inherited, now_ms)
+        self._lost = _unexpired(self._lost, now_ms)
+
+
+def _unexpired(expiries: dict[int, int], now_ms: int) -> dict[int, int]:
+    return {key: expires_at_ms for key, expires_at_ms in expiries.items() if expires_at_ms > now_ms}
 
 
 def content_hash(request: Request) -> int:
--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -9,15 +9,18 @@
 from jujubehall.core.requests.claim_table import ClaimTable
 from jujubehall.core.requests.endpoint_table import EndpointState
 from jujubehall.core.requests.endpoint_table import EndpointTable
+from jujubehall.core.requests.grants import GrantBook
 from jujubehall.identifiers import EndpointName
 from jujubehall.identifiers import ZoneName
 from jujubehall.platform.host import HostState
 from jujubehall.services.claim_log import ClaimLog
+from jujubehall.services.clearance import Clearance
 from jujubehall.services.configuration_service import ConfigurationService
 from jujubehall.services.dispatcher import Dispatcher
 from jujubehall.services.host_list import HostList
 from jujubehall.services.job_service import JobService
 from jujubehall.services.membership import Membership
+from jujubehall.services.outage_claims import OutageClaims
 from jujubehall.services.peer_monitor import PeerMonitor
 from jujubehall.services.request_service import RequestService
 from jujubehall.services.shard_takeover import ShardTakeover
@@ -72,8 +75,22 @@
         self.hosts.listen(lambda _: self._update_endpoints())
         claim_table = ClaimTable()
         self._claim_log = ClaimLog(platform, clock, member.name, member.incarnation)
+        grants = GrantBook()
+        self._outage_claims = OutageClaims(
+            reactor, clock, mesh, self.membership, self.hosts, self._claim_log, grants
+        )
+        clearance = Clearance(
+            reactor, clock, platform, mesh, self.membership, self._claim_log, claim_table, grants
+        )
         self._takeover = ShardTakeover(
-            reactor, clock, platform, self.membership, self._claim_log, claim_table, random
+            reactor,
+            clock,
+            platform,
+            self.membership,
+            self._claim_log,
+            claim_table,
+            clearance,
+            random,
         )
         dispatcher = Dispatcher(clock, endpoints, self.endpoint_table, self._slot_allotment)
         self.requests = RequestService(
@@ -85,6 +102,7 @@
             self._claim_log,
             claim_table,
             dispatcher,
+            self._outage_claims,
         )
         self.peers = PeerMonitor(reactor, clock, mesh, self.membership, self.cache)
         self.jobs = JobService(platform, self.cache, self.hosts, random)
@@ -104,6 +122,7 @@
             self.membership,
             self.peers,
             self._takeover,
+            self._outage_claims,
             self._scheduler,
         ):
             start(service.run())
@@ -120,6 +139,7 @@
         finished = self.requests.in_progress == 0
         self._scheduler.stop()
         self._takeover.stop()
+        self._outage_claims.stop()
         self.peers.stop()
         await self._claim_log.seal()
         await self.membership.leave()
--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -61,6 +61,49 @@
     reason: str
 
 
+class GrantWanted(msgspec.Struct, frozen=True, tag="grant-wanted"):
+    """An owner asks for a promise not to take over from it; ``core.requests.grants`` says why."""
+
+    incarnation: Incarnation
+    epoch: Epoch
+    sequence: int
+
+
+class GrantAnswered(msgspec.Struct, frozen=True, tag="grant-answered"):
+    """The answer of the granter with the given incarnation."""
+
+    incarnation: Incarnation
+    granted: bool
+
+
+class WithdrawalWanted(msgspec.Struct, frozen=True, tag="withdrawal-wanted"):
+    """A successor asks that an owner gets no more grants for epochs before ``epoch``."""
+
+    owner: Incarnation
+    epoch: Epoch
+
+
+class GrantWithdrawn(msgspec.Struct, frozen=True, tag="grant-withdrawn"):
+    """Says how long the last promise still holds and the highest sequence ever granted."""
+
+    incarnation: Incarnation
+    remaining_ms: int
+    sequence: int
+
+
+class SurrenderWanted(msgspec.Struct, frozen=True, tag="surrender-wanted"):
+    """A successor, which has sealed the owner's head, asks for its claims in memory."""
+
+    owner: Incarnation
+
+
+class Surrendered(msgspec.Struct, frozen=True, tag="surrendered"):
+    """All claims that the owner holds in memory only; it makes no more of them."""
+
+    incarnation: Incarnation
+    claims: tuple[int, ...]
+
+
 Message = (
     Heartbeat
     | HeartbeatAnswer
@@ -69,6 +112,12 @@
     | ConfigurationWanted
     | ConfigurationOffered
     | Refused
+    | GrantWanted
+    | GrantAnswered
+    | WithdrawalWanted
+    | GrantWithdrawn
+    | SurrenderWanted
+    | Surrendered
 )
 
 
--- a/src/jujubehall/services/claim_log.py
+++ b/src/jujubehall/services/claim_log.py
@@ -14,12 +14,15 @@
 
 from jujubehall.core.ownership.record import OWNERSHIP_KEY
 from jujubehall.core.ownership.record import OwnershipRecord
+from jujubehall.core.requests.claim_records import MAX_CLAIMS_IN_ARCHIVE
 from jujubehall.core.requests.claim_records import MAX_CLAIMS_IN_HEAD
 from jujubehall.core.requests.claim_records import ClaimArchive
 from jujubehall.core.requests.claim_records import ClaimHead
+from jujubehall.core.requests.claim_records import LostClaims
 from jujubehall.core.requests.claim_records import archive_key
 from jujubehall.core.requests.claim_records import claim_hash
 from jujubehall.core.requests.claim_records import head_key
+from jujubehall.core.requests.claim_records import lost_key
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import Epoch
@@ -28,6 +31,7 @@
 
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
+    from jujubehall.core.requests.claim_records import Granter
     from jujubehall.identifiers import EntryHostName
     from jujubehall.identifiers import Incarnation
     from jujubehall.identifiers import RequestId
@@ -35,6 +39,11 @@
 
 ARCHIVE_LEASE_TTL_MS = 720_000
 ARCHIVE_LEASE_ROTATION_MS = 60_000
+MAX_CLAIMS_IN_MEMORY = 50_000
+REWRITE_INTERVAL_MS = 300_000
+OUTAGE_LIMIT_MS = 4_200_000
+"""How long after its last recorded write an entry host may claim in memory."""
+
 ABSENT = Version(0)
 
 
@@ -53,6 +62,7 @@
         self._head = ClaimHead(name, incarnation, Epoch(0), sealed=True)
         self._version = ABSENT
         self._is_open = False
+        self._opened = Epoch(0)
         self._archives = 0
         self._lease = ""
         self._lease_granted_at_ms = 0
@@ -61,24 +71,51 @@
         self._write_lock = DeferredLock()
         self._carried: set[int] = set()
         self._released: set[int] = set()
+        self._in_memory: dict[int, None] = {}
+        self._surrendered = False
+        self._written_at_ms = 0
 
     @property
     def epoch(self) -> Epoch:
         """The epoch for which the log is open, 0 while it is closed."""
         return self._head.epoch if self._is_open else Epoch(0)
 
+    @property
+    def opened(self) -> Epoch:
+        """The epoch for which the log was last opened successfully, 0 if it never was."""
+        return self._opened
+
+    @property
+    def sequence(self) -> int:
+        """The number of the last attempted write; grants for claims in memory name it."""
+        return self._head.sequence
+
+    @property
+    def granters(self) -> tuple[Granter, ...]:
+        """The members of the record for which the log was last opened."""
+        return self._head.granters
+
     @property
     def carried(self) -> frozenset[int]:
         """Claims of earlier incarnations of this entry host, found in its head."""
         return frozenset(self._carried)
 
-    async def open(self, epoch: Epoch) -> Result[None, Failure]:
-        """Opens the log for ``epoch``; claims gathered for an earlier epoch fail."""
+    async def open(
+        self,
+        epoch: Epoch,
+        shards: tuple[int, ...] = (),
+        granters: tuple[Granter, ...] = (),
+    ) -> Result[None, Failure]:
+        """Opens the log for ``epoch``; claims gathered for an earlier epoch fail.
+
+        ``shards`` and ``granters`` are what this entry host owns in the ownership record of that
+        epoch, and the record's members.
+        """
         self._is_open = False
         self._fail_gathered(_closed_failure(self._head.name))
         await self._write_lock.acquire()
         try:
-            return await self._open(epoch)
+            return await self._open(epoch, shards, granters)
         finally:
             self._write_lock.release()
 
@@ -97,24 +134,82 @@
             start(self._write_gathered())
         return await written
 
+    def claim_in_memory(self, request: RequestId) -> bool:
+        """Claims while the platform is down; the caller must hold grants for ``sequence``.
+
+        The next write of the head takes these claims along.
+        """
+        if self._surrendered or len(self._in_memory) >= MAX_CLAIMS_IN_MEMORY:
+            return False
+        if self._write_age_ms >= OUTAGE_LIMIT_MS:
+            return False
+        self._released.discard(claim_hash(request))
+        self._in_memory[claim_hash(request)] = None
+        return True
+
+    async def flush(self) -> None:
+        """Records the claims in memory, and shows from time to time that the head is in use."""
+        if not self._is_open or not (self._in_memory or self._write_age_ms >= REWRITE_INTERVAL_MS):
+            return
+        await self._write_lock.acquire()
+        try:
+            if self._is_open:
+                await self._write_all(self._head.claims)
+        finally:
+            self._write_lock.release()
+
+    @property
+    def _write_age_ms(self) -> int:
+        return self._clock.now_ms - self._written_at_ms
+
+    def surrender(self) -> tuple[int, ...]:
+        """Gives the claims in memory to a successor, and makes none until the log is opened."""
+        self._surrendered = True
+        return tuple(self._in_memory)
+
+    async def archive(self, claims: tuple[int, ...]) -> Result[None, Failure]:
+        """Records claims that were given up by another entry host."""
+        for first in range(0, len(claims), MAX_CLAIMS_IN_ARCHIVE):
+            archived = await self._archive(claims[first : first + MAX_CLAIMS_IN_ARCHIVE])
+            if isinstance(archived, Err):
+                return archived
+        return Ok(None)
+
+    async def record_loss(
+        self, incarnation: Incarnation, shards: tuple[int, ...]
+    ) -> Result[None, Failure]:
+        """Records that claims of ``shards`` were lost with the memory of an earlier owner."""
+        leased = await self._ensure_lease()
+        if isinstance(leased, Err):
+            return leased
+        value = msgspec.to_builtins(LostClaims(incarnation, shards))
+        written = await self._platform.put(lost_key(incarnation), value, ABSENT, self._lease)
+        if isinstance(written, Err) and written.err_value.kind is FailureKind.CONFLICT:
+            return Ok(None)
+        return written.map(lambda _: None)
+
     def release(self, request: RequestId) -> None:
         """Drops the claim of a request that no endpoint ran, with the next write of others.
 
         A later owner that doesn't find the claim may run the request when the caller tries again.
         """
         self._released.add(claim_hash(request))
+        self._in_memory.pop(claim_hash(request), None)
 
     async def seal(self) -> None:
         """Closes the log at a planned stop, so that a successor needn't wait for it."""
         self._is_open = False
+        self._surrendered = True
         await self._write_lock.acquire()
         try:
-            self._head = msgspec.structs.replace(self._head, sealed=True)
-            await self._write(self._head.claims)
+            self._head = msgspec.structs.replace(self._head, sealed=True, cleared=True)
+            await self._write_all(self._head.claims)
         finally:
             self._write_lock.release()
 
-    async def _open(self, epoch: Epoch) -> Result[None, Failure]:
+    async def _open(
+        self, epoch: Epoch, shards: tuple[int, ...], granters: tuple[Granter, ...]
+    ) -> Result[None, Failure]:
         found = await self._platform.get(head_key(self._head.name))
         claims: tuple[int, ...] = ()
         if isinstance(found, Ok):
@@ -122,6 +217,8 @@
             if previous.epoch > epoch:
                 return Err(_closed_failure(self._head.name))
             if previous.incarnation != self._head.incarnation:
+                if not previous.cleared:
+                    return Err(_closed_failure(self._head.name))
                 self._carried.update(previous.claims)
             claims = previous.claims
             self._version = found.ok_value.version
@@ -129,12 +226,23 @@
             self._version = ABSENT
         else:
             return found
-        self._head = msgspec.structs.replace(self._head, epoch=epoch, sealed=False, claims=claims)
-        written = await self._write(claims)
+        self._head = msgspec.structs.replace(
+            self._head,
+            epoch=epoch,
+            opened=epoch,
+            sealed=False,
+            cleared=False,
+            shards=shards,
+            granters=granters,
+        )
+        written = await self._write_all(claims)
         if isinstance(written, Err):
             return written
         confirmed = await self._confirm(epoch)
-        self._is_open = isinstance(confirmed, Ok)
+        if isinstance(confirmed, Ok):
+            self._is_open = True
+            self._opened = epoch
+            self._surrendered = False
         return confirmed
 
     async def _confirm(self, epoch: Epoch) -> Result[None, Failure]:
@@ -175,27 +283,43 @@
             return Err(_closed_failure(self._head.name))
         released = frozenset(self._released)
         kept = tuple(claim for claim in self._head.claims if claim not in released)
-        if len(kept) + len(claims) > MAX_CLAIMS_IN_HEAD:
-            archived = await self._archive(kept)
-            if isinstance(archived, Err):
-                return archived
-            kept = ()
-        if not self._is_open or self.epoch != epoch:
-            return Err(_closed_failure(self._head.name))
-        written = await self._write((*kept, *claims))
+        written = await self._write_all(kept, tuple(claims))
         if isinstance(written, Ok):
             self._released -= released
         return written
 
-    async def _write(self, claims: tuple[int, ...]) -> Result[None, Failure]:
+    async def _write_all(
+        self, kept: tuple[int, ...], added: tuple[int, ...] = ()
+    ) -> Result[None, Failure]:
+        """Writes the head with the claims in memory, after archiving what doesn't fit."""
+        # Claims made in memory from here on need grants for this sequence: the write lacks them.
         sequence = self._head.sequence + 1
-        head = msgspec.structs.replace(self._head, sequence=sequence, claims=claims)
         self._head = msgspec.structs.replace(self._head, sequence=sequence)
+        in_memory = tuple(self._in_memory)
+        if len(kept) + len(in_memory) + len(added) > MAX_CLAIMS_IN_HEAD:
+            archived = await self.archive((*kept, *in_memory))
+            if isinstance(archived, Err):
+                return archived
+            written = await self._write(added, sequence)
+        else:
+            written = await self._write((*kept, *in_memory, *added), sequence)
+        if isinstance(written, Ok):
+            for claim in in_memory:
+                self._in_memory.pop(claim, None)
+        return written
+
+    async def _write(self, claims: tuple[int, ...], sequence: int) -> Result[None, Failure]:
+        head = msgspec.structs.replace(self._head, sequence=sequence, claims=claims)
         key = head_key(head.name)
+        began_at_ms = self._clock.now_ms
         written = await self._platform.put(key, msgspec.to_builtins(head), self._version)
         if isinstance(written, Ok):
-            return self._accept(head, written.ok_value)
-        return await self._settle(head, written.err_value)
+            settled = self._accept(head, written.ok_value)
+        else:
+            settled = await self._settle(head, written.err_value)
+        if isinstance(settled, Ok):
+            self._written_at_ms = began_at_ms
+        return settled
 
     def _accept(self, head: ClaimHead, version: Version) -> Result[None, Failure]:
         self._head = head
@@ -268,3 +392,20 @@
 
 def _closed_failure(name: EntryHostName) -> Failure:
     return Failure(FailureKind.CONFLICT, "claim", "platform", f"the claims of {name} are closed")
+
+
+async def mark_cleared(platform: Platform, head: ClaimHead) -> Result[None, Failure]:
+    """Records that a sealed head has no claims in its entry host's memory that count."""
+    while True:
+        found = await platform.get(head_key(head.name))
+        if isinstance(found, Err):
+            return found.map(lambda _: None)
+        recorded = msgspec.convert(found.ok_value.value, ClaimHead)
+        if recorded.incarnation != head.incarnation or not recorded.sealed or recorded.cleared:
+            return Ok(None)
+        cleared = msgspec.to_builtins(msgspec.structs.replace(recorded, cleared=True))
+        written = await platform.put(head_key(head.name), cleared, found.ok_value.version)
+        if isinstance(written, Ok):
+            return Ok(None)
+        if written.err_value.kind is not FailureKind.CONFLICT:
+            return Err(written.err_value)
--- a/src/jujubehall/services/host_list.py
+++ b/src/jujubehall/services/host_list.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from result import Err
+from result import Ok
 
 from jujubehall.platform.host import HostKind
 from jujubehall.services.timing import BackOff
@@ -31,6 +32,12 @@
         self._hosts: list[Host] = []
         self._listeners: list[Callable[[list[Host]], None]] = []
         self._running = True
+        self._connected = False
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the last poll of the platform succeeded."""
+        return self._connected
 
     @property
     def workers(self) -> list[Host]:
@@ -54,6 +61,7 @@
         """Polls until stopped."""
         while self._running:
             listed = await self._platform.hosts()
+            self._connected = isinstance(listed, Ok)
             if isinstance(listed, Err):
                 await sleep(self._reactor, self._back_off.next_ms())
                 continue
--- a/src/jujubehall/services/request_service.py
+++ b/src/jujubehall/services/request_service.py
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from typing import Any
 
+    from result import Result
+
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.ownership.record import Member
@@ -30,11 +32,13 @@
     from jujubehall.core.requests.request import Request
     from jujubehall.entry_hosts.mesh import Mesh
     from jujubehall.entry_hosts.messages import Message
+    from jujubehall.errors import Failure
     from jujubehall.identifiers import EntryHostName
     from jujubehall.identifiers import RequestId
     from jujubehall.services.claim_log import ClaimLog
     from jujubehall.services.dispatcher import Dispatcher
     from jujubehall.services.membership import Membership
+    from jujubehall.services.outage_claims import OutageClaims
     from jujubehall.services.shard_takeover import ShardTakeover
 
 FORWARD_MARGIN_MS = 500
@@ -55,6 +59,7 @@
         claim_log: ClaimLog,
         table: ClaimTable,
         dispatcher: Dispatcher,
+        outage_claims: OutageClaims,
     ) -> None:
         self._reactor: Any = reactor
         self._clock = clock
@@ -64,6 +69,7 @@
         self._claim_log = claim_log
         self._table = table
         self._dispatcher = dispatcher
+        self._outage_claims = outage_claims
         self._waiting: dict[RequestId, list[Deferred[Answer]]] = {}
         self._in_progress = 0
         self._tickets = 0
@@ -105,13 +111,18 @@
         if ticket is not None:
             return await self._serve_ticket(request, ticket, give_up_at_ms)
         scope = request_scope(request.id)
-        if self._takeover.is_ready(scope):
+        if self._may_claim(scope):
             return await self._run_once(request, give_up_at_ms, durable=True)
         owner = self._membership.record.owner_of(scope)
         if owner is None or self._membership.owns(scope):
             return not_run(request, "the owner of the request's shard is not ready", "find owner")
         return await self._forward(request, owner)
 
+    def _may_claim(self, scope: str) -> bool:
+        if self._takeover.is_ready(scope):
+            return True
+        return self._outage_claims.is_outage and self._takeover.was_ready(scope)
+
     async def _serve_ticket(self, request: Request, ticket: Ticket, give_up_at_ms: int) -> Answer:
         if ticket.incarnation == self._membership.member.incarnation:
             return await self._run_ticket(request, ticket, give_up_at_ms)
@@ -159,7 +170,7 @@
             if ticket.incarnation != self._membership.member.incarnation:
                 return unknown(request, "the ticket's issuer is gone", "find issuer", "entry host")
             return await self._run_ticket(request, ticket, give_up_at_ms)
-        if not self._takeover.is_ready(request_scope(request.id)):
+        if not self._may_claim(request_scope(request.id)):
             return not_run(request, "not the owner of its shard", "find owner")
         return await self._run_once(request, give_up_at_ms, durable=True)
 
@@ -169,6 +180,8 @@
             return known
         if self._table.is_in_progress(request.id):
             return await self._join(request, give_up_at_ms)
+        if durable and self._table.may_be_lost(request.id):
+            return unknown(request, "its claim may be lost", "claim", "entry host")
         self._table.begin(request, self._clock.now_ms)
         try:
             answer = await self._claim_and_dispatch(request, give_up_at_ms, durable=durable)
@@ -199,12 +212,17 @@
         self, request: Request, give_up_at_ms: int, *, durable: bool
     ) -> Answer:
         if durable:
-            claimed = await self._claim_log.claim(request.id)
+            claimed = await self._claim(request)
             if isinstance(claimed, Err):
                 failure = claimed.err_value
                 return not_run(request, failure.detail, failure.step, failure.peer)
         return await self._dispatcher.dispatch(request, give_up_at_ms)
 
+    async def _claim(self, request: Request) -> Result[None, Failure]:
+        if self._outage_claims.is_outage:
+            return await self._outage_claims.claim(request.id)
+        return await self._claim_log.claim(request.id)
+
 
 def _answer_late(waiting: Deferred[Answer], answer: Answer) -> None:
     if not waiting.called:
--- a/src/jujubehall/services/shard_takeover.py
+++ b/src/jujubehall/services/shard_takeover.py
@@ -15,8 +15,13 @@
 from jujubehall.core.ownership.scopes import shard_scope
 from jujubehall.core.requests.claim_records import ARCHIVES_PREFIX
 from jujubehall.core.requests.claim_records import HEADS_PREFIX
+from jujubehall.core.requests.claim_records import LOST_PREFIX
 from jujubehall.core.requests.claim_records import ClaimArchive
 from jujubehall.core.requests.claim_records import ClaimHead
+from jujubehall.core.requests.claim_records import Granter
+from jujubehall.core.requests.claim_records import LostClaims
+from jujubehall.core.requests.claim_records import head_key
+from jujubehall.errors import FailureKind
 from jujubehall.services.claim_log import seal_head
 from jujubehall.services.timing import BackOff
 from jujubehall.services.timing import sleep
@@ -26,10 +31,12 @@
 
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
+    from jujubehall.core.ownership.record import OwnershipRecord
     from jujubehall.core.requests.claim_table import ClaimTable
     from jujubehall.identifiers import Epoch
     from jujubehall.platform.interface import Platform
     from jujubehall.services.claim_log import ClaimLog
+    from jujubehall.services.clearance import Clearance
     from jujubehall.services.membership import Membership
 
 CHECK_INTERVAL_MS = 50
@@ -54,6 +61,7 @@
         membership: Membership,
         claim_log: ClaimLog,
         table: ClaimTable,
+        clearance: Clearance,
         random: Random,
     ) -> None:
         self._reactor = reactor
@@ -62,6 +70,7 @@
         self._membership = membership
         self._claim_log = claim_log
         self._table = table
+        self._clearance = clearance
         self._back_off = BackOff(random)
         self._ready: dict[str, Epoch] = {}
         self._running = True
@@ -75,6 +84,18 @@
             and self._ready.get(scope) == record.owned_since.get(scope)
         )
 
+    def was_ready(self, scope: str) -> bool:
+        """Whether this entry host owned ``scope`` when its claim log was last opened.
+
+        That is enough for claims in memory during an outage, which are safe by grants.
+        """
+        record = self._membership.record
+        return (
+            self._membership.owns(scope)
+            and self._claim_log.opened == record.epoch
+            and self._ready.get(scope) == record.owned_since.get(scope)
+        )
+
     def stop(self) -> None:
         """Ends the following of the record."""
         self._running = False
@@ -93,10 +114,9 @@
         record = self._membership.record
         if not self._membership.is_member:
             return True
-        if self._claim_log.epoch != record.epoch:
-            opened = await self._claim_log.open(record.epoch)
-            if isinstance(opened, Err):
-                return False
+        if self._claim_log.epoch != record.epoch and not await self._open(record):
+            return False
+        await self._claim_log.flush()
         gained = [scope for scope in self._owned_shards() if not self.is_ready(scope)]
         if not gained:
             return True
@@ -109,6 +129,29 @@
         log.info("request shards taken over", epoch=record.epoch, shards=len(gained))
         return True
 
+    async def _open(self, record: OwnershipRecord) -> bool:
+        if not await self._clear_earlier_incarnation(record.epoch):
+            return False
+        shards = tuple(n for n in range(REQUEST_SHARDS) if self._membership.owns(shard_scope(n)))
+        granters = tuple(
+            Granter(each.name, each.incarnation, each.mesh_address) for each in record.members
+        )
+        return isinstance(await self._claim_log.open(record.epoch, shards, granters), Ok)
+
+    async def _clear_earlier_incarnation(self, epoch: Epoch) -> bool:
+        if self._claim_log.opened:
+            return True
+        name = self._membership.member.name
+        found = await self._platform.get(head_key(name))
+        if isinstance(found, Err):
+            return found.err_value.kind is FailureKind.NOT_FOUND
+        head = msgspec.convert(found.ok_value.value, ClaimHead)
+        if head.cleared or head.incarnation == self._membership.member.incarnation:
+            return True
+        if isinstance(await seal_head(self._platform, name, epoch), Err):
+            return False
+        return await self._clearance.clear(head, epoch)
+
     def _owned_shards(self) -> list[str]:
         scopes = [shard_scope(shard) for shard in range(REQUEST_SHARDS)]
         return [scope for scope in scopes if self._membership.owns(scope)]
@@ -121,7 +164,7 @@
                 return False
             unfenced = [head for head in heads if not head.fences(epoch)]
             if not unfenced:
-                return True
+                return await self._clear(heads, epoch)
             # A live member opens its log for the new epoch by itself within a moment.
             if waited_ms >= PATIENCE_MS or not any(self._is_live(head) for head in unfenced):
                 for head in unfenced:
@@ -130,6 +173,13 @@
                 await sleep(self._reactor, CHECK_INTERVAL_MS)
                 waited_ms += CHECK_INTERVAL_MS
 
+    async def _clear(self, heads: list[ClaimHead], epoch: Epoch) -> bool:
+        cleared = True
+        for head in heads:
+            if head.sealed and not head.cleared:
+                cleared = await self._clearance.clear(head, epoch) and cleared
+        return cleared
+
     def _is_live(self, head: ClaimHead) -> bool:
         member = self._membership.record.member(head.name)
         return member is not None and member.incarnation == head.incarnation
@@ -137,8 +187,11 @@
     async def _inherit(self) -> bool:
         heads = await self._read(HEADS_PREFIX, ClaimHead)
         archives = await self._read(ARCHIVES_PREFIX, ClaimArchive)
-        if heads is None or archives is None:
+        losses = await self._read(LOST_PREFIX, LostClaims)
+        if heads is None or archives is None or losses is None:
             return False
+        for loss in losses:
+            self._table.lose(loss.incarnation, loss.shards, self._clock.now_ms)
         own = self._membership.member.incarnation
         self._table.inherit(self._claim_log.carried, self._clock.now_ms)
         for record in (*heads, *archives):
--- a/tests/services/test_claim_log.py
+++ b/tests/services/test_claim_log.py
@@ -24,6 +24,7 @@
 from jujubehall.identifiers import RequestId
 from jujubehall.identifiers import Version
 from jujubehall.services.claim_log import ClaimLog
+from jujubehall.services.claim_log import mark_cleared
 from jujubehall.services.claim_log import seal_head
 from jujubehall.services.timing import start
 from jujubehall.testing.key_value_store import KeyValueStore
@@ -101,6 +102,9 @@
     assert isinstance(bench.finish(first.claim(HOLD)), Ok)
     bench.set_epoch(2)
     second = bench.log("second")
+    assert isinstance(bench.finish(second.open(Epoch(2))), Err)
+    bench.finish(seal_head(bench.platform, NAME, Epoch(2)))
+    bench.finish(mark_cleared(bench.platform, bench.recorded()))
     assert isinstance(bench.finish(second.open(Epoch(2))), Ok)
     assert second.carried == {claim_hash(HOLD)}
     assert isinstance(bench.finish(first.claim(OTHER)), Err)
