--- a/src/jujubehall/core/ownership/scopes.py
+++ b/src/jujubehall/core/ownership/scopes.py
@@ -18,7 +18,12 @@
 
 def request_scope(request: RequestId) -> str:
     """The scope of the shard that ``request`` belongs to."""
-    return shard_scope(stable_hash(request) % REQUEST_SHARDS)
+    return shard_scope(shard_of(request))
+
+
+def shard_of(request: RequestId) -> int:
+    """The number of the shard that ``request`` belongs to."""
+    return stable_hash(request) % REQUEST_SHARDS
 
 
 def shard_scope(shard: int) -> str:
