--- /dev/null
+++ b/benchmarks/jobs.py
@@ -0,0 +1,131 @@
+"""Compares versions of the scheduling policy on seeded traces.
+
+Run as ``python -m benchmarks.jobs --seeds 10 --site ogechi``. Each figure is the median over the
+seeds, with the lowest and the highest seed behind it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import time
+
+from concurrent.futures import ProcessPoolExecutor
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from benchmarks.jobs_baseline import FirstComeFirstFit
+from benchmarks.jobs_replay import Outcome
+from benchmarks.jobs_replay import Replay
+from benchmarks.jobs_replay import ReplayedPolicy
+from benchmarks.jobs_trace import HOUR_MS
+from benchmarks.jobs_trace import SITES
+from benchmarks.jobs_trace import make_trace
+from jujubehall.core.jobs.policy import Policy
+from jujubehall.core.jobs.policy_options import PolicyOptions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_PROCESSES = 2
+
+VERSIONS: dict[str, Callable[[], ReplayedPolicy]] = {
+    "first-fit": FirstComeFirstFit,
+    "guarantees": lambda: Policy(
+        PolicyOptions(learns=False, reservations=0, orders_queue=False, moves=False)
+    ),
+    "backfill": lambda: Policy(PolicyOptions(learns=False, orders_queue=False, moves=False)),
+    "learned": lambda: Policy(PolicyOptions(orders_queue=False, moves=False)),
+    "ordered": lambda: Policy(PolicyOptions(moves=False)),
+    "moves": lambda: Policy(PolicyOptions(moves=True)),
+    "shipped": Policy,
+}
+
+
+class Task(msgspec.Struct, frozen=True):
+    """One replay."""
+
+    version: str
+    site: str
+    seed: int
+    utilisation: float
+    weight: float | None
+
+
+def replay(task: Task) -> dict[str, float]:
+    """Replays one trace and returns its figures by name."""
+    site = SITES[task.site]
+    if task.weight is not None:
+        site = msgspec.structs.replace(site, fragmentation_weight=task.weight)
+    trace = make_trace(site, task.seed, task.utilisation)
+    policies = [VERSIONS[task.version]() for _ in site.zones]
+    started = time.process_time()
+    outcome = Replay(site, trace, policies).run()
+    return {**_figures(outcome), "cpu s": time.process_time() - started}
+
+
+def _figures(outcome: Outcome) -> dict[str, float]:
+    return {
+        "completion p50 h": _quantile(outcome.completions, 0.5) / HOUR_MS,
+        "completion p99 h": _quantile(outcome.completions, 0.99) / HOUR_MS,
+        "slowdown mean": statistics.mean(outcome.slowdowns),
+        "slowdown p99": _quantile(outcome.slowdowns, 0.99),
+        "large wait p50 h": _quantile(outcome.large_waits, 0.5) / HOUR_MS,
+        "large wait p99 h": _quantile(outcome.large_waits, 0.99) / HOUR_MS,
+        "block / free": outcome.block_share_sum / max(1, outcome.block_share_ms),
+        "unusable share": outcome.unusable_sum / max(1, outcome.unusable_ms),
+        "gang waits h": outcome.block_share_ms / HOUR_MS,
+        "urgent wait max s": max(outcome.urgent_waits, default=0) / 1_000,
+        "reclaim p99 s": _quantile(outcome.reclaims, 0.99) / 1_000,
+        "reclaim max s": max(outcome.reclaims, default=0) / 1_000,
+        "lost acc. h": outcome.lost_work / HOUR_MS,
+        "preemptions": outcome.preemptions,
+        "moves": outcome.moves,
+        "refused": outcome.refused,
+        "never ran": outcome.never_ran,
+    }
+
+
+def _quantile(values: list[int] | list[float], quantile: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * quantile))] if ordered else 0.0
+
+
+def main() -> None:
+    """Prints one table for each utilisation."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--site", choices=sorted(SITES), default="ogechi")
+    parser.add_argument("--utilisations", type=float, nargs="+", default=[0.7, 0.95])
+    parser.add_argument("--versions", nargs="+", choices=sorted(VERSIONS), default=list(VERSIONS))
+    parser.add_argument("--weight", type=float, help="instead of the site's fragmentation weight")
+    arguments = parser.parse_args()
+    with ProcessPoolExecutor(MAX_PROCESSES) as pool:
+        for utilisation in arguments.utilisations:
+            print(f"{arguments.site}, utilisation {utilisation}, {arguments.seeds} seeds")
+            results = {}
+            for version in arguments.versions:
+                tasks = [
+                    Task(version, arguments.site, seed, utilisation, arguments.weight)
+                    for seed in range(1, arguments.seeds + 1)
+                ]
+                results[version] = list(pool.map(replay, tasks))
+            _print_table(results)
+
+
+def _print_table(results: dict[str, list[dict[str, float]]]) -> None:
+    names = list(next(iter(results.values()))[0])
+    print("| measure | " + " | ".join(results) + " |")
+    print("|---|" + "---|" * len(results))
+    for name in names:
+        cells = []
+        for figures in results.values():
+            values = [figure[name] for figure in figures]
+            middle = statistics.median(values)
+            cells.append(f"{middle:.2f} ({min(values):.2f}-{max(values):.2f})")
+        print(f"| {name} | " + " | ".join(cells) + " |")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/jobs_baseline.py
@@ -0,0 +1,43 @@
+"""The baseline of the job measurements."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jujubehall.core.jobs.decisions import Place
+from jujubehall.core.jobs.placement import FreeSpace
+from jujubehall.core.jobs.placement import place_gang
+
+if TYPE_CHECKING:
+    from jujubehall.core.jobs.decisions import Decision
+    from jujubehall.core.jobs.job import JobRecord
+    from jujubehall.core.jobs.zone_view import ZoneView
+
+
+class FirstComeFirstFit:
+    """Places each waiting job that fits, in order of arrival; the project's first policy."""
+
+    def decide(self, view: ZoneView) -> list[Decision]:
+        """Places what fits now; knows no guarantees, reservations or refusals."""
+        free = {
+            worker.name: FreeSpace(
+                worker.name,
+                worker.rack,
+                worker.capacity.accelerators - worker.held.accelerators,
+                worker.capacity.cores - worker.held.cores,
+                worker.capacity.memory_gb - worker.held.memory_gb,
+            )
+            for worker in view.workers
+        }
+        decisions: list[Decision] = []
+        for job in view.queued:
+            placement = place_gang(job.record.spec, free.values())
+            if placement is None:
+                continue
+            decisions.append(Place(job.record.id, placement))
+            for part in placement:
+                free[part.worker].take(job.record.spec)
+        return decisions
+
+    def record_finished(self, record: JobRecord, run_time_ms: int) -> None:
+        """Learns nothing."""
--- a/src/jujubehall/core/jobs/zone_view.py
+++ b/src/jujubehall/core/jobs/zone_view.py
@@ -52,6 +52,10 @@
 class ZoneView(msgspec.Struct, frozen=True):
     """The whole input of one round of decisions.
 
+    ``running`` holds every job that takes resources: reserving, running and stopping ones.
+    ``complete`` says whether all workers of the zone are in the view; until then no job is
+    refused as impossible.
+
     ``fragmentation_weight`` is 0 if only completion time counts, 1 if only fragmentation does.
     """
 
@@ -62,3 +66,4 @@
     running: tuple[JobView, ...]
     teams: tuple[TeamView, ...]
     fragmentation_weight: float
+    complete: bool = True
