Let guaranteed work take space that was claimed for borrowed gangs

Cause: a gang that other jobs had been moved aside for held a claim on its space, and claims were placed before guaranteed work. A team that reclaimed its blocks in that moment had to wait for a further round. Found by the new property test (all guarantees reclaimed at once, history [(0,0,0), (0,0,0), (0,94,3), (0,94,3), (0,260,3)]).

Now guaranteed claims and guaranteed work come before borrowed claims, and a borrowed claim whose space is lost is dropped.

Ruled out: letting guaranteed work preempt a claim, which would need a second kind of victim.

--- a/src/jujubehall/core/jobs/scheduling_round.py
+++ b/src/jujubehall/core/jobs/scheduling_round.py
@@ -55,7 +55,11 @@
 
 
 class SchedulingRound:
-    """Decides once; the order is claims, guaranteed work, urgent work, then borrowed work."""
+    """Decides once: first guaranteed work, then urgent work, then other borrowed work.
+
+    ``_spaces`` is what new placements may take. ``_unheld`` is what no task holds, of which
+    claims may take their part.
+    """
 
     def __init__(self, view: ZoneView, memory: PolicyMemory, options: PolicyOptions) -> None:
         self._view = view
@@ -65,7 +69,9 @@
         self._spaces = {
             worker.name: _free_space(worker) for worker in view.workers if worker.usable
         }
+        self._unheld = {name: space.copy() for name, space in self._spaces.items()}
         self._running = [self._read_running(job) for job in view.running]
+        self._moving = {job.record.id: job for job in self._running}
         self._stopping: set[JobId] = set()
         self._reservations: list[Reservation] = []
         self._quota = {team.name: team.accelerator_quota for team in view.teams}
@@ -82,8 +88,9 @@
         self._read_guaranteed()
         unpacked_before = len(self._book.unpacked)
         claimed_before = self._book.claimed()
-        self._place_claims()
+        self._place_claims(guaranteed=True)
         self._place_guaranteed()
+        self._place_claims(guaranteed=False)
         self._place_urgent()
         self._place_borrowed()
         if self._options.moves:
@@ -178,24 +185,38 @@
             if not stops and self._book.has_unused(job.spec.team, job.spec.accelerators_per_part):
                 job.guaranteed = self._book.anchor(job.spec, job.record.placement)
 
-    def _place_claims(self) -> None:
+    def _place_claims(self, *, guaranteed: bool) -> None:
         """Places the jobs whose space has become free; the others keep their claims."""
-        specs = {job.record.id: job.spec for job in self._running}
-        actual = {worker: space.copy() for worker, space in self._spaces.items()}
         for job_id, claim in list(self._memory.claims.items()):
+            if claim.guaranteed != guaranteed:
+                continue
             queued = self._queued.get(job_id)
-            spec = queued.record.spec if queued else specs[job_id]
+            spec = queued.record.spec if queued else self._moving[job_id].spec
             _take(self._spaces, spec, claim.placement)
+            if not guaranteed and self._is_lost(claim):
+                _take(self._spaces, spec, claim.placement, -1)
+                del self._memory.claims[job_id]
+                continue
             if queued is None:
                 continue
-            _take(actual, spec, claim.placement)
-            if all(_not_overfull(actual[part.worker]) for part in claim.placement):
+            _take(self._unheld, spec, claim.placement)
+            if all(_not_overfull(self._unheld[part.worker]) for part in claim.placement):
                 self._decisions.append(Place(job_id, claim.placement))
                 del self._memory.claims[job_id]
             else:
-                _take(actual, spec, claim.placement, -1)
+                _take(self._unheld, spec, claim.placement, -1)
             self._add_running(job_id, claim.placement, claim.guaranteed)
 
+    def _is_lost(self, claim: Claim) -> bool:
+        """Whether a claim's space would be too small even after all stops have ended."""
+        later = {part.worker: self._spaces[part.worker].copy() for part in claim.placement}
+        for job in self._running:
+            if job.record.id in self._stopping or job.record.state is JobState.STOPPING:
+                for worker, parts in job.parts_on.items():
+                    if worker in later:
+                        later[worker].take(job.spec, -parts)
+        return not all(_not_overfull(space) for space in later.values())
+
     def _place_guaranteed(self) -> None:
         """Starts each job that its team's guarantee covers, over borrowed work if need be."""
         failed: set[tuple[_Shape, TeamName]] = set()
@@ -346,6 +367,7 @@
         self._decisions.append(Place(job_id, placement))
         spec = self._queued[job_id].record.spec
         _take(self._spaces, spec, placement)
+        _take(self._unheld, spec, placement)
         job = self._add_running(job_id, placement, guaranteed)
         for reservation in self._reservations:
             reservation.take(spec, placement, job.ends_at_ms)
