Run gangs by a state machine over worker leases, one loop for each worker

The thin scheduler went through workers and jobs one after the other, so that one dead worker held up every renewal by a second a call; it renewed a gang's leases without knowing that all parts ran, and wrote records with whatever version the cache had at that time.

core/jobs/gang.py is now the protocol of one attempt as a pure state machine, with its bounds in gang_timing.py. services/zone_owner.py drives it for one ownership of a zone: a loop for each worker, commands in parallel, decisions on events. Every write of a record carries the version it was decided on, and a lost answer is settled by reading back. Ended jobs are archived, a zone's summary is published, waiting jobs may be handed to another zone.

Tests measure the bounds on a partial gang at the workers in virtual time: 6 s if all can be reached, 20 s with workers lost or the owner dead, 30 s in every case; an urgent job's parts start within 1.4 s.

--- a/src/jujubehall/callers/interface.py
+++ b/src/jujubehall/callers/interface.py
@@ -73,11 +73,10 @@
     @routes.register("GET", "/v1/jobs/{job}")
     async def show_job(self, call: Call) -> Reply:
         """Shows one job."""
-        job = JobId(call.parameters["job"])
-        record = self._host.jobs.job(job)
-        if record is None:
-            return failure_reply(Failure(FailureKind.NOT_FOUND, "show job", "caller", job))
-        return Reply(200, record)
+        found = await self._host.jobs.find(JobId(call.parameters["job"]))
+        if isinstance(found, Err):
+            return failure_reply(found.err_value)
+        return Reply(200, found.ok_value)
 
     @routes.register("DELETE", "/v1/jobs/{job}")
     async def cancel_job(self, call: Call) -> Reply:
--- a/src/jujubehall/core/configuration/document.py
+++ b/src/jujubehall/core/configuration/document.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from jujubehall.identifiers import TeamName
+from jujubehall.identifiers import ZoneName
 
 CONFIGURATION_KEY = "state/configuration"
 AUDIT_PREFIX = "audit/"
@@ -29,6 +30,9 @@
     fragmentation_weight: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.5
     """0 weighs completion time only, 1 weighs fragmentation only."""
 
+    foreign_accelerators: Count = 0
+    """Accelerators of each worker that are the older scheduler's share, used or not."""
+
 
 class Shape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A number of blocks, each of so many adjacent accelerators (in one rack)."""
@@ -43,6 +47,7 @@
     name: Annotated[TeamName, msgspec.Meta(min_length=1, max_length=128)]
     guarantee: Shape | None = None
     accelerator_quota: Count | None = None
+    blocks_by_zone: dict[ZoneName, int] = {}
 
 
 class ConfigurationException(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/jujubehall/core/jobs/job.py
+++ b/src/jujubehall/core/jobs/job.py
@@ -14,6 +14,7 @@
 from jujubehall.identifiers import ZoneName
 
 JOBS_PREFIX = "state/jobs/"
+ARCHIVE_PREFIX = "archive/jobs/"
 MAX_PARTS = 64
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
@@ -70,7 +71,9 @@
 class JobRecord(msgspec.Struct, frozen=True):
     """A job as kept under ``JOBS_PREFIX``; changed by compare-and-swap only.
 
-    ``epoch`` is the placement epoch of the owner that wrote the record last.
+    ``epoch`` is the placement epoch of the owner that wrote the record last. ``failures`` counts
+    the attempts that the job's own failure ended. ``progress_ms`` is the run time that is saved
+    in checkpoints of earlier attempts.
     """
 
     id: JobId
@@ -84,8 +87,15 @@
     cancel_requested: bool = False
     reason: str = ""
     failed_workers: tuple[WorkerName, ...] = ()
+    failures: int = 0
+    progress_ms: int = 0
 
 
 def job_key(job: JobId) -> str:
     """The key of a job's record."""
     return JOBS_PREFIX + job
+
+
+def archive_key(job: JobId) -> str:
+    """The key to which the record of an ended job is moved."""
+    return ARCHIVE_PREFIX + job
--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from jujubehall.core.jobs.policy import make_policy
 from jujubehall.core.requests.claim_table import ClaimTable
 from jujubehall.core.requests.endpoint_table import EndpointState
 from jujubehall.core.requests.endpoint_table import EndpointTable
@@ -16,7 +17,9 @@
 from jujubehall.services.configuration_service import ConfigurationService
 from jujubehall.services.dispatcher import Dispatcher
 from jujubehall.services.host_list import HostList
+from jujubehall.services.job_index import JobIndex
 from jujubehall.services.job_service import JobService
+from jujubehall.services.job_store import JobStore
 from jujubehall.services.membership import Membership
 from jujubehall.services.peer_monitor import PeerMonitor
 from jujubehall.services.request_service import RequestService
@@ -24,6 +27,7 @@
 from jujubehall.services.state_cache import StateCache
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
+from jujubehall.services.zone_context import ZoneContext
 from jujubehall.services.zone_scheduler import ZoneScheduler
 
 if TYPE_CHECKING:
@@ -80,8 +84,22 @@
             clock, mesh, self.membership, self._takeover, self._claim_log, claim_table, dispatcher
         )
         self.peers = PeerMonitor(reactor, clock, mesh, self.membership, self.cache)
-        self.jobs = JobService(platform, self.cache, self.hosts, random)
-        self._scheduler = ZoneScheduler(reactor, self.cache, self.membership, self.hosts, workers)
+        store = JobStore(reactor, platform, self.cache, random)
+        self.jobs = JobService(reactor, platform, self.cache, store, self.hosts, random)
+        zones = ZoneContext(
+            reactor,
+            clock,
+            platform,
+            self.cache,
+            self.hosts,
+            workers,
+            self.configuration,
+            make_policy,
+            JobIndex(self.cache, clock),
+            store,
+            random,
+        )
+        self.scheduler = ZoneScheduler(zones, self.membership)
         self._draining = False
 
     @property
@@ -97,7 +115,7 @@
             self.membership,
             self.peers,
             self._takeover,
-            self._scheduler,
+            self.scheduler,
         ):
             start(service.run())
 
@@ -111,7 +129,7 @@
         while self.requests.in_progress and self._clock.now_ms < give_up_at_ms:
             await sleep(self._reactor, DRAIN_CHECK_INTERVAL_MS)
         finished = self.requests.in_progress == 0
-        self._scheduler.stop()
+        self.scheduler.stop()
         self._takeover.stop()
         self.peers.stop()
         await self._claim_log.seal()
--- /dev/null
+++ b/src/jujubehall/services/gang_runner.py
@@ -0,0 +1,129 @@
+"""Carries the actions of one gang out and feeds the answers back to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from jujubehall.core.jobs.gang_messages import CommandPart
+from jujubehall.core.jobs.gang_messages import PartRefused
+from jujubehall.core.jobs.gang_messages import PartSaved
+from jujubehall.core.jobs.gang_messages import PartSeen
+from jujubehall.core.jobs.gang_messages import PartStep
+from jujubehall.core.jobs.gang_messages import Refusal
+from jujubehall.core.jobs.gang_messages import WriteRecord
+from jujubehall.core.jobs.gang_timing import TASK_LEASE_MS
+from jujubehall.errors import FailureKind
+from jujubehall.services.timing import start
+from jujubehall.workers.messages import Checkpoint
+from jujubehall.workers.messages import Reserve
+from jujubehall.workers.messages import Resources
+from jujubehall.workers.messages import StartTask
+from jujubehall.workers.messages import StopTask
+from jujubehall.workers.refusals import is_no_room
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from jujubehall.clock import Clock
+    from jujubehall.core.jobs.gang import Gang
+    from jujubehall.core.jobs.gang_messages import GangAction
+    from jujubehall.core.jobs.gang_messages import GangEvent
+    from jujubehall.errors import Failure
+    from jujubehall.identifiers import Epoch
+    from jujubehall.identifiers import WorkerName
+    from jujubehall.services.job_store import JobStore
+    from jujubehall.services.zone_workers import Command
+    from jujubehall.services.zone_workers import WorkerAnswer
+    from jujubehall.services.zone_workers import ZoneWorkers
+
+
+class GangRunner:
+    """Runs one gang until it is done; every command goes out at once, next to all others."""
+
+    def __init__(
+        self,
+        gang: Gang,
+        clock: Clock,
+        epoch: Epoch,
+        store: JobStore,
+        workers: ZoneWorkers,
+        is_active: Callable[[], bool],
+        on_change: Callable[[GangRunner], None],
+    ) -> None:
+        self.gang = gang
+        self._clock = clock
+        self._epoch = epoch
+        self._store = store
+        self._workers = workers
+        self._is_active = is_active
+        self._on_change = on_change
+
+    @property
+    def resources(self) -> Resources:
+        """What each part takes."""
+        spec = self.gang.record.spec
+        return Resources(spec.accelerators_per_part, spec.cores_per_part, spec.memory_gb_per_part)
+
+    def deliver(self, event: GangEvent) -> None:
+        """Gives an event to the gang and begins what it asks for."""
+        if self._is_active():
+            self.carry_out(self.gang.handle(event, self._clock.now_ms))
+
+    def carry_out(self, actions: Iterable[GangAction]) -> None:
+        """Begins actions without waiting for their answers."""
+        for action in actions:
+            start(self._perform(action))
+        self._on_change(self)
+
+    def on_answer(self, worker: WorkerName, answer: WorkerAnswer) -> None:
+        """Passes on what a worker's answer says about the parts on it."""
+        states = {task.key: task.state for task in answer.inventory.tasks}
+        for number, part in enumerate(self.gang.parts):
+            if part.worker == worker:
+                state = states.get(part.key)
+                self.deliver(
+                    PartSeen(number, state, answer.sent_at_ms, answer.sequence, answer.latest)
+                )
+
+    async def _perform(self, action: GangAction) -> None:
+        if isinstance(action, WriteRecord):
+            await self._write(action)
+        else:
+            await self._command(action)
+
+    async def _write(self, action: WriteRecord) -> None:
+        outcome = await self._store.write(action.record, action.version, self._is_active)
+        if outcome is not None:
+            self.deliver(outcome)
+
+    async def _command(self, action: CommandPart) -> None:
+        answered = await self._workers.send(action.worker, self._make_command(action))
+        if answered is None or isinstance(answered, Err):
+            self._on_failure(action, answered.err_value if answered else None)
+        elif action.step is PartStep.RESERVE and (found := self._workers.contact(action.worker)):
+            found.note_room()
+        if action.step is PartStep.CHECKPOINT:
+            self.deliver(PartSaved(action.key.part))
+
+    def _on_failure(self, action: CommandPart, failure: Failure | None) -> None:
+        if action.step not in (PartStep.RESERVE, PartStep.START):
+            return
+        refusal = Refusal.UNREACHABLE
+        if failure is not None and failure.kind is FailureKind.CONFLICT:
+            refusal = Refusal.NO_ROOM if is_no_room(failure) else Refusal.NO_RESERVATION
+        self.deliver(PartRefused(action.key.part, refusal))
+
+    def _make_command(self, action: CommandPart) -> Command:
+        match action.step:
+            case PartStep.RESERVE:
+                return Reserve(self._epoch, action.key, self.resources, TASK_LEASE_MS)
+            case PartStep.START:
+                command = self.gang.record.spec.command
+                return StartTask(self._epoch, action.key, command, TASK_LEASE_MS)
+            case PartStep.CHECKPOINT:
+                return Checkpoint(self._epoch, action.key)
+            case PartStep.STOP:
+                return StopTask(self._epoch, action.key)
--- a/src/jujubehall/services/job_service.py
+++ b/src/jujubehall/services/job_service.py
@@ -16,95 +16,184 @@
 from jujubehall.core.jobs.job import JobRecord
 from jujubehall.core.jobs.job import JobSpec
 from jujubehall.core.jobs.job import JobState
+from jujubehall.core.jobs.job import archive_key
 from jujubehall.core.jobs.job import job_key
+from jujubehall.core.jobs.zone_fit import can_ever_fit
+from jujubehall.core.jobs.zone_fit import fits_now
+from jujubehall.core.jobs.zone_fit import load
+from jujubehall.core.jobs.zone_summary import ZONE_SUMMARY_PREFIX
+from jujubehall.core.jobs.zone_summary import ZoneSummary
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import Version
+from jujubehall.identifiers import ZoneName
+from jujubehall.services.timing import BackOff
+from jujubehall.services.timing import sleep
 
 if TYPE_CHECKING:
     from random import Random
 
-    from jujubehall.identifiers import ZoneName
+    from jujubehall.clock import Reactor
     from jujubehall.platform.interface import Platform
     from jujubehall.services.host_list import HostList
+    from jujubehall.services.job_store import JobStore
     from jujubehall.services.state_cache import StateCache
 
 ABSENT = Version(0)
 ID_BITS = 64
+SETTLING_TRIES = 3
+"""How often a record whose write was not answered is read back before the caller is told."""
+
+MAX_CANCEL_TRIES = 20
 
 
 class JobService:
-    """A job is accepted once its record is in the platform's service."""
+    """A job is accepted once its record is in the platform's service.
+
+    During an outage of the platform no job is accepted or cancelled: both are refused with the
+    time after which to try again. What was accepted before is kept by the platform.
+    """
 
     def __init__(
-        self, platform: Platform, cache: StateCache, hosts: HostList, random: Random
+        self,
+        reactor: Reactor,
+        platform: Platform,
+        cache: StateCache,
+        store: JobStore,
+        hosts: HostList,
+        random: Random,
     ) -> None:
+        self._reactor = reactor
         self._platform = platform
         self._cache = cache
+        self._store = store
         self._hosts = hosts
         self._random = random
 
     @property
     def jobs(self) -> list[JobRecord]:
-        """All known jobs."""
+        """The unfinished and the lately ended jobs."""
         return self._cache.read_all(JOBS_PREFIX, JobRecord)
 
     def job(self, job: JobId) -> JobRecord | None:
-        """One job, or None if it is unknown."""
+        """One job as this entry host knows it, or None; ``find`` asks the platform as well."""
         return self._cache.read(job_key(job), JobRecord)
 
-    async def submit(self, spec: JobSpec, job: JobId | None = None) -> Result[JobRecord, Failure]:
-        """Accepts a job; with an identifier chosen by the caller, a repeat is harmless."""
-        job = job or JobId(f"job-{self._random.getrandbits(ID_BITS):016x}")
+    async def find(self, job: JobId) -> Result[JobRecord, Failure]:
+        """One job, also if it was accepted by another entry host just now, or is archived."""
         known = self.job(job)
         if known is not None:
-            return Ok(known) if known.spec == spec else Err(_taken(job))
-        zone = self._choose_zone()
+            return Ok(known)
+        # A record is archived before it is deleted, so that one of the two reads finds it.
+        for key in (job_key(job), archive_key(job)):
+            found = await self._store.read(key)
+            if isinstance(found, Ok):
+                return Ok(found.ok_value[0])
+            if found.err_value.kind is not FailureKind.NOT_FOUND:
+                return Err(found.err_value)
+        return Err(Failure(FailureKind.NOT_FOUND, "find job", "caller", job))
+
+    async def submit(self, spec: JobSpec, job: JobId | None = None) -> Result[JobRecord, Failure]:
+        """Accepts a job; with an identifier chosen by the caller, a repeat is harmless.
+
+        If it stays unknown whether the job was accepted, the failure is ``NO_ANSWER`` and its
+        detail names the job, so that the caller can look it up or repeat the submission.
+        """
+        if job is not None:
+            found = await self.find(job)
+            if isinstance(found, Ok):
+                return _same(found.ok_value, spec)
+            if found.err_value.kind is not FailureKind.NOT_FOUND:
+                return found
+        job = job or JobId(f"job-{self._random.getrandbits(ID_BITS):016x}")
+        zone = self._choose_zone(spec)
         if zone is None:
             detail = "no worker is known yet"
             return Err(Failure(FailureKind.UNAVAILABLE, "submit job", "platform", detail))
         record = JobRecord(job, spec, JobState.QUEUED, zone, unix_time_ms())
-        written = await self._cache.put(job_key(job), record, ABSENT)
+        written = await self._store.put(record, ABSENT)
         if isinstance(written, Ok):
             return Ok(record)
         return await self._settle(record, written.err_value)
 
     async def cancel(self, job: JobId) -> Result[JobRecord, Failure]:
-        """Asks for a job's end; the owner of its zone carries it out."""
-        while True:
-            found = await self._platform.get(job_key(job))
-            if isinstance(found, Err):
-                return found
-            record: JobRecord = msgspec.convert(found.ok_value.value, JobRecord)
-            if record.state.is_final or record.cancel_requested:
+        """Ends a job with a single write; the owner of its zone then stops its parts.
+
+        Cancelled means that it will not be started again. Parts that run are stopped within the
+        bounds of the gang protocol, usually at once.
+        """
+        found = await self.find(job)
+        if isinstance(found, Err):
+            return found
+        record, version = found.ok_value, self._cache.version(job_key(job))
+        for _ in range(MAX_CANCEL_TRIES):
+            if record.state.is_final:
                 return Ok(record)
-            changed = msgspec.structs.replace(record, cancel_requested=True)
-            written = await self._cache.put(job_key(job), changed, found.ok_value.version)
+            changed = msgspec.structs.replace(
+                record, state=JobState.CANCELLED, cancel_requested=True, reason="cancelled"
+            )
+            written = await self._store.put(changed, version)
             if isinstance(written, Ok):
                 return Ok(changed)
-            if written.err_value.kind is not FailureKind.CONFLICT:
-                return written
+            if written.err_value.kind not in (FailureKind.CONFLICT, FailureKind.NO_ANSWER):
+                return Err(written.err_value)
+            present = await self._store.read(job_key(job))
+            if isinstance(present, Err):
+                return await self._find_archived(job, present.err_value)
+            record, version = present.ok_value
+        return Err(Failure(FailureKind.UNAVAILABLE, "cancel job", "platform", "lost every race"))
+
+    async def _find_archived(self, job: JobId, failure: Failure) -> Result[JobRecord, Failure]:
+        if failure.kind is not FailureKind.NOT_FOUND:
+            return Err(failure)
+        archived = await self._store.read(archive_key(job))
+        return archived.map(lambda found: found[0])
 
     async def _settle(self, record: JobRecord, failure: Failure) -> Result[JobRecord, Failure]:
         if failure.kind not in (FailureKind.CONFLICT, FailureKind.NO_ANSWER):
             return Err(failure)
-        found = await self._platform.get(job_key(record.id))
-        if isinstance(found, Err):
-            return Err(failure)
-        recorded: JobRecord = msgspec.convert(found.ok_value.value, JobRecord)
-        return Ok(recorded) if recorded.spec == record.spec else Err(_taken(record.id))
-
-    def _choose_zone(self) -> ZoneName | None:
-        """The zone with the fewest unfinished parts for each of its workers."""
+        back_off = BackOff(self._random)
+        for _ in range(SETTLING_TRIES):
+            found = await self._store.read(job_key(record.id))
+            if isinstance(found, Ok):
+                return _same(found.ok_value[0], record.spec)
+            if found.err_value.kind is FailureKind.NOT_FOUND:
+                # The write may still be on its way: only its own answer could rule that out.
+                break
+            await sleep(self._reactor, back_off.next_ms())
+        detail = f"{record.id} may have been accepted: {failure.detail}"
+        return Err(Failure(FailureKind.NO_ANSWER, "submit job", "platform", detail))
+
+    def _choose_zone(self, spec: JobSpec) -> ZoneName | None:
+        """A zone where the gang fits now, else where it ever can, the least loaded first."""
+        summaries: list[ZoneSummary] = self._cache.read_all(ZONE_SUMMARY_PREFIX, ZoneSummary)
+        possible = [zone for zone in summaries if can_ever_fit(spec, zone)]
+        if not possible:
+            return self._least_loaded()
+        waiting = self._parts_by_zone()
+        best = min(
+            possible,
+            key=lambda zone: (not fits_now(spec, zone), load(zone), waiting[zone.zone], zone.zone),
+        )
+        return best.zone
+
+    def _least_loaded(self) -> ZoneName | None:
         workers = Counter(host.zone for host in self._hosts.workers)
+        parts = self._parts_by_zone()
+        chosen = min(workers, key=lambda zone: (parts[zone] / workers[zone], zone), default=None)
+        return None if chosen is None else ZoneName(chosen)
+
+    def _parts_by_zone(self) -> Counter[str]:
         parts: Counter[str] = Counter()
         for job in self.jobs:
             if not job.state.is_final:
                 parts[job.zone] += job.spec.parts
-        return min(workers, key=lambda zone: (parts[zone] / workers[zone], zone), default=None)  # type: ignore[return-value]
+        return parts
 
 
-def _taken(job: JobId) -> Failure:
-    detail = f"{job} names another job already"
-    return Failure(FailureKind.CONFLICT, "submit job", "caller", detail)
+def _same(record: JobRecord, spec: JobSpec) -> Result[JobRecord, Failure]:
+    if record.spec == spec:
+        return Ok(record)
+    detail = f"{record.id} names another job already"
+    return Err(Failure(FailureKind.CONFLICT, "submit job", "caller", detail))
--- /dev/null
+++ b/src/jujubehall/services/zone_context.py
@@ -0,0 +1,81 @@
+"""What every owner of a zone on this entry host works with."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from jujubehall.core.jobs.zone_summary import ZONE_SUMMARY_PREFIX
+from jujubehall.core.jobs.zone_summary import ZoneSummary
+from jujubehall.identifiers import WorkerName
+from jujubehall.services.zone_guarantees import guarantees_in
+from jujubehall.workers.messages import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
+    from jujubehall.core.configuration.document import Shape
+    from jujubehall.core.jobs.policy import Policy
+    from jujubehall.identifiers import TeamName
+    from jujubehall.identifiers import ZoneName
+    from jujubehall.platform.interface import Platform
+    from jujubehall.services.configuration_service import ConfigurationService
+    from jujubehall.services.host_list import HostList
+    from jujubehall.services.job_index import JobIndex
+    from jujubehall.services.job_store import JobStore
+    from jujubehall.services.state_cache import StateCache
+    from jujubehall.workers.interface import Workers
+
+FOREIGN_ACCELERATORS_KEY = "foreign_accelerators"
+
+
+@dataclass(frozen=True)
+class ZoneContext:
+    """The services that the owners of zones share."""
+
+    reactor: Reactor
+    clock: Clock
+    platform: Platform
+    cache: StateCache
+    hosts: HostList
+    workers: Workers
+    configuration: ConfigurationService
+    make_policy: Callable[[], Policy]
+    index: JobIndex
+    store: JobStore
+    random: Random
+
+    @property
+    def summaries(self) -> list[ZoneSummary]:
+        """The published summaries of all zones."""
+        return self.cache.read_all(ZONE_SUMMARY_PREFIX, ZoneSummary)
+
+    def guarantees(self, zone: ZoneName) -> dict[TeamName, Shape]:
+        """The shapes guaranteed in a zone."""
+        return guarantees_in(zone, self.configuration.current.teams, self.summaries)
+
+    def shares(self, zone: ZoneName) -> dict[WorkerName, Resources]:
+        """The older scheduler's configured share of each worker of a zone."""
+        current = self.configuration.current
+        overrides = {
+            each.scope: each.value
+            for each in current.exceptions
+            if each.key == FOREIGN_ACCELERATORS_KEY
+        }
+        default = current.defaults.foreign_accelerators
+        return {
+            WorkerName(host.name): _share(overrides, host.name, zone, default)
+            for host in self.hosts.workers
+            if host.zone == zone
+        }
+
+
+def _share(overrides: dict[str, Any], worker: str, zone: str, default: int) -> Resources:
+    for scope in (f"worker/{worker}", f"zone/{zone}"):
+        if scope in overrides:
+            return Resources(int(overrides[scope]))
+    return Resources(default)
--- a/src/jujubehall/testing/virtual/workers.py
+++ b/src/jujubehall/testing/virtual/workers.py
@@ -84,11 +84,14 @@
     ) -> Result[Inventory, Failure]:
         await sleep(self._reactor, self._network.delay_ms())
         worker = self._workers.get(address)
-        if worker is None or self._network.is_cut(self._host, address):
+        if worker is None or worker.is_down or self._network.is_cut(self._host, address):
             return await self._time_out(step, address)
+        if worker.answer_delay_ms:
+            await sleep(self._reactor, min(worker.answer_delay_ms, COMMAND_TIMEOUT_MS))
         answer = operation(worker)
         await sleep(self._reactor, self._network.delay_ms())
-        if self._network.is_cut(self._host, address):
+        lost = worker.answer_delay_ms >= COMMAND_TIMEOUT_MS
+        if lost or self._network.is_cut(self._host, address):
             return await self._time_out(step, address)
         return answer
 
--- a/src/jujubehall/testing/worker_state.py
+++ b/src/jujubehall/testing/worker_state.py
@@ -18,6 +18,8 @@
 from jujubehall.workers.messages import TaskKey
 from jujubehall.workers.messages import TaskState
 from jujubehall.workers.messages import TaskStatus
+from jujubehall.workers.refusals import FENCED
+from jujubehall.workers.refusals import NO_ROOM
 
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
@@ -59,6 +61,14 @@
     fails: bool = False
 
 
+class Span(msgspec.Struct):
+    """The time in which a task ran on the worker; ``ended_at_ms`` is None while it runs."""
+
+    began_at_ms: int
+    ended_at_ms: int | None = None
+    outcome: TaskState = TaskState.RUNNING
+
+
 class WorkerState:
     """A worker in memory, without any input or output; randomised runs call it directly."""
 
@@ -80,7 +90,13 @@
         self._tasks: dict[TaskKey, Task] = {}
         self._foreign_history: list[tuple[int, Resources]] = [(0, Resources(0))]
         self.behaviour = behaviour
+        self.is_down = False
+        """Whether the worker answers nothing; its tasks are lost when it goes down."""
+
+        self.answer_delay_ms = 0
         self.started: dict[TaskKey, int] = {}
+        self.spans: dict[TaskKey, Span] = {}
+        """When each task ran, for the invariants of tests."""
 
     @property
     def tasks(self) -> list[Task]:
@@ -102,6 +118,20 @@
             self._name, self._zone, self._rack, self._capacity, self._epoch, tasks, self._lagging()
         )
 
+    def restart(self) -> None:
+        """Loses every task and the epoch, as a worker that is started again does."""
+        self._pass_time()
+        for task in list(self._tasks.values()):
+            if task.state in _HOLDING:
+                self._end(task, TaskState.STOPPED, self._clock.now_ms)
+        self._tasks.clear()
+        self._epoch = Epoch(0)
+
+    def go_down(self) -> None:
+        """Loses every task and answers nothing, until ``is_down`` is reset."""
+        self.restart()
+        self.is_down = True
+
     def fence(self, command: Fence) -> Result[Inventory, Failure]:
         """Raises the epoch."""
         return self._admit("fence", command.epoch) or Ok(self.inventory())
@@ -112,7 +142,7 @@
             return refusal
         if command.key not in self._tasks:
             if not self._fits(command.resources):
-                return self._refuse("reserve", "no room")
+                return self._refuse("reserve", NO_ROOM)
             self._tasks[command.key] = Task(
                 command.key, command.resources, TaskState.RESERVED, 0, 0, self._clock.now_ms
             )
@@ -153,7 +183,7 @@
             return refusal
         task = self._tasks.get(command.key)
         if task is not None and task.state in _HOLDING:
-            self._end(task, TaskState.STOPPED)
+            self._end(task, TaskState.STOPPED, self._clock.now_ms)
         return Ok(self.inventory())
 
     def throttle(self, command: Throttle) -> Result[Inventory, Failure]:
@@ -163,7 +193,7 @@
     def _admit(self, step: str, epoch: Epoch) -> Err[Failure] | None:
         self._pass_time()
         if epoch < self._epoch:
-            return self._refuse(step, f"epoch {epoch} is fenced by {self._epoch}")
+            return self._refuse(step, f"epoch {epoch} is {FENCED} by {self._epoch}")
         self._epoch = epoch
         return None
 
@@ -182,6 +212,7 @@
     def _begin(self, task: Task, command: str) -> None:
         now_ms = self._clock.now_ms
         self.started[task.key] = self.started.get(task.key, 0) + 1
+        self.spans[task.key] = Span(now_ms)
         words = dict(word.split(":", 1) for word in command.split() if ":" in word)
         run_ms = int(words.get("run", self.behaviour.run_ms))
         task.state = TaskState.RUNNING
@@ -204,13 +235,18 @@
             elif task.state is not TaskState.RESERVED and task.ends_at_ms <= min(
                 now_ms, task.lease_until_ms or now_ms
             ):
-                self._end(task, TaskState.FAILED if task.fails else TaskState.SUCCEEDED)
+                state = TaskState.FAILED if task.fails else TaskState.SUCCEEDED
+                self._end(task, state, task.ends_at_ms)
             elif task.lease_until_ms and task.lease_until_ms <= now_ms:
-                self._end(task, TaskState.LAPSED)
+                self._end(task, TaskState.LAPSED, task.lease_until_ms)
 
-    def _end(self, task: Task, state: TaskState) -> None:
+    def _end(self, task: Task, state: TaskState, at_ms: int) -> None:
         task.state = state
         task.changed_at_ms = self._clock.now_ms
+        span = self.spans.get(task.key)
+        if span is not None and span.ended_at_ms is None:
+            span.ended_at_ms = at_ms
+            span.outcome = state
 
     def _lagging(self) -> Resources:
         as_of_ms = self._clock.now_ms - self.behaviour.usage_lag_ms
--- /dev/null
+++ b/tests/services/job_site.py
@@ -0,0 +1,172 @@
+"""A virtual site for tests of jobs, with the invariants checked at its workers."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from jujubehall.core.jobs.gang_timing import PARTIAL_GANG_BOUND_MS
+from jujubehall.core.jobs.job import JOBS_PREFIX
+from jujubehall.core.jobs.job import JobSpec
+from jujubehall.core.jobs.job import JobState
+from jujubehall.core.ownership.scopes import zone_scope
+from jujubehall.identifiers import JobId
+from jujubehall.identifiers import TeamName
+from jujubehall.identifiers import ZoneName
+from jujubehall.testing.site_file import SiteFile
+from jujubehall.testing.virtual.site import VirtualSite
+from jujubehall.workers.messages import Resources
+from jujubehall.workers.messages import TaskState
+
+if TYPE_CHECKING:
+    from jujubehall.core.jobs.job import JobRecord
+    from jujubehall.services.zone_owner import ZoneOwner
+    from jujubehall.testing.virtual.site import VirtualHost
+    from jujubehall.testing.worker_state import Span
+    from jujubehall.workers.messages import TaskKey
+
+TEAM = TeamName("studio")
+ZONE = ZoneName("zone-a")
+LONG_MS = 100_000_000
+
+
+def make_site(
+    seed: int = 1, *, zones: int = 1, workers: int = 4, entry_hosts: int = 3, per_rack: int = 4
+) -> VirtualSite:
+    """A started site whose zones are owned and whose workers are known."""
+    site_file = SiteFile(
+        zones=tuple(f"zone-{letter}" for letter in "abcdefgh"[:zones]),
+        entry_hosts=entry_hosts,
+        endpoints=1,
+        workers=workers,
+        workers_per_rack=per_rack,
+        worker_capacity=Resources(8, 60, 250),
+        first_port=20_000,
+    )
+    site = VirtualSite(site_file, seed)
+    site.run_until(lambda: all(each.host.is_ready for each in site.hosts.values()))
+    site.run_until(lambda: len(all_owners(site)) == zones)
+    site.run_for(2_000)
+    return site
+
+
+def spec(
+    parts: int = 4, accelerators: int = 4, command: str = f"run:{LONG_MS}", *, urgent: bool = False
+) -> JobSpec:
+    """A gang of the one team."""
+    return JobSpec(TEAM, "mix-render", parts, accelerators, command=command, urgent=urgent)
+
+
+def live_hosts(site: VirtualSite) -> list[VirtualHost]:
+    """The entry hosts that are neither killed nor frozen."""
+    return [
+        each
+        for each in site.hosts.values()
+        if not each.reactor.is_killed and not each.reactor.is_frozen
+    ]
+
+
+def all_owners(site: VirtualSite) -> list[ZoneOwner]:
+    """The ownerships on live entry hosts."""
+    return [owner for each in live_hosts(site) for owner in each.host.scheduler.owners]
+
+
+def owner_host(site: VirtualSite, zone: ZoneName = ZONE) -> VirtualHost:
+    """The live entry host that acts as the owner of a zone."""
+    return next(
+        each
+        for each in live_hosts(site)
+        if any(owner.zone == zone for owner in each.host.scheduler.owners)
+        and each.host.membership.owns(zone_scope(zone))
+    )
+
+
+def submit(site: VirtualSite, job: JobSpec, identifier: str | None = None) -> JobId:
+    """Submits through a live entry host."""
+    jobs = live_hosts(site)[0].host.jobs
+    record = site.finish(jobs.submit(job, None if identifier is None else JobId(identifier)))
+    accepted: JobRecord = record.unwrap()
+    return accepted.id
+
+
+def job_of(site: VirtualSite, job: JobId) -> JobRecord:
+    """A job as a live entry host knows it, its archive included."""
+    found: JobRecord = site.finish(live_hosts(site)[0].host.jobs.find(job)).unwrap()
+    return found
+
+
+def run_until_state(
+    site: VirtualSite, job: JobId, *states: JobState, timeout_ms: int = 60_000
+) -> None:
+    """Lets time pass until an entry host sees the job in one of the states."""
+    site.run_until(lambda: job_state(site, job) in states, timeout_ms)
+
+
+def job_state(site: VirtualSite, job: JobId) -> JobState | None:
+    """A job's state in the cache of a live entry host."""
+    record = live_hosts(site)[0].host.jobs.job(job)
+    return None if record is None else record.state
+
+
+def spans(site: VirtualSite) -> dict[tuple[JobId, int], dict[TaskKey, Span]]:
+    """When the parts of each attempt ran, by the workers' own account."""
+    attempts: dict[tuple[JobId, int], dict[TaskKey, Span]] = defaultdict(dict)
+    for worker in site.workers.values():
+        assert worker.tasks is not None
+        for key, span in worker.spans.items():
+            assert key not in attempts[key.job, key.attempt], f"{key} started on two workers"
+            attempts[key.job, key.attempt][key] = span
+    return attempts
+
+
+def running_parts(site: VirtualSite, job: JobId) -> int:
+    """How many parts of a job run now, of all its attempts."""
+    return sum(
+        span.ended_at_ms is None
+        for (name, _), parts in spans(site).items()
+        if name == job
+        for span in parts.values()
+    )
+
+
+def check_workers(site: VirtualSite, bound_ms: int = PARTIAL_GANG_BOUND_MS) -> None:
+    """Asserts the promises about gangs by the workers' own account of what ran when."""
+    now_ms = site.clock.now_ms
+    attempts = spans(site)
+    sizes = {
+        entry.key.removeprefix(JOBS_PREFIX): entry.value["spec"]["parts"]
+        for entry in site.store.list_entries(JOBS_PREFIX).entries
+    }
+    last_end: dict[JobId, int] = {}
+    for (job, attempt), parts in sorted(attempts.items(), key=lambda item: item[0]):
+        check_attempt(f"{job} attempt {attempt}", parts, sizes.get(job), now_ms, bound_ms)
+        began = min(span.began_at_ms for span in parts.values())
+        assert began >= last_end.get(job, 0), f"{job}: attempt {attempt} began before the last end"
+        last_end[job] = max(_end(span, now_ms) for span in parts.values())
+    check_started_once(site)
+
+
+def check_attempt(
+    name: str, parts: dict[TaskKey, Span], size: int | None, now_ms: int, bound_ms: int
+) -> None:
+    """Asserts that an attempt ran with only some of its parts no longer than the bound."""
+    losses = [
+        span.ended_at_ms
+        for span in parts.values()
+        if span.ended_at_ms is not None and span.outcome is not TaskState.SUCCEEDED
+    ]
+    if size is not None and len(parts) < size:
+        losses.append(min(span.began_at_ms for span in parts.values()))
+    if losses:
+        partial_ms = max(_end(span, now_ms) for span in parts.values()) - min(losses)
+        assert partial_ms <= bound_ms, f"{name} was partial for {partial_ms} ms"
+
+
+def check_started_once(site: VirtualSite) -> None:
+    """Asserts that no task was started twice on its worker."""
+    for worker in site.workers.values():
+        assert all(count == 1 for count in worker.started.values())
+
+
+def _end(span: Span, now_ms: int) -> int:
+    return now_ms if span.ended_at_ms is None else span.ended_at_ms
--- /dev/null
+++ b/tests/services/test_gang_bounds.py
@@ -0,0 +1,113 @@
+"""The bounds on a partial gang, measured at the workers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from jujubehall.core.jobs.gang_timing import PARTIAL_GANG_BOUND_MS
+from jujubehall.core.jobs.gang_timing import SEEN_FAILURE_BOUND_MS
+from jujubehall.core.jobs.gang_timing import UNPAUSED_OWNER_BOUND_MS
+from jujubehall.core.jobs.job import JobState
+from tests.services.job_site import check_workers
+from tests.services.job_site import make_site
+from tests.services.job_site import owner_host
+from tests.services.job_site import run_until_state
+from tests.services.job_site import running_parts
+from tests.services.job_site import spans
+from tests.services.job_site import spec
+from tests.services.job_site import submit
+
+if TYPE_CHECKING:
+    from jujubehall.identifiers import JobId
+    from jujubehall.testing.virtual.site import VirtualSite
+
+URGENT_BOUND_MS = 1_400
+
+
+def running_gang(site: VirtualSite) -> JobId:
+    job = submit(site, spec(parts=4, accelerators=6))
+    site.run_until(lambda: running_parts(site, job) == 4)
+    site.run_for(site.random.randint(0, 5_000))
+    return job
+
+
+def run_until_started(site: VirtualSite, job: JobId) -> None:
+    site.run_until(lambda: any(name == job for name, _ in spans(site)))
+
+
+def test_the_bounds_are_those_that_the_design_states() -> None:
+    assert SEEN_FAILURE_BOUND_MS == 6_000
+    assert UNPAUSED_OWNER_BOUND_MS == 20_000
+    assert PARTIAL_GANG_BOUND_MS == 30_000
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_part_lost_on_a_restarted_worker_stops_the_others(seed: int) -> None:
+    site = make_site(seed, workers=8, per_rack=8)
+    job = running_gang(site)
+    next(w for w in site.workers.values() if w.spans).restart()
+    site.run_for(SEEN_FAILURE_BOUND_MS)
+    check_workers(site, SEEN_FAILURE_BOUND_MS)
+    site.run_until(lambda: running_parts(site, job) == 4)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_part_lost_with_its_worker_stops_the_others(seed: int) -> None:
+    site = make_site(seed, workers=8, per_rack=8)
+    job = running_gang(site)
+    next(w for w in site.workers.values() if w.spans).go_down()
+    site.run_for(UNPAUSED_OWNER_BOUND_MS)
+    check_workers(site, UNPAUSED_OWNER_BOUND_MS)
+    site.run_until(lambda: running_parts(site, job) == 4)
+    check_workers(site, UNPAUSED_OWNER_BOUND_MS)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_bound_holds_if_the_owner_dies_with_the_part(seed: int) -> None:
+    site = make_site(seed, workers=8, per_rack=8)
+    job = running_gang(site)
+    next(w for w in site.workers.values() if w.spans).go_down()
+    owner_host(site).reactor.kill()
+    site.run_for(UNPAUSED_OWNER_BOUND_MS)
+    check_workers(site, UNPAUSED_OWNER_BOUND_MS)
+    site.run_until(lambda: running_parts(site, job) == 4)
+    check_workers(site, UNPAUSED_OWNER_BOUND_MS)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_bound_holds_if_the_owner_is_cut_from_some_workers(seed: int) -> None:
+    site = make_site(seed, workers=8, per_rack=8)
+    job = running_gang(site)
+    holders = [w.inventory().worker for w in site.workers.values() if w.spans]
+    for worker in holders[:2]:
+        site.network.cut(owner_host(site).name, worker)
+    site.run_for(60_000)
+    check_workers(site, UNPAUSED_OWNER_BOUND_MS)
+    assert running_parts(site, job) == 4
+
+
+def test_urgent_parts_start_within_the_bound() -> None:
+    site = make_site()
+    for _ in range(5):
+        submitted_at_ms = site.clock.now_ms
+        job = submit(site, spec(parts=2, accelerators=2, command="run:10", urgent=True))
+        run_until_started(site, job)
+        assert site.clock.now_ms - submitted_at_ms <= URGENT_BOUND_MS
+        run_until_state(site, job, JobState.SUCCEEDED)
+
+
+def test_slow_and_dead_workers_delay_no_other_gang() -> None:
+    site = make_site(workers=8, per_rack=4, entry_hosts=1)
+    job = running_gang(site)
+    others = [worker for worker in site.workers.values() if not worker.spans]
+    others[0].go_down()
+    others[1].answer_delay_ms = 5_000
+    others[2].answer_delay_ms = 900
+    site.run_for(60_000)
+    assert running_parts(site, job) == 4
+    submitted_at_ms = site.clock.now_ms
+    urgent = submit(site, spec(parts=1, accelerators=2, urgent=True))
+    site.run_until(lambda: running_parts(site, urgent) == 1)
+    assert site.clock.now_ms - submitted_at_ms <= URGENT_BOUND_MS
