--- a/src/jujubehall/core/configuration/document.py
+++ b/src/jujubehall/core/configuration/document.py
@@ -36,6 +36,9 @@
     fragmentation_weight: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.5
     """0 weighs completion time only, 1 weighs fragmentation only."""
 
+    foreign_accelerators: Count = 0
+    """Accelerators of each worker that are the older scheduler's share, used or not."""
+
 
 class Shape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A number of blocks, each of so many adjacent accelerators (in one rack)."""
--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from jujubehall.core.jobs.policy import make_policy
 from jujubehall.core.requests.claim_table import ClaimTable
 from jujubehall.core.requests.endpoint_table import EndpointState
 from jujubehall.core.requests.endpoint_table import EndpointTable
@@ -19,7 +20,9 @@
 from jujubehall.services.configuration_service import ConfigurationService
 from jujubehall.services.dispatcher import Dispatcher
 from jujubehall.services.host_list import HostList
+from jujubehall.services.job_index import JobIndex
 from jujubehall.services.job_service import JobService
+from jujubehall.services.job_store import JobStore
 from jujubehall.services.membership import Membership
 from jujubehall.services.outage_claims import OutageClaims
 from jujubehall.services.peer_monitor import PeerMonitor
@@ -28,6 +31,7 @@
 from jujubehall.services.state_cache import StateCache
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
+from jujubehall.services.zone_context import ZoneContext
 from jujubehall.services.zone_scheduler import ZoneScheduler
 
 if TYPE_CHECKING:
@@ -112,8 +116,22 @@
         self.membership.follow_peers(self.peers.has_heard)
         relay = ConfigurationRelay(mesh, self.cache)
         self.peers.listen(lambda peer, heartbeat: start(relay.compare(peer, heartbeat)))
-        self.jobs = JobService(platform, self.cache, self.hosts, random)
-        self._scheduler = ZoneScheduler(reactor, self.cache, self.membership, self.hosts, workers)
+        store = JobStore(reactor, platform, self.cache, random)
+        self.jobs = JobService(reactor, platform, self.cache, store, self.hosts, random)
+        zones = ZoneContext(
+            reactor,
+            clock,
+            platform,
+            self.cache,
+            self.hosts,
+            workers,
+            self.configuration,
+            make_policy,
+            JobIndex(self.cache, clock),
+            store,
+            random,
+        )
+        self.scheduler = ZoneScheduler(zones, self.membership)
         self._draining = False
 
     @property
@@ -131,7 +149,7 @@
             self.peers,
             self._takeover,
             self._outage_claims,
-            self._scheduler,
+            self.scheduler,
         ):
             start(service.run())
 
@@ -146,7 +164,7 @@
         while self.requests.in_progress and self._clock.now_ms < give_up_at_ms:
             await sleep(self._reactor, DRAIN_CHECK_INTERVAL_MS)
         finished = self.requests.in_progress == 0
-        self._scheduler.stop()
+        self.scheduler.stop()
         self._takeover.stop()
         self._outage_claims.stop()
         self.peers.stop()
