Give operators a command line, and HTTP connections limits

The thin path had no command-line tool, its HTTP body was spooled to disk above 100 kB (twisted's default; the hosts have no disks), a request sent byte by byte held its connection for ever, and connections were unbounded. Settings faults were reported one at a time.

The command line is one command a file over HTTP; http/channel.py bounds head, body and time of a request and answers in JSON; http/site.py bounds connections; settings faults come in one report.

--- a/src/jujubehall/callers/interface.py
+++ b/src/jujubehall/callers/interface.py
@@ -4,20 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from result import Err
 
-from jujubehall.core.jobs.job import JobSpec
+from jujubehall.callers.messages import Submission
 from jujubehall.core.requests.request import Answer
 from jujubehall.core.requests.request import Outcome
 from jujubehall.core.requests.request import Request
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
+from jujubehall.http.error_body import ErrorBody
 from jujubehall.http.router import Call
 from jujubehall.http.router import Reply
 from jujubehall.http.router import Router
-from jujubehall.http.site import ErrorBody
 from jujubehall.http.site import retry_after
 from jujubehall.identifiers import JobId
 
@@ -37,13 +35,6 @@
 routes = Router()
 
 
-class Submission(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A job as submitted; ``id`` makes the submission idempotent."""
-
-    spec: JobSpec
-    id: JobId | None = None
-
-
 class CallerInterface:
     """What callers can ask of an entry host."""
 
--- /dev/null
+++ b/src/jujubehall/console/commands/job_show.py
@@ -0,0 +1,41 @@
+"""``jujubehall job show``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from cleo.helpers import argument
+from result import Err
+
+from jujubehall.console.job_table import JOB_HEADERS
+from jujubehall.console.job_table import job_rows
+from jujubehall.console.job_waiter import job_path
+from jujubehall.console.registry import register
+from jujubehall.console.site_command import SITE_OPTIONS
+from jujubehall.console.site_command import SiteCommand
+from jujubehall.core.jobs.job import JobRecord
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.argument import Argument
+    from cleo.io.inputs.option import Option
+
+
+@register
+class JobShowCommand(SiteCommand):
+    """Shows one job."""
+
+    name = "job show"
+    description = "Shows one job."
+    arguments: ClassVar[list[Argument]] = [argument("job", "The job's identifier.")]
+    options: ClassVar[list[Option]] = SITE_OPTIONS
+
+    def handle(self) -> int:
+        """Calls an entry host and prints the job as it stands."""
+        path = job_path(self.argument("job"))
+        answered = self.site.call("show job", "GET", path, JobRecord)
+        if isinstance(answered, Err):
+            return self.fail(answered.err_value)
+        if self.wants_json:
+            return self.show_json(answered.ok_value)
+        return self.show_table(JOB_HEADERS, job_rows([answered.ok_value]))
--- /dev/null
+++ b/src/jujubehall/console/commands/team_create.py
@@ -0,0 +1,86 @@
+"""``jujubehall team create``."""
+
+from __future__ import annotations
+
+import re
+
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+import msgspec
+
+from cleo.helpers import argument
+from cleo.helpers import option
+from result import Err
+from result import Ok
+from result import Result
+
+from jujubehall.console.call_failure import CallFailure
+from jujubehall.console.configuration_change import CHANGE_OPTIONS
+from jujubehall.console.configuration_change import ChangeCommand
+from jujubehall.console.exit_codes import ExitCode
+from jujubehall.console.registry import register
+from jujubehall.core.configuration.document import Shape
+from jujubehall.core.configuration.document import Team
+from jujubehall.operators.messages import PutTeamBody
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from cleo.io.inputs.argument import Argument
+    from cleo.io.inputs.option import Option
+
+SHAPE_PATTERN = re.compile(r"(\d+)x(\d+)")
+
+
+@register
+class TeamCreateCommand(ChangeCommand):
+    """Creates or replaces a team."""
+
+    name = "team create"
+    description = "Creates a team with its guaranteed shape, or replaces the one of that name."
+    arguments: ClassVar[list[Argument]] = [argument("team", "The team's name.")]
+    options: ClassVar[list[Option]] = [
+        *CHANGE_OPTIONS,
+        option(
+            "guarantee",
+            None,
+            "Blocks of adjacent accelerators, for example 2x8 for two blocks of eight.",
+            flag=False,
+        ),
+        option("quota", None, "The most accelerators that it may use at once.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Sends the change."""
+        refused = self.refuse_without_reason()
+        if refused is not None:
+            return refused
+        team = parse_team(self.argument("team"), self.option("guarantee"), self.option("quota"))
+        if isinstance(team, Err):
+            return self.fail(team.err_value)
+        changed = self.change("POST", "/v1/teams", PutTeamBody, team=team.ok_value)
+        return self.report(changed, f"Created team {team.ok_value.name}")
+
+
+def parse_team(name: str, guarantee: str | None, quota: str | None) -> Result[Team, CallFailure]:
+    """Makes a team of the texts that the operator gave."""
+    fields: dict[str, Any] = {"name": name}
+    if guarantee is not None:
+        match = SHAPE_PATTERN.fullmatch(guarantee)
+        if match is None:
+            return _invalid(f"--guarantee: {guarantee!r} is not of the form 2x8")
+        blocks, accelerators = (int(group) for group in match.groups())
+        fields["guarantee"] = Shape(blocks, accelerators)
+    if quota is not None:
+        if not quota.isdecimal():
+            return _invalid(f"--quota: {quota!r} is not a whole number")
+        fields["accelerator_quota"] = int(quota)
+    try:
+        return Ok(msgspec.convert(msgspec.to_builtins(fields), Team))
+    except msgspec.ValidationError as error:
+        return _invalid(str(error))
+
+
+def _invalid(message: str) -> Err[CallFailure]:
+    return Err(CallFailure(ExitCode.INVALID, message, "read arguments", "operator"))
--- /dev/null
+++ b/src/jujubehall/console/commands/team_list.py
@@ -0,0 +1,35 @@
+"""``jujubehall team list``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from result import Err
+
+from jujubehall.console.registry import register
+from jujubehall.console.site_command import SITE_OPTIONS
+from jujubehall.console.site_command import SiteCommand
+from jujubehall.console.team_view import TEAM_HEADERS
+from jujubehall.console.team_view import read_teams
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.option import Option
+
+
+@register
+class TeamListCommand(SiteCommand):
+    """Lists the teams."""
+
+    name = "team list"
+    description = "Lists the teams with guarantee, use and what they can reclaim."
+    options: ClassVar[list[Option]] = SITE_OPTIONS
+
+    def handle(self) -> int:
+        """Reads and prints the teams."""
+        found = read_teams(self.site)
+        if isinstance(found, Err):
+            return self.fail(found.err_value)
+        if self.wants_json:
+            return self.show_json(found.ok_value)
+        return self.show_table(TEAM_HEADERS, [view.row for view in found.ok_value])
--- a/src/jujubehall/daemon/process.py
+++ b/src/jujubehall/daemon/process.py
@@ -18,12 +18,15 @@
 from jujubehall.clock import system_clock
 from jujubehall.core.ownership.record import Member
 from jujubehall.daemon.entry_host import EntryHost
+from jujubehall.daemon.metrics_collector import MetricsCollector
 from jujubehall.endpoints.client import EndpointClient
 from jujubehall.entry_hosts.zmq_mesh import ZmqMesh
 from jujubehall.http.site import make_site
 from jujubehall.identifiers import Incarnation
 from jujubehall.operators.interface import OperatorInterface
 from jujubehall.operators.interface import routes as operator_routes
+from jujubehall.operators.monitoring import MonitoringInterface
+from jujubehall.operators.monitoring import routes as monitoring_routes
 from jujubehall.platform.client import PlatformClient
 from jujubehall.services.timing import start
 from jujubehall.workers.client import WorkerClient
@@ -43,14 +46,18 @@
 class Process:
     """A serving daemon."""
 
-    def __init__(self, host: EntryHost, mesh: ZmqMesh, port: Any, stop_timeout_ms: int) -> None:
+    def __init__(self, host: EntryHost, mesh: ZmqMesh, stop_timeout_ms: int) -> None:
         self._host = host
         self._mesh = mesh
-        self._port = port
+        self._port: Any = None
         self._stop_timeout_ms = stop_timeout_ms
         self._stopping = False
         self.stopped_cleanly = False
 
+    def listen(self, host: str, port: int, site: Any) -> None:
+        """Opens the HTTP port; raises ``CannotListenError`` if it is taken."""
+        self._port = reactor.listenTCP(port, site, interface=host)
+
     def run(self) -> None:
         """Serves until the planned stop is complete."""
         reactor.run(installSignalHandlers=False)
@@ -89,27 +96,33 @@
     try:
         mesh.bind(member.mesh_address)
     except zmq.ZMQError as error:
-        return f"listen.mesh_port: {member.mesh_address}: {error}"
+        return f"$.listen.mesh_port: {member.mesh_address}: {error}"
+    platform = PlatformClient(reactor, settings.platform)
     host = EntryHost(
         reactor,
         system_clock(),
         member,
-        PlatformClient(reactor, settings.platform),
+        platform,
         mesh,
         EndpointClient(reactor, CONNECTIONS_PER_ENDPOINT),
         WorkerClient(reactor),
         random,
     )
+    process = Process(host, mesh, settings.stop_timeout_ms)
     site = make_site(
-        (caller_routes, CallerInterface(host)), (operator_routes, OperatorInterface(host))
+        (caller_routes, CallerInterface(host)),
+        (operator_routes, OperatorInterface(host, process.begin_stop)),
+        (monitoring_routes, MonitoringInterface(host, MetricsCollector(host, platform).collect)),
+        limits=settings.limits,
     )
     try:
-        port = reactor.listenTCP(listen.http_port, site, interface=listen.host)
+        process.listen(listen.host, listen.http_port, site)
     except CannotListenError as error:
-        return f"listen.http_port: {error}"
+        mesh.close()
+        return f"$.listen.http_port: {member.http_address}: {error.socketError}"
     host.start()
     log.info("started", incarnation=incarnation, address=member.http_address)
-    return Process(host, mesh, port, settings.stop_timeout_ms)
+    return process
 
 
 def configure_logging(settings: Settings) -> None:
--- a/src/jujubehall/daemon/settings.py
+++ b/src/jujubehall/daemon/settings.py
@@ -11,14 +11,16 @@
 from result import Ok
 from result import Result
 
+from jujubehall.http.limits import HttpLimits
 from jujubehall.identifiers import EntryHostName
 from jujubehall.identifiers import ZoneName
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-
-Host = Annotated[str, msgspec.Meta(min_length=1, max_length=253)]
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+# Also the address that others are told, so the wildcard address is of no use.
+Host = Annotated[str, msgspec.Meta(pattern=rf"^(?!0\.0\.0\.0$){_OCTET}(\.{_OCTET}){{3}}$")]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Url = Annotated[str, msgspec.Meta(pattern=r"^http://[^/]+$")]
 
@@ -38,6 +40,7 @@
     zone: Annotated[ZoneName, msgspec.Meta(min_length=1, max_length=128)]
     platform: Url
     listen: ListenSettings
+    limits: HttpLimits = HttpLimits()
     stop_timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 30_000
     """How long a planned stop waits for the requests in progress."""
 
@@ -45,8 +48,16 @@
 def load_settings(path: Path) -> Result[Settings, list[str]]:
     """Reads and checks a settings file; on failure returns a line for each fault."""
     try:
-        return Ok(msgspec.json.decode(path.read_bytes(), type=Settings))
+        content = path.read_bytes()
     except OSError as error:
-        return Err([f"{path}: {error.strerror}"])
-    except msgspec.DecodeError as error:
-        return Err([str(error)])
+        return Err([f"cannot be read: {error.strerror}"])
+    try:
+        settings = msgspec.json.decode(content, type=Settings)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        # Only here: the library that lists every fault costs memory that a sound start saves.
+        from jujubehall.daemon.settings_faults import find_faults
+
+        return Err(find_faults(content) or [str(error)])
+    if settings.listen.http_port == settings.listen.mesh_port:
+        return Err([f"$.listen.mesh_port: {settings.listen.mesh_port} is also $.listen.http_port"])
+    return Ok(settings)
--- a/src/jujubehall/http/site.py
+++ b/src/jujubehall/http/site.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import unquote
@@ -14,56 +12,30 @@
 from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
-from twisted.web.server import Request
 from twisted.web.server import Site
 
-from jujubehall.clock import MS_PER_SECOND
+from jujubehall.clock import to_seconds
+from jujubehall.http.channel import LimitedChannel
+from jujubehall.http.channel import LimitedRequest
+from jujubehall.http.channel import retry_after_seconds
+from jujubehall.http.error_body import ErrorBody
+from jujubehall.http.limits import HttpLimits
 from jujubehall.http.router import Call
 from jujubehall.http.router import Reply
+from jujubehall.metrics import HTTP_EVICTIONS
 
 if TYPE_CHECKING:
     from jujubehall.http.router import Handler
     from jujubehall.http.router import Route
     from jujubehall.http.router import Router
 
-MAX_BODY_BYTES = 256 * 1024
-IDLE_TIMEOUT_S = 60
+MAX_LINGERING_CONNECTIONS = 64
+MIN_RECEIVING_BEFORE_EVICTION_S = 1.0
+DEFAULT_LIMITS = HttpLimits()
 
 log = structlog.get_logger()
 
 
-class ErrorBody(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The JSON body of every error answer: what failed, at which step and with which peer."""
-
-    error: str
-    step: str
-    peer: str
-    retry_after_ms: int = 0
-
-
-class LimitedRequest(Request):
-    """Refuses a body over the limit as soon as its declared or received length shows it."""
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Called by twisted once the headers are read; ``length`` is None if chunked."""
-        self._received_bytes = 0
-        self._too_large = length is not None and length > MAX_BODY_BYTES
-        super().gotLength(0 if self._too_large else length)
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Called by twisted for each received part of the body; drops what is over the limit."""
-        self._received_bytes += len(data)
-        if self._received_bytes > MAX_BODY_BYTES:
-            self._too_large = True
-        if not self._too_large:
-            super().handleContentChunk(data)
-
-    @property
-    def is_too_large(self) -> bool:
-        """Whether the body exceeded the limit."""
-        return self._too_large
-
-
 class JsonResource(Resource):
     """Hands each request to the handler whose route matches it."""
 
@@ -88,9 +60,7 @@
             _write(request, reply)
 
     async def _reply(self, request: Any) -> Reply:
-        if request.is_too_large:
-            return _error(413, f"the body is over {MAX_BODY_BYTES} bytes", "read body")
-        path = unquote(request.path.decode("ascii", "replace"))
+        path = request.path.decode("ascii", "replace")
         method = request.method.decode("ascii", "replace")
         found = self._find(method, path)
         if isinstance(found, Reply):
@@ -99,8 +69,10 @@
         call = Call(method, path, parameters, _query(request), request.content.read())
         try:
             return await handler(interface, call)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return _error(400, str(error), "decode body")
+        except RecursionError:
+            return _error(400, "the body is nested too deeply", "decode body")
         except Exception as error:
             log.error("handler failed", method=method, path=path, error=repr(error))
             return _error(500, "internal error", f"{method} {path}", peer="entry host")
@@ -112,7 +84,9 @@
             if match is None:
                 continue
             if route.method == method:
-                return route.handler, interface, match.groupdict()
+                # Unquoted only now, so that an identifier may contain a quoted slash.
+                parameters = {name: unquote(text) for name, text in match.groupdict().items()}
+                return route.handler, interface, parameters
             allowed.append(route.method)
         if allowed:
             refusal = _error(405, f"{method} is not allowed for {path}", "route")
@@ -120,9 +94,84 @@
         return _error(404, f"{path} does not exist", "route")
 
 
-def make_site(*interfaces: tuple[Router, object]) -> Site:
+class LimitedSite(Site):
+    """A twisted site that bounds its connections.
+
+    At the bound, the connection that has waited longest for its next request makes room, else
+    one that has long been sending a request. Requests being served are never cut off for this.
+    """
+
+    def __init__(self, resource: Resource, limits: HttpLimits) -> None:
+        timeout = to_seconds(limits.idle_timeout_ms)
+        super().__init__(resource, requestFactory=LimitedRequest, timeout=timeout)
+        self._limits = limits
+        # Ordered by last use, the longest unused one first.
+        self._channels: dict[LimitedChannel, None] = {}
+        self._refused = 0
+        # Assigned here, because twisted calls it without the factory.
+        self.__dict__["protocol"] = self._make_channel
+
+    @property
+    def connections(self) -> int:
+        """The number of admitted connections."""
+        return len(self._channels)
+
+    @property
+    def now(self) -> float:
+        """The reactor's time in seconds."""
+        reactor: Any = self.reactor
+        return float(reactor.seconds())
+
+    @property
+    def may_linger(self) -> bool:
+        """Whether one more refused connection may stay open until its caller has read why."""
+        return self._refused <= MAX_LINGERING_CONNECTIONS
+
+    def admit(self, channel: LimitedChannel) -> bool:
+        """Counts a new connection if there is room or room can be made."""
+        if len(self._channels) >= self._limits.connections and not self._evict():
+            self._refused += 1
+            return False
+        self._channels[channel] = None
+        return True
+
+    def used(self, channel: LimitedChannel) -> None:
+        """Notes that a connection has just finished a request."""
+        if channel in self._channels:
+            del self._channels[channel]
+            self._channels[channel] = None
+
+    def forget(self, channel: LimitedChannel) -> None:
+        """Notes that a connection is gone."""
+        if channel in self._channels:
+            del self._channels[channel]
+        elif self._refused:
+            self._refused -= 1
+
+    def _evict(self) -> bool:
+        victim = next((each for each in self._channels if each.is_idle), None)
+        if victim is None:
+            victim = next((each for each in self._channels if self._is_slow(each)), None)
+        if victim is None:
+            return False
+        HTTP_EVICTIONS.inc({})
+        # Counted as refused until its loss is reported, which balances ``forget``.
+        del self._channels[victim]
+        self._refused += 1
+        victim.drop()
+        return True
+
+    def _is_slow(self, channel: LimitedChannel) -> bool:
+        since = channel.receiving_since
+        return since is not None and self.now - since >= MIN_RECEIVING_BEFORE_EVICTION_S
+
+    def _make_channel(self) -> LimitedChannel:
+        return LimitedChannel(self._limits, self)
+
+
+def make_site(*interfaces: tuple[Router, object], limits: HttpLimits = DEFAULT_LIMITS) -> Any:
     """Makes a twisted site over ``(router, interface)`` pairs."""
-    return Site(JsonResource(*interfaces), requestFactory=LimitedRequest, timeout=IDLE_TIMEOUT_S)
+    return LimitedSite(JsonResource(*interfaces), limits)
 
 
 def _error(status: int, message: str, step: str, peer: str = "caller") -> Reply:
@@ -140,6 +189,7 @@
     body = reply.body if isinstance(reply.body, bytes) else msgspec.json.encode(reply.body)
     request.setResponseCode(reply.status)
     request.setHeader("Content-Type", "application/json")
+    request.setHeader("Content-Length", str(len(body)))
     for name, value in reply.headers.items():
         request.setHeader(name, value)
     request.write(body)
@@ -147,5 +197,5 @@
 
 
 def retry_after(retry_after_ms: int) -> dict[str, str]:
-    """Makes the ``Retry-After`` header, which counts whole seconds, rounded up."""
-    return {"Retry-After": str(max(1, math.ceil(retry_after_ms / MS_PER_SECOND)))}
+    """Makes the ``Retry-After`` header."""
+    return {"Retry-After": str(retry_after_seconds(retry_after_ms))}
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -3,12 +3,39 @@
 from __future__ import annotations
 
 from aioprometheus import Counter
+from aioprometheus import Gauge
 from aioprometheus import Registry
 
 REGISTRY = Registry()
 
-REQUESTS = Counter(
-    "jujubehall_requests_total",
-    "Requests answered to callers, by outcome.",
-    registry=REGISTRY,
+
+def _counter(name: str, text: str) -> Counter:
+    return Counter(f"jujubehall_{name}", text, registry=REGISTRY)
+
+
+def _gauge(name: str, text: str) -> Gauge:
+    return Gauge(f"jujubehall_{name}", text, registry=REGISTRY)
+
+
+REQUESTS = _counter("requests_total", "Requests answered to callers, by kind and outcome.")
+ENDPOINT_ATTEMPTS = _counter(
+    "endpoint_attempts_total", "Requests sent to endpoints, by result; more than one is a retry."
+)
+CLAIM_WRITES = _counter("claim_writes_total", "Writes of claims to the platform, by result.")
+WORKER_COMMANDS = _counter("worker_commands_total", "Commands to workers, by step and result.")
+PLATFORM_CALLS = _counter("platform_calls_total", "Calls to the platform, by kind.")
+CONFIGURATION_CHANGES = _counter(
+    "configuration_changes_total", "Changes asked for here, by result."
 )
+HTTP_RESPONSES = _counter("http_responses_total", "Answers to callers and operators, by status.")
+HTTP_REFUSALS = _counter("http_refusals_total", "Connections refused before a route, by status.")
+HTTP_EVICTIONS = _counter("http_evictions_total", "Unused connections closed to make room.")
+
+REQUESTS_IN_PROGRESS = _gauge("requests_in_progress", "Requests being run from here.")
+JOBS = _gauge("jobs", "Known jobs, by state.")
+OWNERSHIP_EPOCH = _gauge("ownership_epoch", "Epoch of the ownership record in force here.")
+OWNED_SCOPES = _gauge("owned_scopes", "Scopes owned by this entry host, by kind.")
+MEMBERS = _gauge("members", "Entry hosts of the ownership record.")
+CONFIGURATION_NUMBER = _gauge("configuration_number", "Number of the configuration in force here.")
+PLATFORM_CONNECTED = _gauge("platform_connected", "1 if the last call to the platform succeeded.")
+READY = _gauge("ready", "1 if the balancer should send callers here.")
--- a/src/jujubehall/operators/interface.py
+++ b/src/jujubehall/operators/interface.py
@@ -3,11 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Any
 
-import msgspec
-
-from aioprometheus import render
 from result import Err
 from result import Result
 
@@ -16,101 +12,124 @@
 from jujubehall.core.configuration.change import ChangeAuthor
 from jujubehall.core.configuration.change import put_team
 from jujubehall.core.configuration.change import set_default
-from jujubehall.core.configuration.document import Configuration
-from jujubehall.core.configuration.document import Team
+from jujubehall.core.jobs.zone_summary import ZONE_SUMMARY_PREFIX
+from jujubehall.core.jobs.zone_summary import ZoneSummary
+from jujubehall.errors import Failure
+from jujubehall.errors import FailureKind
 from jujubehall.http.router import Call
 from jujubehall.http.router import Reply
 from jujubehall.http.router import Router
-from jujubehall.metrics import REGISTRY
+from jujubehall.operators.messages import ChangeBody
+from jujubehall.operators.messages import EndpointView
+from jujubehall.operators.messages import PutTeamBody
+from jujubehall.operators.messages import SetDefaultBody
+from jujubehall.operators.ownership_view import ownership_view
 
 if TYPE_CHECKING:
-    from jujubehall.daemon.entry_host import EntryHost
-    from jujubehall.errors import Failure
-
-routes = Router()
-
-
-class SetDefaultBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Sets one fleet default, given the number of the configuration that was read."""
-
-    expected_number: int
-    author: str
-    reason: str
-    token: str
-    key: str
-    value: Any
+    from collections.abc import Callable
 
+    from jujubehall.core.configuration.document import Configuration
+    from jujubehall.daemon.entry_host import EntryHost
 
-class PutTeamBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Creates or replaces a team, given the number of the configuration that was read."""
+DEFAULT_HISTORY_LIMIT = 50
 
-    expected_number: int
-    author: str
-    reason: str
-    token: str
-    team: Team
+routes = Router()
 
 
 class OperatorInterface:
-    """What operators can ask of an entry host."""
-
-    def __init__(self, host: EntryHost) -> None:
-        self._host = host
+    """What operators can ask of an entry host.
 
-    @routes.register("GET", "/healthz")
-    async def health(self, call: Call) -> Reply:
-        """Answers while the process serves."""
-        return Reply(200, {"status": "alive"})
+    ``begin_stop`` begins the planned stop of this process, as SIGTERM does.
+    """
 
-    @routes.register("GET", "/readyz")
-    async def ready(self, call: Call) -> Reply:
-        """Tells the balancer whether to send callers here."""
-        ready = self._host.is_ready
-        return Reply(200 if ready else 503, {"ready": ready})
-
-    @routes.register("GET", "/metrics")
-    async def metrics(self, call: Call) -> Reply:
-        """Renders the metrics in the Prometheus text format."""
-        content, headers = render(REGISTRY, [])
-        return Reply(200, content, headers)
+    def __init__(self, host: EntryHost, begin_stop: Callable[[], None]) -> None:
+        self._host = host
+        self._begin_stop = begin_stop
 
     @routes.register("GET", "/v1/configuration")
     async def configuration(self, call: Call) -> Reply:
         """Shows the configuration in force here, with the recent audit trail."""
         return Reply(200, self._host.configuration.current)
 
+    @routes.register("GET", "/v1/configuration/history")
+    async def history(self, call: Call) -> Reply:
+        """Shows the audit trail, the latest change last."""
+        limit = call.query.get("limit", str(DEFAULT_HISTORY_LIMIT))
+        if not limit.isdecimal():
+            return failure_reply(_invalid("read history", f"limit: {limit!r} is no whole number"))
+        entries = self._host.configuration.current.audit
+        return Reply(200, entries[len(entries) - min(int(limit), len(entries)) :])
+
     @routes.register("POST", "/v1/configuration/defaults")
     async def set_default(self, call: Call) -> Reply:
         """Sets one fleet default."""
-        body = call.decode(SetDefaultBody)
-        author = ChangeAuthor(body.author, body.reason, body.token, unix_time_ms())
-        changed = await self._host.configuration.change(
-            body.expected_number, lambda current: set_default(current, author, body.key, body.value)
+        body: SetDefaultBody = call.decode(SetDefaultBody)
+        return await self._change(
+            body, lambda current, author: set_default(current, author, body.key, body.value)
         )
-        return _changed_reply(changed)
 
     @routes.register("POST", "/v1/teams")
     async def put_team(self, call: Call) -> Reply:
         """Creates or replaces a team."""
-        body = call.decode(PutTeamBody)
-        author = ChangeAuthor(body.author, body.reason, body.token, unix_time_ms())
-        changed = await self._host.configuration.change(
-            body.expected_number, lambda current: put_team(current, author, body.team)
+        body: PutTeamBody = call.decode(PutTeamBody)
+        return await self._change(
+            body, lambda current, author: put_team(current, author, body.team)
         )
-        return _changed_reply(changed)
 
-    @routes.register("GET", "/v1/entry-hosts")
-    async def entry_hosts(self, call: Call) -> Reply:
-        """Shows the ownership record."""
-        return Reply(200, self._host.membership.record)
+    @routes.register("GET", "/v1/ownership")
+    async def ownership(self, call: Call) -> Reply:
+        """Shows the entry hosts and who owns what."""
+        return Reply(200, ownership_view(self._host.membership.record))
+
+    @routes.register("POST", "/v1/entry-hosts/{entry_host}/drain")
+    async def drain(self, call: Call) -> Reply:
+        """Begins the planned stop; refused by any entry host but the named one."""
+        name = self._host.membership.member.name
+        wanted = call.parameters["entry_host"]
+        if wanted != name:
+            detail = f"this is {name}, not {wanted}"
+            return failure_reply(Failure(FailureKind.CONFLICT, "drain", "operator", detail))
+        self._begin_stop()
+        return Reply(202, {"entry_host": name})
 
     @routes.register("GET", "/v1/hosts")
     async def hosts(self, call: Call) -> Reply:
         """Shows the workers and endpoints of the platform's list."""
         return Reply(200, [*self._host.hosts.workers, *self._host.hosts.endpoints])
 
+    @routes.register("GET", "/v1/endpoints")
+    async def endpoints(self, call: Call) -> Reply:
+        """Shows the endpoints as this entry host sees them."""
+        zones = {host.name: host.zone for host in self._host.hosts.endpoints}
+        views = [
+            EndpointView(
+                each.name,
+                zones.get(each.name, ""),
+                "leaving" if each.leaving else "live",
+                each.in_flight,
+            )
+            for each in self._host.endpoint_table.endpoints
+        ]
+        return Reply(200, sorted(views, key=lambda view: view.name))
+
+    @routes.register("GET", "/v1/zones")
+    async def zones(self, call: Call) -> Reply:
+        """Shows what the owners of the availability zones last published."""
+        return Reply(200, self._host.cache.read_all(ZONE_SUMMARY_PREFIX, ZoneSummary))
+
+    async def _change(
+        self,
+        body: ChangeBody,
+        change: Callable[[Configuration, ChangeAuthor], Result[Configuration, Failure]],
+    ) -> Reply:
+        author = ChangeAuthor(body.author, body.reason, body.token, unix_time_ms())
+        changed = await self._host.configuration.change(
+            body.expected_number, lambda current: change(current, author)
+        )
+        if isinstance(changed, Err):
+            return failure_reply(changed.err_value)
+        return Reply(200, changed.ok_value)
+
 
-def _changed_reply(changed: Result[Configuration, Failure]) -> Reply:
-    if isinstance(changed, Err):
-        return failure_reply(changed.err_value)
-    return Reply(200, changed.ok_value)
+def _invalid(step: str, detail: str) -> Failure:
+    return Failure(FailureKind.INVALID, step, "operator", detail)
--- a/src/jujubehall/testing/stand_in.py
+++ b/src/jujubehall/testing/stand_in.py
@@ -1,4 +1,4 @@
-"""Runs a stand-in as a process: ``python -m jujubehall.testing.stand_in KIND --settings JSON``."""
+"""Runs a stand-in as a process: ``python -m jujubehall.testing.stand_in KIND --site FILE``."""
 
 from __future__ import annotations
 
@@ -12,6 +12,8 @@
 from twisted.internet import reactor as _reactor
 
 from jujubehall.clock import system_clock
+from jujubehall.http.limits import MIB
+from jujubehall.http.limits import HttpLimits
 from jujubehall.http.site import make_site
 from jujubehall.identifiers import RackName
 from jujubehall.identifiers import WorkerName
@@ -30,6 +32,9 @@
 from jujubehall.testing.worker_state import WorkerBehaviour
 from jujubehall.testing.worker_state import WorkerState
 
+# The platform holds values up to a megabyte, and the JSON around them takes some room.
+LIMITS = HttpLimits(connections=10_000, body_bytes=2 * MIB)
+
 reactor: Any = _reactor
 
 
@@ -75,7 +80,7 @@
 
 
 def _listen(port: int, routes: Any, interface: object) -> None:
-    reactor.listenTCP(port, make_site((routes, interface)), interface="127.0.0.1")
+    reactor.listenTCP(port, make_site((routes, interface), limits=LIMITS), interface="127.0.0.1")
 
 
 if __name__ == "__main__":
