--- /dev/null
+++ b/src/jujubehall/console/demo/__init__.py
@@ -0,0 +1,3 @@
+"""The demonstration: a small site of real processes on loopback, driven from the outside."""
+
+from __future__ import annotations
--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -54,6 +54,17 @@
         """The names of the entry hosts."""
         return [f"entry-{number}" for number in range(self.site.entry_hosts)]
 
+    @property
+    def started(self) -> list[str]:
+        """The names of the processes that were started, running or not."""
+        return list(self._processes)
+
+    @property
+    def running(self) -> list[str]:
+        """The names of the running processes, the entry hosts before what they rely on."""
+        names = [*self.entry_hosts, *reversed(STAND_INS)]
+        return [n for n in names if n in self._processes and self._processes[n].poll() is None]
+
     def address(self, entry_host: str) -> str:
         """The HTTP base address of an entry host."""
         number = int(entry_host.rsplit("-", 1)[1])
@@ -115,6 +126,12 @@
         self._processes[name].terminate()
         return self._processes[name].wait(STOP_TIMEOUT_MS / MS_PER_SECOND)
 
+    def wait_for_any_exit(self) -> None:
+        """Waits until a process ends by itself."""
+        everything = len(self.running)
+        while len(self.running) == everything:
+            time.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
+
     def __enter__(self) -> Self:
         for kind in STAND_INS:
             self.start_stand_in(kind)
--- a/src/jujubehall/testing/site_file.py
+++ b/src/jujubehall/testing/site_file.py
@@ -11,7 +11,7 @@
 from jujubehall.workers.messages import Resources
 
 LOOPBACK = "127.0.0.1"
-Port = Annotated[int, msgspec.Meta(ge=1_024, le=60_000)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000)]
 
 
@@ -19,7 +19,7 @@
     """A site; workers, endpoints and entry hosts are spread evenly over its zones.
 
     Ports are handed out from ``first_port`` on: the platform, two for each entry host, then one
-    for each endpoint and each worker.
+    for each endpoint and each worker. 0 stands for a free block, found at the start.
     """
 
     zones: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
@@ -28,7 +28,7 @@
     workers: Count
     workers_per_rack: Count
     worker_capacity: Resources
-    first_port: Port
+    first_port: Port = 0
 
     @property
     def platform_port(self) -> int:
