--- a/src/jujubehall/services/state_cache.py
+++ b/src/jujubehall/services/state_cache.py
@@ -126,6 +126,10 @@
             await self.refresh_key(key)
         return written
 
+    async def refresh(self) -> bool:
+        """Reads the whole prefix now; returns whether the platform answered."""
+        return await self._load()
+
     async def refresh_key(self, key: str) -> bool:
         """Reads one key now; returns whether the platform answered."""
         found = await self._platform.get(key)
