--- a/src/jujubehall/core/ownership/record.py
+++ b/src/jujubehall/core/ownership/record.py
@@ -22,6 +22,13 @@
     http_address: str
     mesh_address: str
     draining: bool = False
+    started_unix_ms: int = 0
+    """Orders the incarnations of one name by the wall clocks of their hosts."""
+
+    def is_later_than(self, other: Member) -> bool:
+        """Whether this incarnation started after ``other``, which has the same name."""
+        own_start = (self.started_unix_ms, self.incarnation)
+        return own_start > (other.started_unix_ms, other.incarnation)
 
 
 class OwnershipRecord(msgspec.Struct, frozen=True):
--- a/src/jujubehall/daemon/process.py
+++ b/src/jujubehall/daemon/process.py
@@ -16,6 +16,7 @@
 from jujubehall.callers.interface import CallerInterface
 from jujubehall.callers.interface import routes as caller_routes
 from jujubehall.clock import system_clock
+from jujubehall.clock import unix_time_ms
 from jujubehall.core.ownership.record import Member
 from jujubehall.daemon.entry_host import EntryHost
 from jujubehall.endpoints.client import EndpointClient
@@ -84,6 +85,7 @@
         settings.zone,
         f"http://{listen.host}:{listen.http_port}",
         f"tcp://{listen.host}:{listen.mesh_port}",
+        started_unix_ms=unix_time_ms(),
     )
     mesh = ZmqMesh(reactor, settings.name, incarnation)
     try:
--- a/src/jujubehall/services/membership.py
+++ b/src/jujubehall/services/membership.py
@@ -37,7 +37,7 @@
     from jujubehall.services.state_cache import StateCache
 
 LEASE_TTL_MS = 3_000
-RENEWAL_INTERVAL_MS = 1_000
+RENEWAL_INTERVAL_MS = 800
 RECORD_CHECK_INTERVAL_MS = 100
 TURN_DELAY_MS = 300
 HAND_OVER_CHECK_INTERVAL_MS = 50
@@ -74,7 +74,7 @@
         self._back_off = BackOff(random)
         self._lease = ""
         self._running = True
-        self._is_renewed = False
+        self._renewed_at_ms: int | None = None
         self._was_registered = False
         self._is_replaced = False
         self._replaced_listeners: list[Callable[[], None]] = []
@@ -131,8 +131,11 @@
         """Registers, renews the registration and proposes records until stopped."""
         start(self._propose_records())
         while self._running:
-            self._is_renewed = await self._register()
-            if self._is_renewed:
+            if self._lease:
+                # Not awaited: the next renewal goes out in time also if this answer is lost.
+                start(self._renew(self._lease))
+                await sleep(self._reactor, RENEWAL_INTERVAL_MS)
+            elif await self._acquire():
                 self._back_off.reset()
                 await sleep(self._reactor, RENEWAL_INTERVAL_MS)
             else:
@@ -168,20 +171,32 @@
     def _has_successor(self) -> bool:
         return any(not m.draining for m in self.members if m.name != self._member.name)
 
-    async def _register(self) -> bool:
-        if self._lease:
-            renewed = await self._platform.renew_lease(self._lease)
-            if isinstance(renewed, Ok):
-                return self._is_registered or await self._write_member()
-            if renewed.err_value.kind is not FailureKind.NOT_FOUND:
-                return False
+    @property
+    def _is_renewed(self) -> bool:
+        renewed_ms = self._renewed_at_ms
+        return renewed_ms is not None and self._now_ms - renewed_ms < LEASE_TTL_MS
+
+    async def _renew(self, lease: str) -> None:
+        sent_at_ms = self._now_ms
+        renewed = await self._platform.renew_lease(lease)
+        if lease != self._lease or not self._running:
+            return
+        if isinstance(renewed, Ok):
+            self._renewed_at_ms = sent_at_ms
+            if not self._is_registered:
+                await self._write_member()
+        elif renewed.err_value.kind is FailureKind.NOT_FOUND:
             self._lease = ""
-        if not self._running:
-            return False
+            self._renewed_at_ms = None
+            await self._acquire()
+
+    async def _acquire(self) -> bool:
+        sent_at_ms = self._now_ms
         granted = await self._platform.grant_lease(LEASE_TTL_MS)
-        if isinstance(granted, Err):
+        if isinstance(granted, Err) or not self._running:
             return False
         self._lease = granted.ok_value
+        self._renewed_at_ms = sent_at_ms
         return await self._write_member()
 
     @property
@@ -197,19 +212,20 @@
             return False
         known: Member | None = self._cache.read(self._key, Member)
         if known is not None and known.incarnation != self._member.incarnation:
-            if self._was_registered:
+            # At its first registration, an incarnation takes the name whatever its clock says.
+            if self._was_registered and known.is_later_than(self._member):
                 self._step_down(known)
                 return False
-            log.info("registration of an earlier incarnation replaced", earlier=known.incarnation)
+            log.info("registration of another incarnation replaced", other=known.incarnation)
         version = self._cache.version(self._key)
-        written = await self._cache.put(self._key, self._member, version, self._lease)
+        lease = self._lease
+        written = await self._cache.put(self._key, self._member, version, lease)
         if isinstance(written, Ok):
             self._was_registered = True
         return isinstance(written, Ok)
 
     def _step_down(self, other: Member) -> None:
-        # Two processes that take the name from each other would change the record for ever. The
-        # one that was registered first is the one that was paused or cut off.
+        # Two processes that took the name from each other would change the record for ever.
         log.error("replaced by another incarnation", other=other.incarnation)
         self._running = False
         self._is_replaced = True
--- a/src/jujubehall/testing/key_value_store.py
+++ b/src/jujubehall/testing/key_value_store.py
@@ -52,6 +52,13 @@
         """The number of writes so far; also the version of the last written entry."""
         return self._revision
 
+    def snapshot(self) -> KeyValueStore:
+        """A copy that later writes don't reach, as a replica that lags behind."""
+        copied = KeyValueStore(self._clock)
+        copied._entries = dict(self._entries)
+        copied._revision = self._revision
+        return copied
+
     def on_next_write(self, watcher: Callable[[], None]) -> None:
         """Calls ``watcher`` once, with the next write of any key."""
         self._watchers.append(watcher)
--- a/src/jujubehall/testing/virtual/platform.py
+++ b/src/jujubehall/testing/virtual/platform.py
@@ -49,16 +49,27 @@
         self._network = network
         self._host = host
         self._store = store
+        self._replica: KeyValueStore | None = None
         self._hosts = hosts
         self.calls: dict[str, int] = {}
+        self.write_delay_ms = 0
+        """How long each write of this host takes on its way, beside the network's delay."""
+
+    @property
+    def _read_store(self) -> KeyValueStore:
+        return self._replica or self._store
+
+    def read_from(self, replica: KeyValueStore | None) -> None:
+        """Serves reads and watches from a lagging replica from now on; None ends that."""
+        self._replica = replica
 
     async def get(self, key: str) -> Result[Entry, Failure]:
         """Reads one key."""
-        return await self._call("get", lambda: self._store.get(key))
+        return await self._call("get", lambda: self._read_store.get(key))
 
     async def list_entries(self, prefix: str) -> Result[Changes, Failure]:
         """Reads all keys under a prefix."""
-        return await self._call("list", lambda: Ok(self._store.list_entries(prefix)))
+        return await self._call("list", lambda: Ok(self._read_store.list_entries(prefix)))
 
     async def put(
         self, key: str, value: Any, expected_version: Version, lease: str = ""
@@ -82,7 +93,7 @@
         give_up_at_s = self._reactor.seconds() + to_seconds(wait_ms)
         while True:
             answered = await self._carry_out(
-                "watch", lambda: Ok(self._store.changes(prefix, after_revision))
+                "watch", lambda: Ok(self._read_store.changes(prefix, after_revision))
             )
             if isinstance(answered, Err) or answered.ok_value.entries:
                 return answered
@@ -122,6 +133,8 @@
     async def _write(
         self, step: str, operation: Callable[[], Result[Any, Failure]]
     ) -> Result[Any, Failure]:
+        if self.write_delay_ms:
+            await sleep(self._reactor, self.write_delay_ms)
         answered = await self._call(step, operation)
         if isinstance(answered, Ok) and self._network.loses_answer():
             return await self._time_out(step, CALL_TIMEOUT_MS)
--- a/src/jujubehall/testing/virtual/site.py
+++ b/src/jujubehall/testing/virtual/site.py
@@ -84,7 +84,14 @@
         name = EntryHostName(f"entry-{number}")
         incarnation = Incarnation(f"{self.random.getrandbits(64):016x}")
         zone = ZoneName(self._site.zone(number))
-        member = Member(name, incarnation, zone, f"http://{name}", f"tcp://{name}")
+        member = Member(
+            name,
+            incarnation,
+            zone,
+            f"http://{name}",
+            f"tcp://{name}",
+            started_unix_ms=self.clock.now_ms,
+        )
         reactor = HostReactor(self.time)
         platform = VirtualPlatform(reactor, self.network, name, self.store, lambda: self.listed)
         host = EntryHost(
