Cut no passed-on request at a planned stop; wire exceptions and history

At SIGTERM an entry host waited for the requests that it ran itself only. A request that it had passed on to the shard's owner was cut off: the stop was then complete and the process ended under the caller's connection.

--- a/src/jujubehall/callers/interface.py
+++ b/src/jujubehall/callers/interface.py
@@ -18,11 +18,14 @@
 from jujubehall.http.router import Router
 from jujubehall.http.site import retry_after
 from jujubehall.identifiers import JobId
+from jujubehall.metrics import REQUESTS
+from jujubehall.metrics import BoundedLabels
 
 if TYPE_CHECKING:
     from jujubehall.daemon.entry_host import EntryHost
 
 RETRY_AFTER_MS = 1_000
+MAX_REQUEST_KINDS = 50
 
 _STATUS_OF_OUTCOME = {Outcome.COMPLETED: 200, Outcome.NOT_RUN: 503, Outcome.UNKNOWN: 504}
 _STATUS_OF_FAILURE = {
@@ -40,11 +43,14 @@
 
     def __init__(self, host: EntryHost) -> None:
         self._host = host
+        self._kinds = BoundedLabels(MAX_REQUEST_KINDS)
 
     @routes.register("POST", "/v1/requests")
     async def request(self, call: Call) -> Reply:
         """Runs a request at an endpoint and answers with its outcome."""
-        answer = await self._host.requests.serve(call.decode(Request))
+        request: Request = call.decode(Request)
+        answer = await self._host.requests.serve(request)
+        REQUESTS.inc({"outcome": answer.outcome.value, "kind": self._kinds.label(request.kind)})
         return _answer_reply(answer)
 
     @routes.register("POST", "/v1/jobs")
--- a/src/jujubehall/console/commands/demo.py
+++ b/src/jujubehall/console/commands/demo.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import signal
+
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
@@ -49,6 +51,8 @@
     def handle(self) -> int:
         """Runs the demonstration; the exit code is 0 only if all went as expected."""
         files = DemoFiles(*(self.option(name) for name in ("site", "teams", "requests", "jobs")))
+        # As at an interrupt, so that the processes started here end with this one.
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         read = read_inputs(files)
         if isinstance(read, Err):
             return self.fail(read.err_value)
@@ -91,7 +95,7 @@
         addresses = ",".join(site.address(name) for name in site.entry_hosts)
         self.line(f"export JUJUBEHALL_ENTRY_HOSTS={addresses}")
         try:
-            site.wait_for_any_exit()
+            site.wait_until_stopped()
         except KeyboardInterrupt:
             self.say("Stopping")
         codes = [site.stop(name) for name in site.running]
--- a/src/jujubehall/console/configuration_difference.py
+++ b/src/jujubehall/console/configuration_difference.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jujubehall.core.configuration.change import exception_path
 from jujubehall.core.configuration.document import Configuration
 from jujubehall.core.configuration.document import Defaults
 
@@ -34,7 +35,7 @@
         if shipped[key] != value
     ]
     exceptions = [
-        Difference(f"exceptions.{e.scope}.{e.key}", None, e.value) for e in configuration.exceptions
+        Difference(exception_path(e.scope, e.key), None, e) for e in configuration.exceptions
     ]
     teams = [Difference(f"teams.{t.name}", None, t) for t in configuration.teams]
     return [*defaults, *exceptions, *teams]
--- a/src/jujubehall/console/site_client.py
+++ b/src/jujubehall/console/site_client.py
@@ -121,7 +121,12 @@
             if weightiest is None or _weight(answered) > _weight(weightiest):
                 weightiest = answered
         assert weightiest is not None, "at least one entry host was tried"
-        return weightiest
+        return weightiest.map_err(self._name_all_tried)
+
+    def _name_all_tried(self, failure: CallFailure) -> CallFailure:
+        if failure.exit_code is not ExitCode.UNREACHABLE:
+            return failure
+        return msgspec.structs.replace(failure, peer=", ".join(self._addresses))
 
     def _exchange_with(
         self, address: str, step: str, method: str, path: str, body: object, timeout_ms: int
--- /dev/null
+++ b/src/jujubehall/core/configuration/audit.py
@@ -0,0 +1,49 @@
+"""The audit trail: recent entries in the document, earlier ones in immutable segments.
+
+Entries number 1 to ``ENTRIES_PER_SEGMENT`` form segment 0, and so on. A segment's content is
+therefore the same whoever writes it, so that writing it twice is harmless.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from jujubehall.core.configuration.document import AuditEntry
+from jujubehall.core.configuration.document import Configuration
+
+AUDIT_PREFIX = "audit/"
+ENTRIES_PER_SEGMENT = 20
+MAX_RECENT_ENTRIES = 40
+MAX_ENTRY_BYTES = 12_000
+
+
+class AuditSegment(msgspec.Struct, frozen=True):
+    """The entries of one segment, oldest first."""
+
+    number: int
+    entries: tuple[AuditEntry, ...]
+
+
+def segment_key(number: int) -> str:
+    """The key of a segment; keys sort in the order of the changes."""
+    return f"{AUDIT_PREFIX}{number:08d}"
+
+
+def segment_of(entry_number: int) -> int:
+    """The number of the segment that an entry belongs to."""
+    return (entry_number - 1) // ENTRIES_PER_SEGMENT
+
+
+def segment_to_rotate(configuration: Configuration) -> AuditSegment | None:
+    """The segment that must be written before the next change, if one must."""
+    if len(configuration.audit) < MAX_RECENT_ENTRIES:
+        return None
+    number = segment_of(configuration.audit[0].number)
+    entries = tuple(each for each in configuration.audit if segment_of(each.number) == number)
+    return AuditSegment(number, entries)
+
+
+def without_segment(configuration: Configuration, segment: AuditSegment) -> Configuration:
+    """The document without the entries of a segment that is written."""
+    kept = tuple(each for each in configuration.audit if segment_of(each.number) > segment.number)
+    return msgspec.structs.replace(configuration, audit=kept)
--- a/src/jujubehall/core/configuration/change.py
+++ b/src/jujubehall/core/configuration/change.py
@@ -1,7 +1,11 @@
-"""Changes of the configuration, as pure functions from one document to the next."""
+"""Changes of the configuration, as pure functions from one document to the next.
+
+Each of them adds the audit entry of the change to the document that it returns.
+"""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
@@ -10,22 +14,33 @@
 from result import Ok
 from result import Result
 
+from jujubehall.core.configuration.audit import MAX_ENTRY_BYTES
+from jujubehall.core.configuration.document import MAX_CONTENT_BYTES
+from jujubehall.core.configuration.document import MAX_EXCEPTIONS
+from jujubehall.core.configuration.document import MAX_TEAMS
 from jujubehall.core.configuration.document import AuditEntry
 from jujubehall.core.configuration.document import Configuration
+from jujubehall.core.configuration.document import ConfigurationException
 from jujubehall.core.configuration.document import Defaults
+from jujubehall.core.configuration.document import Name
 from jujubehall.core.configuration.document import Team
+from jujubehall.core.configuration.document import Text
+from jujubehall.core.configuration.scope import check_scope
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 
+if TYPE_CHECKING:
+    from jujubehall.identifiers import TeamName
+
 PEER = "operator"
 
 
 class ChangeAuthor(msgspec.Struct, frozen=True):
     """Who changes the configuration and why, with the writer's token and the wall-clock time."""
 
-    name: str
-    reason: str
-    token: str
+    name: Name
+    reason: Text
+    token: Name
     time_unix_ms: int
 
 
@@ -33,31 +48,130 @@
     configuration: Configuration, author: ChangeAuthor, key: str, value: Any
 ) -> Result[Configuration, Failure]:
     """Sets one fleet default; refuses unknown keys and values out of range."""
-    before = msgspec.to_builtins(configuration.defaults)
-    if key not in before:
-        return Err(_invalid("set default", f"$.defaults.{key}: unknown key"))
-    try:
-        defaults = msgspec.convert({**before, key: value}, Defaults)
-    except msgspec.ValidationError as error:
-        return Err(_invalid("set default", f"$.defaults.{key}: {error}"))
+    step = "set default"
+    path = f"defaults.{key}"
+    checked = _check_value(step, f"$.{path}", key, value)
+    if isinstance(checked, Err):
+        return checked
+    before = getattr(configuration.defaults, key)
+    defaults = msgspec.structs.replace(configuration.defaults, **{key: checked.ok_value})
     changed = msgspec.structs.replace(configuration, defaults=defaults)
-    return Ok(_recorded(changed, author, f"defaults.{key}", before[key], value))
+    return _recorded(step, changed, author, path, before, checked.ok_value)
+
+
+def add_exception(
+    configuration: Configuration,
+    author: ChangeAuthor,
+    scope: str,
+    key: str,
+    value: Any,
+    reason: str,
+) -> Result[Configuration, Failure]:
+    """Overrides a default within a scope, or replaces the exception that does so already.
+
+    ``reason`` is kept with the exception for as long as it stands.
+    """
+    step = "add exception"
+    path = exception_path(scope, key)
+    checked_scope = check_scope(scope)
+    if isinstance(checked_scope, Err):
+        return Err(_invalid(step, f"$.{path}.scope: {checked_scope.err_value}"))
+    checked = _check_value(step, f"$.{path}.value", key, value)
+    if isinstance(checked, Err):
+        return checked
+    exception = ConfigurationException(
+        scope, key, checked.ok_value, reason, author.name, author.time_unix_ms
+    )
+    fault = _fault_of(exception)
+    if fault is not None:
+        return Err(_invalid(step, fault.replace("$", f"$.{path}", 1)))
+    before = configuration.exception(scope, key)
+    others = [each for each in configuration.exceptions if each is not before]
+    if len(others) >= MAX_EXCEPTIONS:
+        return Err(_invalid(step, f"$.exceptions: there are {MAX_EXCEPTIONS} already"))
+    exceptions = tuple(sorted((*others, exception), key=lambda each: (each.scope, each.key)))
+    changed = msgspec.structs.replace(configuration, exceptions=exceptions)
+    return _recorded(step, changed, author, path, before, exception)
+
+
+def remove_exception(
+    configuration: Configuration, author: ChangeAuthor, scope: str, key: str
+) -> Result[Configuration, Failure]:
+    """Ends an exception, so that the default holds in its scope again."""
+    step = "remove exception"
+    path = exception_path(scope, key)
+    before = configuration.exception(scope, key)
+    if before is None:
+        return Err(Failure(FailureKind.NOT_FOUND, step, PEER, f"$.{path}: there is none"))
+    exceptions = tuple(each for each in configuration.exceptions if each is not before)
+    changed = msgspec.structs.replace(configuration, exceptions=exceptions)
+    return _recorded(step, changed, author, path, before, None)
 
 
 def put_team(
     configuration: Configuration, author: ChangeAuthor, team: Team
 ) -> Result[Configuration, Failure]:
-    """Creates a team, or replaces the one of the same name."""
+    """Creates a team, or replaces the one of the same name.
+
+    ``place_guarantees`` then says whether there is room for its guarantee.
+    """
+    step = "put team"
+    path = f"teams.{team.name}"
+    fault = _fault_of(team) or _fault_of_quota(team)
+    if fault is not None:
+        return Err(_invalid(step, fault.replace("$", f"$.{path}", 1)))
     before = configuration.team(team.name)
-    others = tuple(other for other in configuration.teams if other.name != team.name)
-    teams = tuple(sorted((*others, team), key=lambda each: each.name))
+    others = [each for each in configuration.teams if each.name != team.name]
+    if len(others) >= MAX_TEAMS:
+        return Err(_invalid(step, f"$.teams: there are {MAX_TEAMS} already"))
+    # What is kept for the team so far stays until its guarantee has been placed anew.
+    blocks_by_zone = before.blocks_by_zone if before and team.guarantee else {}
+    put = msgspec.structs.replace(team, blocks_by_zone=blocks_by_zone)
+    teams = tuple(sorted((*others, put), key=lambda each: each.name))
     changed = msgspec.structs.replace(configuration, teams=teams)
-    return Ok(_recorded(changed, author, f"teams.{team.name}", before, team))
+    return _recorded(step, changed, author, path, _unplaced(before), _unplaced(put))
+
+
+def remove_team(
+    configuration: Configuration, author: ChangeAuthor, name: TeamName
+) -> Result[Configuration, Failure]:
+    """Removes a team; refused while exceptions name it."""
+    step = "remove team"
+    path = f"teams.{name}"
+    before = configuration.team(name)
+    if before is None:
+        return Err(Failure(FailureKind.NOT_FOUND, step, PEER, f"$.{path}: there is none"))
+    scope = f"team/{name}"
+    named = [each.key for each in configuration.exceptions if each.scope == scope]
+    if named:
+        detail = f"$.{path}: remove its exceptions first: {', '.join(named)}"
+        return Err(_invalid(step, detail))
+    teams = tuple(each for each in configuration.teams if each.name != name)
+    changed = msgspec.structs.replace(configuration, teams=teams)
+    return _recorded(step, changed, author, path, _unplaced(before), None)
+
+
+def exception_path(scope: str, key: str) -> str:
+    """The path by which the audit trail and refusals name an exception."""
+    return f"exceptions[{scope}].{key}"
+
+
+def _unplaced(team: Team | None) -> Team | None:
+    # The audit trail holds what operators decide, not what is worked out from it.
+    return team and msgspec.structs.replace(team, blocks_by_zone={})
 
 
 def _recorded(
-    configuration: Configuration, author: ChangeAuthor, path: str, before: Any, after: Any
-) -> Configuration:
+    step: str,
+    configuration: Configuration,
+    author: ChangeAuthor,
+    path: str,
+    before: Any,
+    after: Any,
+) -> Result[Configuration, Failure]:
+    fault = _fault_of(author)
+    if fault is not None:
+        return Err(_invalid(step, fault.replace("$", "$.author", 1)))
     number = configuration.number + 1
     entry = AuditEntry(
         number,
@@ -69,8 +183,47 @@
         msgspec.to_builtins(after),
         author.token,
     )
+    content = msgspec.structs.replace(configuration, audit=())
+    content_bytes = len(msgspec.json.encode(content))
+    if content_bytes > MAX_CONTENT_BYTES:
+        detail = f"$: the document would have {content_bytes} bytes, over {MAX_CONTENT_BYTES}"
+        return Err(_invalid(step, detail))
+    entry_bytes = len(msgspec.json.encode(entry))
+    if entry_bytes > MAX_ENTRY_BYTES:
+        detail = f"$.{path}: the audit entry would have {entry_bytes} bytes, over {MAX_ENTRY_BYTES}"
+        return Err(_invalid(step, detail))
     audit = (*configuration.audit, entry)
-    return msgspec.structs.replace(configuration, number=number, audit=audit)
+    return Ok(msgspec.structs.replace(configuration, number=number, audit=audit))
+
+
+def _check_value(step: str, path: str, key: str, value: Any) -> Result[Any, Failure]:
+    if key not in Defaults.__struct_fields__:
+        known = ", ".join(Defaults.__struct_fields__)
+        return Err(_invalid(step, f"{path}: unknown key {key!r}; known are {known}"))
+    try:
+        return Ok(getattr(msgspec.convert({key: value}, Defaults), key))
+    except msgspec.ValidationError as error:
+        return Err(_invalid(step, f"{path}: {_without_path(str(error))}"))
+
+
+def _fault_of(struct: msgspec.Struct) -> str | None:
+    try:
+        msgspec.convert(msgspec.to_builtins(struct), type(struct))
+    except msgspec.ValidationError as error:
+        message, _, path = str(error).partition(" - at `")
+        return f"{path.rstrip('`') or '$'}: {message}"
+    return None
+
+
+def _fault_of_quota(team: Team) -> str | None:
+    guaranteed = team.guarantee.accelerators if team.guarantee else 0
+    if team.accelerator_quota is None or team.accelerator_quota >= guaranteed:
+        return None
+    return f"$.accelerator_quota: {team.accelerator_quota} is below the guarantee of {guaranteed}"
+
+
+def _without_path(message: str) -> str:
+    return message.partition(" - at `")[0]
 
 
 def _invalid(step: str, detail: str) -> Failure:
--- /dev/null
+++ b/src/jujubehall/core/configuration/guarantees.py
@@ -0,0 +1,79 @@
+"""Decides whether a changed guarantee has room beside those of all other teams."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from result import Err
+from result import Ok
+from result import Result
+
+from jujubehall.core.configuration.document import Configuration
+from jujubehall.core.configuration.document import Team
+from jujubehall.errors import Failure
+from jujubehall.identifiers import TeamName
+from jujubehall.identifiers import ZoneName
+
+if TYPE_CHECKING:
+    from jujubehall.core.configuration.document import Shape
+
+PackGuarantees = Callable[[Sequence[Team]], Result[dict[TeamName, dict[ZoneName, int]], Failure]]
+"""Finds room for the guarantees of all teams: the blocks of each team in each zone."""
+
+
+def place_guarantees(
+    before: Configuration, after: Configuration, pack: PackGuarantees
+) -> Result[Configuration, Failure]:
+    """Refuses the change from ``before`` to ``after`` if it guarantees what can't be packed.
+
+    Otherwise returns ``after`` with the blocks of each team in each zone. A change that
+    guarantees no more than before is never refused, also not while racks are lost.
+    """
+    changed = [team for team in after.teams if _guarantee(before, team) != team.guarantee]
+    if not changed:
+        return Ok(after)
+    packed = pack(after.teams)
+    if isinstance(packed, Ok):
+        return Ok(_with_blocks(after, packed.ok_value))
+    if any(_is_larger(team.guarantee, _guarantee(before, team)) for team in changed):
+        return Err(packed.err_value)
+    return Ok(_with_blocks(after, {team.name: _trimmed(team) for team in after.teams}))
+
+
+def _guarantee(configuration: Configuration, team: Team) -> Shape | None:
+    known = configuration.team(team.name)
+    return known.guarantee if known else None
+
+
+def _is_larger(shape: Shape | None, than: Shape | None) -> bool:
+    if shape is None:
+        return False
+    return (
+        than is None
+        or shape.blocks > than.blocks
+        or shape.accelerators_per_block > than.accelerators_per_block
+    )
+
+
+def _trimmed(team: Team) -> dict[ZoneName, int]:
+    left = team.guarantee.blocks if team.guarantee else 0
+    kept: dict[ZoneName, int] = {}
+    for zone, blocks in sorted(team.blocks_by_zone.items()):
+        if min(blocks, left) > 0:
+            kept[zone] = min(blocks, left)
+            left -= kept[zone]
+    return kept
+
+
+def _with_blocks(
+    configuration: Configuration, blocks: dict[TeamName, dict[ZoneName, int]]
+) -> Configuration:
+    teams = tuple(
+        msgspec.structs.replace(team, blocks_by_zone=dict(blocks.get(team.name, {})))
+        for team in configuration.teams
+    )
+    return msgspec.structs.replace(configuration, teams=teams)
--- a/src/jujubehall/daemon/process.py
+++ b/src/jujubehall/daemon/process.py
@@ -28,16 +28,20 @@
 from jujubehall.operators.monitoring import MonitoringInterface
 from jujubehall.operators.monitoring import routes as monitoring_routes
 from jujubehall.platform.client import PlatformClient
+from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 from jujubehall.workers.client import WorkerClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from jujubehall.daemon.settings import Settings
 
 INCARNATION_BITS = 64
 CONNECTIONS_PER_ENDPOINT = 7
+STOP_CHECK_INTERVAL_MS = 20
+FLUSH_TIMEOUT_MS = 1_000
 
 reactor: Any = _reactor
 log = structlog.get_logger()
@@ -49,6 +53,8 @@
     def __init__(self, host: EntryHost, mesh: ZmqMesh, stop_timeout_ms: int) -> None:
         self._host = host
         self._mesh = mesh
+        self._clock = system_clock()
+        self._site: Any = None
         self._port: Any = None
         self._stop_timeout_ms = stop_timeout_ms
         self._stopping = False
@@ -56,6 +62,7 @@
 
     def listen(self, host: str, port: int, site: Any) -> None:
         """Opens the HTTP port; raises ``CannotListenError`` if it is taken."""
+        self._site = site
         self._port = reactor.listenTCP(port, site, interface=host)
 
     def run(self) -> None:
@@ -73,12 +80,24 @@
             start(self._stop())
 
     async def _stop(self) -> None:
-        self.stopped_cleanly = await self._host.stop(self._stop_timeout_ms)
+        give_up_at_ms = self._clock.now_ms + self._stop_timeout_ms
+        finished = await self._host.stop(self._stop_timeout_ms)
+        # Requests passed on to another entry host are answered there, but through this process.
+        answered = await self._wait(lambda: not self._site.requests_in_progress, give_up_at_ms)
+        self.stopped_cleanly = finished and answered
         await self._port.stopListening()
+        self._site.close_idle()
+        flush_until_ms = self._clock.now_ms + FLUSH_TIMEOUT_MS
+        await self._wait(lambda: not self._site.connections, flush_until_ms)
         log.info("stopped", clean=self.stopped_cleanly)
         self._mesh.close()
         reactor.stop()
 
+    async def _wait(self, condition: Callable[[], bool], give_up_at_ms: int) -> bool:
+        while not condition() and self._clock.now_ms < give_up_at_ms:
+            await sleep(reactor, STOP_CHECK_INTERVAL_MS)
+        return condition()
+
 
 def start_process(settings: Settings, random: Random) -> Process | str:
     """Binds the addresses and starts the services; returns the reason if an address is taken."""
--- a/src/jujubehall/daemon/settings.py
+++ b/src/jujubehall/daemon/settings.py
@@ -20,9 +20,19 @@
 
 _OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 # Also the address that others are told, so the wildcard address is of no use.
-Host = Annotated[str, msgspec.Meta(pattern=rf"^(?!0\.0\.0\.0$){_OCTET}(\.{_OCTET}){{3}}$")]
+Host = Annotated[
+    str,
+    msgspec.Meta(
+        # Also the address that others are told, so the wildcard address is of no use.
+        pattern=rf"^(?!0\.0\.0\.0$){_OCTET}(\.{_OCTET}){{3}}$",
+        description="an IPv4 address other than 0.0.0.0",
+    ),
+]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
-Url = Annotated[str, msgspec.Meta(pattern=r"^http://[^/]+$")]
+Url = Annotated[
+    str,
+    msgspec.Meta(pattern=r"^http://[^/]+$", description="a base URL such as http://10.0.0.1:8500"),
+]
 
 
 class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/jujubehall/daemon/settings_faults.py
+++ b/src/jujubehall/daemon/settings_faults.py
@@ -54,6 +54,8 @@
             yield f"{_path([*error.absolute_path, name])}: unknown key"
     elif error.validator == "type":
         yield f"{path}: {_shown(document)} is not of type {error.validator_value}"
+    elif error.validator == "pattern" and "description" in schema:
+        yield f"{path}: {_shown(document)} is not {schema['description']}"
     else:
         yield f"{path}: {error.message}"
 
--- a/src/jujubehall/endpoints/client.py
+++ b/src/jujubehall/endpoints/client.py
@@ -16,6 +16,8 @@
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.http.client import HttpClient
+from jujubehall.metrics import ENDPOINT_ATTEMPTS
+from jujubehall.metrics import result_label
 
 if TYPE_CHECKING:
     from jujubehall.clock import Reactor
@@ -41,9 +43,9 @@
         """
         url = f"{address}/v1/work"
         answer = await self._http.call(STEP, "POST", url, work, timeout_ms=timeout_ms, peer=name)
-        if isinstance(answer, Err):
-            return answer
-        return _interpret(answer.ok_value, work, name)
+        ran = answer if isinstance(answer, Err) else _interpret(answer.ok_value, work, name)
+        ENDPOINT_ATTEMPTS.inc({"result": result_label(ran)})
+        return ran
 
 
 def _interpret(response: Response, work: Work, name: str) -> Result[Any, Failure]:
--- a/src/jujubehall/http/channel.py
+++ b/src/jujubehall/http/channel.py
@@ -82,6 +82,11 @@
         """Whether the connection waits for its next request."""
         return not self._handlingRequest and self._received_since is None
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a complete request waits for its answer."""
+        return bool(self._handlingRequest)
+
     @property
     def receiving_since(self) -> float | None:
         """When the first byte of an incomplete request came, in seconds of the reactor."""
--- a/src/jujubehall/http/site.py
+++ b/src/jujubehall/http/site.py
@@ -23,6 +23,7 @@
 from jujubehall.http.router import Call
 from jujubehall.http.router import Reply
 from jujubehall.metrics import HTTP_EVICTIONS
+from jujubehall.metrics import HTTP_RESPONSES
 
 if TYPE_CHECKING:
     from jujubehall.http.router import Handler
@@ -56,6 +57,7 @@
         closed: list[object] = []
         request.notifyFinish().addErrback(closed.append)
         reply = await self._reply(request)
+        HTTP_RESPONSES.inc({"status": str(reply.status)})
         if not closed:
             _write(request, reply)
 
@@ -116,6 +118,17 @@
         """The number of admitted connections."""
         return len(self._channels)
 
+    @property
+    def requests_in_progress(self) -> int:
+        """The number of requests whose answer is not yet written."""
+        return sum(channel.is_serving for channel in self._channels)
+
+    def close_idle(self) -> None:
+        """Closes the connections that serve no request; what is written already is still sent."""
+        for channel in list(self._channels):
+            if not channel.is_serving:
+                channel.loseConnection()
+
     @property
     def now(self) -> float:
         """The reactor's time in seconds."""
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+from typing import Any
+
 from aioprometheus import Counter
 from aioprometheus import Gauge
 from aioprometheus import Registry
+from result import Err
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from jujubehall.errors import Failure
 
 REGISTRY = Registry()
 
@@ -21,7 +30,7 @@
 ENDPOINT_ATTEMPTS = _counter(
     "endpoint_attempts_total", "Requests sent to endpoints, by result; more than one is a retry."
 )
-CLAIM_WRITES = _counter("claim_writes_total", "Writes of claims to the platform, by result.")
+CLAIMS = _counter("claims_total", "Claims of non-idempotent requests, by result.")
 WORKER_COMMANDS = _counter("worker_commands_total", "Commands to workers, by step and result.")
 PLATFORM_CALLS = _counter("platform_calls_total", "Calls to the platform, by kind.")
 CONFIGURATION_CHANGES = _counter(
@@ -39,3 +48,25 @@
 CONFIGURATION_NUMBER = _gauge("configuration_number", "Number of the configuration in force here.")
 PLATFORM_CONNECTED = _gauge("platform_connected", "1 if the last call to the platform succeeded.")
 READY = _gauge("ready", "1 if the balancer should send callers here.")
+
+
+def result_label(result: Result[Any, Failure]) -> str:
+    """The label of an outcome: "ok" or the kind of the failure."""
+    return result.err_value.kind.value if isinstance(result, Err) else "ok"
+
+
+class BoundedLabels:
+    """Keeps callers, who choose some labels, from making metrics without end.
+
+    The first ``limit`` different values stand for themselves, later ones for "other".
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._known: set[str] = set()
+
+    def label(self, value: str) -> str:
+        """The label under which to count ``value``."""
+        if value not in self._known and len(self._known) < self._limit:
+            self._known.add(value)
+        return value if value in self._known else "other"
--- a/src/jujubehall/operators/interface.py
+++ b/src/jujubehall/operators/interface.py
@@ -10,7 +10,10 @@
 from jujubehall.callers.interface import failure_reply
 from jujubehall.clock import unix_time_ms
 from jujubehall.core.configuration.change import ChangeAuthor
+from jujubehall.core.configuration.change import add_exception
 from jujubehall.core.configuration.change import put_team
+from jujubehall.core.configuration.change import remove_exception
+from jujubehall.core.configuration.change import remove_team
 from jujubehall.core.configuration.change import set_default
 from jujubehall.core.jobs.zone_summary import ZONE_SUMMARY_PREFIX
 from jujubehall.core.jobs.zone_summary import ZoneSummary
@@ -19,9 +22,14 @@
 from jujubehall.http.router import Call
 from jujubehall.http.router import Reply
 from jujubehall.http.router import Router
+from jujubehall.metrics import CONFIGURATION_CHANGES
+from jujubehall.metrics import result_label
+from jujubehall.operators.messages import AddExceptionBody
 from jujubehall.operators.messages import ChangeBody
 from jujubehall.operators.messages import EndpointView
 from jujubehall.operators.messages import PutTeamBody
+from jujubehall.operators.messages import RemoveExceptionBody
+from jujubehall.operators.messages import RemoveTeamBody
 from jujubehall.operators.messages import SetDefaultBody
 from jujubehall.operators.ownership_view import ownership_view
 
@@ -32,6 +40,7 @@
     from jujubehall.daemon.entry_host import EntryHost
 
 DEFAULT_HISTORY_LIMIT = 50
+MAX_LIMIT_DIGITS = 9
 
 routes = Router()
 
@@ -53,12 +62,14 @@
 
     @routes.register("GET", "/v1/configuration/history")
     async def history(self, call: Call) -> Reply:
-        """Shows the audit trail, the latest change last."""
+        """Shows the audit trail, the latest change first."""
         limit = call.query.get("limit", str(DEFAULT_HISTORY_LIMIT))
-        if not limit.isdecimal():
+        if not (limit.isdecimal() and len(limit) <= MAX_LIMIT_DIGITS):
             return failure_reply(_invalid("read history", f"limit: {limit!r} is no whole number"))
-        entries = self._host.configuration.current.audit
-        return Reply(200, entries[len(entries) - min(int(limit), len(entries)) :])
+        found = await self._host.configuration.history(int(limit))
+        if isinstance(found, Err):
+            return failure_reply(found.err_value)
+        return Reply(200, found.ok_value)
 
     @routes.register("POST", "/v1/configuration/defaults")
     async def set_default(self, call: Call) -> Reply:
@@ -68,6 +79,25 @@
             body, lambda current, author: set_default(current, author, body.key, body.value)
         )
 
+    @routes.register("POST", "/v1/configuration/exceptions")
+    async def add_exception(self, call: Call) -> Reply:
+        """Overrides a default within a scope; the reason of the change stays with it."""
+        body: AddExceptionBody = call.decode(AddExceptionBody)
+        return await self._change(
+            body,
+            lambda current, author: add_exception(
+                current, author, body.scope, body.key, body.value, body.reason
+            ),
+        )
+
+    @routes.register("DELETE", "/v1/configuration/exceptions")
+    async def remove_exception(self, call: Call) -> Reply:
+        """Ends an exception."""
+        body: RemoveExceptionBody = call.decode(RemoveExceptionBody)
+        return await self._change(
+            body, lambda current, author: remove_exception(current, author, body.scope, body.key)
+        )
+
     @routes.register("POST", "/v1/teams")
     async def put_team(self, call: Call) -> Reply:
         """Creates or replaces a team."""
@@ -76,6 +106,14 @@
             body, lambda current, author: put_team(current, author, body.team)
         )
 
+    @routes.register("DELETE", "/v1/teams")
+    async def remove_team(self, call: Call) -> Reply:
+        """Removes a team."""
+        body: RemoveTeamBody = call.decode(RemoveTeamBody)
+        return await self._change(
+            body, lambda current, author: remove_team(current, author, body.team)
+        )
+
     @routes.register("GET", "/v1/ownership")
     async def ownership(self, call: Call) -> Reply:
         """Shows the entry hosts and who owns what."""
@@ -126,6 +164,7 @@
         changed = await self._host.configuration.change(
             body.expected_number, lambda current: change(current, author)
         )
+        CONFIGURATION_CHANGES.inc({"result": result_label(changed)})
         if isinstance(changed, Err):
             return failure_reply(changed.err_value)
         return Reply(200, changed.ok_value)
--- a/src/jujubehall/operators/messages.py
+++ b/src/jujubehall/operators/messages.py
@@ -14,6 +14,7 @@
 
 from jujubehall.core.configuration.document import Team
 from jujubehall.core.ownership.record import Member
+from jujubehall.identifiers import TeamName
 
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=500)]
 
@@ -40,6 +41,12 @@
     team: Team
 
 
+class RemoveTeamBody(ChangeBody, frozen=True, kw_only=True):
+    """Removes a team."""
+
+    team: TeamName
+
+
 class AddExceptionBody(ChangeBody, frozen=True, kw_only=True):
     """Overrides one default within a scope, or replaces the override that is there."""
 
--- a/src/jujubehall/services/claim_log.py
+++ b/src/jujubehall/services/claim_log.py
@@ -21,6 +21,8 @@
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import Epoch
 from jujubehall.identifiers import Version
+from jujubehall.metrics import CLAIMS
+from jujubehall.metrics import result_label
 from jujubehall.services.timing import start
 
 if TYPE_CHECKING:
@@ -108,6 +110,7 @@
             batch = self._gathered[:MAX_CLAIMS_IN_HEAD]
             del self._gathered[:MAX_CLAIMS_IN_HEAD]
             result = await self._write_claims([claim_hash(request) for request, _ in batch])
+            CLAIMS.add({"result": result_label(result)}, len(batch))
             for _, written in batch:
                 written.callback(result)
         self._writing = False
--- a/src/jujubehall/services/configuration_service.py
+++ b/src/jujubehall/services/configuration_service.py
@@ -15,6 +15,7 @@
 from jujubehall.errors import FailureKind
 
 if TYPE_CHECKING:
+    from jujubehall.core.configuration.document import AuditEntry
     from jujubehall.services.state_cache import StateCache
 
 Change = Callable[[Configuration], Result[Configuration, Failure]]
@@ -32,6 +33,11 @@
         known = self._cache.read(CONFIGURATION_KEY, Configuration)
         return Configuration() if known is None else known
 
+    async def history(self, limit: int) -> Result[tuple[AuditEntry, ...], Failure]:
+        """The latest ``limit`` changes, the latest first."""
+        entries = tuple(reversed(self.current.audit))
+        return Ok(entries[:limit])
+
     async def change(self, expected_number: int, change: Change) -> Result[Configuration, Failure]:
         """Applies ``change`` if the configuration still has the number that the operator read."""
         current = self.current
--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from jujubehall.clock import MS_PER_SECOND
+from jujubehall.http.limits import HttpLimits
 from jujubehall.testing.site_file import LOOPBACK
 from jujubehall.testing.site_file import SiteFile
 
@@ -39,13 +40,19 @@
 class LocalSite:
     """A running site; leaving the context stops every process that it started.
 
+    Without ``autostart``, the processes are started one by one by the caller.
+
     >>> with LocalSite(site_file) as site:
     ...     site.wait_until_ready()
     ...     site.kill("entry-0")
     """
 
-    def __init__(self, site: SiteFile) -> None:
+    def __init__(
+        self, site: SiteFile, *, autostart: bool = True, limits: HttpLimits | None = None
+    ) -> None:
         self.site = site
+        self._autostart = autostart
+        self._limits = limits or HttpLimits()
         self._folder = TemporaryDirectory(prefix="jujubehall-")
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
@@ -101,6 +108,7 @@
             "zone": self.site.zone(number),
             "platform": self.site.platform_address,
             "listen": {"host": LOOPBACK, "http_port": http_port, "mesh_port": mesh_port},
+            "limits": msgspec.to_builtins(self._limits),
         }
 
     def wait_until_ready(self, names: list[str] | None = None) -> None:
@@ -124,15 +132,20 @@
     def stop(self, name: str) -> int:
         """Stops a process in the planned way and returns its exit code."""
         self._processes[name].terminate()
+        return self.wait_for_exit(name)
+
+    def wait_for_exit(self, name: str) -> int:
+        """Waits until a process has ended and returns its exit code."""
         return self._processes[name].wait(STOP_TIMEOUT_MS / MS_PER_SECOND)
 
-    def wait_for_any_exit(self) -> None:
-        """Waits until a process ends by itself."""
-        everything = len(self.running)
-        while len(self.running) == everything:
+    def wait_until_stopped(self) -> None:
+        """Waits until the last entry host has ended by itself."""
+        while set(self.running) & set(self.entry_hosts):
             time.sleep(POLL_INTERVAL_MS / MS_PER_SECOND)
 
     def __enter__(self) -> Self:
+        if not self._autostart:
+            return self
         for kind in STAND_INS:
             self.start_stand_in(kind)
         for name in self.entry_hosts:
--- a/src/jujubehall/workers/client.py
+++ b/src/jujubehall/workers/client.py
@@ -13,6 +13,8 @@
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.http.client import HttpClient
+from jujubehall.metrics import WORKER_COMMANDS
+from jujubehall.metrics import result_label
 from jujubehall.workers.messages import Inventory
 
 if TYPE_CHECKING:
@@ -70,7 +72,9 @@
     async def _command(
         self, step: str, address: str, command: object
     ) -> Result[Inventory, Failure]:
-        return await self._call(step, "POST", f"{address}/v1/{step}", command)
+        answered = await self._call(step, "POST", f"{address}/v1/{step}", command)
+        WORKER_COMMANDS.inc({"step": step, "result": result_label(answered)})
+        return answered
 
     async def _call(
         self, step: str, method: str, url: str, body: object | None = None
--- /dev/null
+++ b/tests/end_to_end/calls.py
@@ -0,0 +1,55 @@
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpx
+
+from jujubehall.testing.local_site import wait_until
+
+if TYPE_CHECKING:
+    from jujubehall.testing.local_site import LocalSite
+
+ANSWER_TIMEOUT_S = 20.0
+
+
+def slot_hold(site: LocalSite, entry_host: str, identifier: str) -> httpx.Response:
+    body = {"id": identifier, "team": "studio", "kind": "slot-hold", "deadline_ms": 8_000}
+    url = f"{site.address(entry_host)}/v1/requests"
+    return httpx.post(url, json=body, timeout=ANSWER_TIMEOUT_S)
+
+
+def hold_until_completed(site: LocalSite, entry_host: str, identifier: str) -> None:
+    """The caller's own retry: the same identifier until the answer is not "not run"."""
+
+    def completed() -> bool:
+        try:
+            return slot_hold(site, entry_host, identifier).is_success
+        except httpx.TransportError:
+            return False
+
+    wait_until(completed, f"{identifier} completes through {entry_host}")
+
+
+def warm_up(site: LocalSite, entry_host: str) -> None:
+    """Waits until every owner of shards serves; the identifiers fall to all entry hosts."""
+    for number in range(12):
+        hold_until_completed(site, entry_host, f"warm-up-{number}")
+
+
+def runs(site: LocalSite) -> Counter[str]:
+    found: Counter[str] = Counter()
+    for host in site.site.endpoint_hosts():
+        found.update(httpx.get(f"{host.address}/test/runs").json()["runs"])
+    return found
+
+
+def set_run_time(site: LocalSite, run_ms: int) -> None:
+    for host in site.site.endpoint_hosts():
+        httpx.put(f"{host.address}/test/behaviour", json={"run_ms": run_ms})
+
+
+def owners(site: LocalSite, entry_host: str) -> dict[str, Any]:
+    found = httpx.get(f"{site.address(entry_host)}/v1/ownership").json()
+    return {each["member"]["name"]: each for each in found["entry_hosts"]}
--- a/tests/end_to_end/test_processes.py
+++ b/tests/end_to_end/test_processes.py
@@ -5,37 +5,12 @@
 from typing import TYPE_CHECKING
 
 import httpx
-import pytest
 
-from jujubehall.testing.local_site import LocalSite
-from jujubehall.testing.local_site import free_first_port
 from jujubehall.testing.local_site import wait_until
-from jujubehall.testing.site_file import SiteFile
-from jujubehall.workers.messages import Resources
+from tests.end_to_end.calls import slot_hold
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-
-@pytest.fixture
-def site() -> Iterator[LocalSite]:
-    site_file = SiteFile(
-        zones=("zone-a", "zone-b"),
-        entry_hosts=3,
-        endpoints=3,
-        workers=4,
-        workers_per_rack=2,
-        worker_capacity=Resources(8, 60, 250),
-        first_port=free_first_port(),
-    )
-    with LocalSite(site_file) as site:
-        site.wait_until_ready()
-        yield site
-
-
-def slot_hold(site: LocalSite, entry_host: str, identifier: str) -> httpx.Response:
-    body = {"id": identifier, "team": "studio", "kind": "slot-hold", "deadline_ms": 5_000}
-    return httpx.post(f"{site.address(entry_host)}/v1/requests", json=body)
+    from jujubehall.testing.local_site import LocalSite
 
 
 def test_requests_and_jobs_through_every_entry_host(site: LocalSite) -> None:
