--- a/src/jujubehall/console/demo/demonstration.py
+++ b/src/jujubehall/console/demo/demonstration.py
@@ -177,8 +177,9 @@
     def _runs(self) -> Counter[str]:
         """How often each request ran, as the endpoints' stand-ins count it."""
         runs: Counter[str] = Counter()
-        for host in self._site.site.endpoint_hosts():
-            runs.update(httpx.get(f"{host.address}/test/runs", trust_env=False).json()["runs"])
+        with httpx.Client(trust_env=False, verify=False) as endpoints:
+            for host in self._site.site.endpoint_hosts():
+                runs.update(endpoints.get(f"{host.address}/test/runs").json()["runs"])
         return runs
 
     def _run_jobs(self) -> None:
--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -53,6 +53,7 @@
         self.site = site
         self._autostart = autostart
         self._limits = limits or HttpLimits()
+        self._http = httpx.Client(trust_env=False, verify=False)
         self._folder = TemporaryDirectory(prefix="jujubehall-")
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
@@ -162,6 +163,7 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
+        self._http.close()
         self._folder.cleanup()
 
     def _start(self, name: str, command: list[str]) -> None:
@@ -175,7 +177,7 @@
 
     def _is_ready(self, name: str) -> bool:
         try:
-            return httpx.get(f"{self.address(name)}/readyz").status_code == 200
+            return self._http.get(f"{self.address(name)}/readyz").status_code == 200
         except httpx.TransportError:
             return False
 
--- a/tests/callers/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-from __future__ import annotations
--- a/tests/end_to_end/calls.py
+++ b/tests/end_to_end/calls.py
@@ -15,12 +15,14 @@
     from jujubehall.testing.local_site import LocalSite
 
 ANSWER_TIMEOUT_S = 20.0
+# Making a client takes longer than most of the calls.
+CLIENT = httpx.Client(trust_env=False, verify=False)
 
 
 def slot_hold(site: LocalSite, entry_host: str, identifier: str) -> httpx.Response:
     body = {"id": identifier, "team": "studio", "kind": "slot-hold", "deadline_ms": 8_000}
     url = f"{site.address(entry_host)}/v1/requests"
-    return httpx.post(url, json=body, timeout=ANSWER_TIMEOUT_S)
+    return CLIENT.post(url, json=body, timeout=ANSWER_TIMEOUT_S)
 
 
 def hold_until_completed(site: LocalSite, entry_host: str, identifier: str) -> None:
@@ -44,21 +46,22 @@
 def runs(site: LocalSite) -> Counter[str]:
     found: Counter[str] = Counter()
     for host in site.site.endpoint_hosts():
-        found.update(httpx.get(f"{host.address}/test/runs").json()["runs"])
+        found.update(CLIENT.get(f"{host.address}/test/runs").json()["runs"])
     return found
 
 
 def set_run_time(site: LocalSite, run_ms: int) -> None:
     for host in site.site.endpoint_hosts():
-        httpx.put(f"{host.address}/test/behaviour", json={"run_ms": run_ms})
+        CLIENT.put(f"{host.address}/test/behaviour", json={"run_ms": run_ms})
 
 
 def owners(site: LocalSite, entry_host: str) -> dict[str, Any]:
-    found = httpx.get(f"{site.address(entry_host)}/v1/ownership").json()
+    found = CLIENT.get(f"{site.address(entry_host)}/v1/ownership").json()
     return {each["member"]["name"]: each for each in found["entry_hosts"]}
 
 
-def owner_of(site: LocalSite, identifier: str) -> str:
-    """The entry host that the ownership record in the platform's service gives a request to."""
-    record = httpx.get(f"{site.site.platform_address}/v1/kv/{OWNERSHIP_KEY}").json()["value"]
-    return str(record["owners"][request_scope(RequestId(identifier))])
+def owned_by(site: LocalSite, entry_host: str, identifiers: list[str]) -> list[str]:
+    """The requests that the ownership record in the platform's service gives to an entry host."""
+    record = CLIENT.get(f"{site.site.platform_address}/v1/kv/{OWNERSHIP_KEY}").json()["value"]
+    scopes = {scope for scope, owner in record["owners"].items() if owner == entry_host}
+    return [each for each in identifiers if request_scope(RequestId(each)) in scopes]
--- a/tests/end_to_end/test_failures.py
+++ b/tests/end_to_end/test_failures.py
@@ -11,6 +11,7 @@
 
 from jujubehall.testing.local_site import wait_until
 from jujubehall.testing.site_file import LOOPBACK
+from tests.end_to_end.calls import CLIENT
 from tests.end_to_end.calls import hold_until_completed
 from tests.end_to_end.calls import owners
 from tests.end_to_end.calls import runs
@@ -89,6 +90,6 @@
 
 def _status(url: str) -> int:
     try:
-        return httpx.get(url).status_code
+        return CLIENT.get(url).status_code
     except httpx.TransportError:
         return 0
--- a/tests/end_to_end/test_planned_stop.py
+++ b/tests/end_to_end/test_planned_stop.py
@@ -5,10 +5,9 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
-import httpx
-
 from jujubehall.testing.local_site import wait_until
-from tests.end_to_end.calls import owner_of
+from tests.end_to_end.calls import CLIENT
+from tests.end_to_end.calls import owned_by
 from tests.end_to_end.calls import runs
 from tests.end_to_end.calls import set_run_time
 from tests.end_to_end.calls import slot_hold
@@ -25,7 +24,7 @@
     warm_up(site, STOPPED)
     # Some of the holds are owned by the stopped entry host, others are passed on by it.
     names = [f"hold-{number}" for number in range(100)]
-    owned = [name for name in names if owner_of(site, name) == STOPPED]
+    owned = owned_by(site, STOPPED, names)
     passed_on = [name for name in names if name not in owned]
     holds = owned[:3] + passed_on[:3]
     assert len(holds) == 6
@@ -45,9 +44,9 @@
     with ThreadPoolExecutor(1) as callers:
         kept = callers.submit(slot_hold, site, "entry-0", "kept")
         wait_until(lambda: runs(site)["kept"] == 1, "the hold runs")
-        drained = httpx.post(f"{site.address('entry-0')}/v1/entry-hosts/entry-0/drain")
+        drained = CLIENT.post(f"{site.address('entry-0')}/v1/entry-hosts/entry-0/drain")
         assert drained.status_code == 202
-        ready = httpx.get(f"{site.address('entry-0')}/readyz")
+        ready = CLIENT.get(f"{site.address('entry-0')}/readyz")
         assert ready.status_code == 503
         wait_until(lambda: _refused(site), "new requests are refused")
         assert kept.result().json()["outcome"] == "completed"
--- a/tests/end_to_end/test_platform_outage.py
+++ b/tests/end_to_end/test_platform_outage.py
@@ -5,15 +5,16 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import httpx
-
 from jujubehall.testing.local_site import wait_until
+from tests.end_to_end.calls import CLIENT
 from tests.end_to_end.calls import hold_until_completed
 from tests.end_to_end.calls import runs
 from tests.end_to_end.calls import slot_hold
 from tests.end_to_end.calls import warm_up
 
 if TYPE_CHECKING:
+    import httpx
+
     from jujubehall.testing.local_site import LocalSite
 
 JOB = {"team": "studio", "kind": "render", "parts": 1, "accelerators_per_part": 1}
@@ -44,17 +45,17 @@
 
 
 def _set_down(site: LocalSite, down: bool) -> None:
-    httpx.put(f"{site.site.platform_address}/test/faults", json={"down": down})
+    CLIENT.put(f"{site.site.platform_address}/test/faults", json={"down": down})
 
 
 def _connected(site: LocalSite) -> int:
-    text = httpx.get(f"{site.address('entry-0')}/metrics").text
+    text = CLIENT.get(f"{site.address('entry-0')}/metrics").text
     values = dict(line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#"))
     return int(float(values["jujubehall_platform_connected"]))
 
 
 def _post(site: LocalSite, path: str, body: Any) -> httpx.Response:
-    return httpx.post(f"{site.address('entry-0')}{path}", json=body, timeout=20)
+    return CLIENT.post(f"{site.address('entry-0')}{path}", json=body, timeout=20)
 
 
 def _question(identifier: str) -> dict[str, Any]:
--- a/tests/end_to_end/test_processes.py
+++ b/tests/end_to_end/test_processes.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-import httpx
-
 from jujubehall.testing.local_site import wait_until
+from tests.end_to_end.calls import CLIENT
 from tests.end_to_end.calls import slot_hold
 
 if TYPE_CHECKING:
@@ -29,10 +28,10 @@
             "command": "run:100",
         }
     }
-    job = httpx.post(f"{site.address('entry-0')}/v1/jobs", json=submission).json()["id"]
+    job = CLIENT.post(f"{site.address('entry-0')}/v1/jobs", json=submission).json()["id"]
 
     def succeeded() -> bool:
-        answer = httpx.get(f"{site.address('entry-1')}/v1/jobs/{job}")
+        answer = CLIENT.get(f"{site.address('entry-1')}/v1/jobs/{job}")
         return bool(answer.is_success and answer.json()["state"] == "succeeded")
 
     wait_until(succeeded, "the job succeeds")
--- a/tests/http/test_bad_inputs.py
+++ b/tests/http/test_bad_inputs.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import httpx
 import pytest
 
+from tests.end_to_end.calls import CLIENT
 from tests.http.bad_inputs import BAD_INPUTS
 from tests.http.bad_inputs import BadInput
 from tests.http.raw_connection import RawConnection
@@ -48,5 +48,5 @@
 
 
 def test_a_wrong_method_is_told_the_right_ones(site: LocalSite) -> None:
-    refused = httpx.put(f"{site.address('entry-0')}/v1/jobs")
+    refused = CLIENT.put(f"{site.address('entry-0')}/v1/jobs")
     assert refused.headers["Allow"] == "GET, POST"
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -5,10 +5,10 @@
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
-import httpx
 import pytest
 
 from jujubehall.testing.local_site import wait_until
+from tests.end_to_end.calls import CLIENT
 from tests.end_to_end.calls import hold_until_completed
 from tests.end_to_end.calls import runs
 from tests.end_to_end.calls import set_run_time
@@ -82,7 +82,7 @@
 
 
 def test_an_identifier_may_hold_a_quoted_slash(address: str) -> None:
-    shown = httpx.get(f"{address}/v1/jobs/render%2F7")
+    shown = CLIENT.get(f"{address}/v1/jobs/render%2F7")
     assert shown.status_code == 404
     assert "render/7" in shown.json()["error"]
 
@@ -91,6 +91,13 @@
     with RawConnection(address) as connection:
         connection.send(b"nonsense\r\n")
         assert connection.read_answer().status == 400
-    text = httpx.get(f"{address}/metrics").text
+    text = CLIENT.get(f"{address}/metrics").text
     refusals = [line for line in text.splitlines() if line.startswith("jujubehall_http_refusals")]
     assert any('status="400"' in line for line in refusals), text
+
+
+def test_the_platform_takes_values_up_to_a_megabyte(site: LocalSite) -> None:
+    url = f"{site.site.platform_address}/v1/kv/test/large"
+    for size, status in ((990_000, 200), (1_000_001, 400)):
+        body = {"value": "a" * size, "expected_version": 0}
+        assert CLIENT.put(url, json=body).status_code == status
