--- a/src/jujubehall/console/site_client.py
+++ b/src/jujubehall/console/site_client.py
@@ -47,13 +47,16 @@
 class SiteClient:
     """Talks to a site through any of its entry hosts, in the given order."""
 
-    def __init__(self, addresses: Sequence[str]) -> None:
+    def __init__(
+        self, addresses: Sequence[str], transport: httpx.BaseTransport | None = None
+    ) -> None:
         self._addresses = list(addresses)
-        self._http = httpx.Client(trust_env=False)
+        self._transport = transport
+        self._http = httpx.Client(trust_env=False, transport=transport)
 
     def at(self, address: str) -> SiteClient:
         """A client of one entry host only."""
-        return SiteClient([address])
+        return SiteClient([address], self._transport)
 
     def close(self) -> None:
         """Closes the connections."""
@@ -121,7 +124,12 @@
             if weightiest is None or _weight(answered) > _weight(weightiest):
                 weightiest = answered
         assert weightiest is not None, "at least one entry host was tried"
-        return weightiest
+        return weightiest.map_err(self._name_all_tried)
+
+    def _name_all_tried(self, failure: CallFailure) -> CallFailure:
+        if failure.exit_code is not ExitCode.UNREACHABLE:
+            return failure
+        return msgspec.structs.replace(failure, peer=", ".join(self._addresses))
 
     def _exchange_with(
         self, address: str, step: str, method: str, path: str, body: object, timeout_ms: int
