Keep guaranteed gangs in as few blocks as they fill; stop at once for urgent

Parts were placed one by one on the fullest workers, so a gang of 4 x 2 was spread over two blocks, which its guarantee could not cover; and borrowed gangs lying scattered were upgraded and used up more blocks than they fill. Urgent jobs waited 10 s, the time of a checkpoint, against the bound of 1.4 s.

Ruled out: quotas and claims (printed for each late job; 9 of the 10 cases shown were of the two kinds above). Now the places for whole blocks are weighed one by one, an upgrade may not open more blocks than the job fills, and victims of urgent jobs are chosen by and stopped with what they lose without a checkpoint (Preempt.at_once, JobView.lost_at_once_ms).

--- a/benchmarks/jobs_replay.py
+++ b/benchmarks/jobs_replay.py
@@ -40,6 +40,10 @@
 CHECKPOINT_MS = 10_000
 """From the decision to stop a job until its workers are free."""
 
+STOP_MS = 500
+"""The same without a checkpoint."""
+
+CHECKPOINT_INTERVAL_MS = 600_000
 CHECKPOINT_LOSS_MS = 30_000
 RESTART_MS = 30_000
 LARGE_GANG = 16
@@ -93,10 +97,18 @@
         record = JobRecord(
             self.trace.id, self.trace.spec, self.state, zone, 0, placement=self.placement
         )
-        return JobView(record, self.trace.arrives_ms, self.started_ms, self.loss_ms(now_ms))
+        return JobView(
+            record,
+            self.trace.arrives_ms,
+            self.started_ms,
+            self.loss_ms(now_ms),
+            self.loss_ms(now_ms, at_once=True),
+        )
 
-    def loss_ms(self, now_ms: int) -> int:
+    def loss_ms(self, now_ms: int, *, at_once: bool = False) -> int:
         age_ms = max(0, now_ms - self.started_ms)
+        if at_once and self.trace.can_checkpoint:
+            return age_ms % CHECKPOINT_INTERVAL_MS
         return min(age_ms, CHECKPOINT_LOSS_MS) if self.trace.can_checkpoint else age_ms
 
 
@@ -280,7 +292,7 @@
                 del zone.jobs[decision.job]
             elif isinstance(decision, Preempt):
                 self.outcome.preemptions += 1
-                self._stop(job)
+                self._stop(job, at_once=decision.at_once)
             elif isinstance(decision, Move):
                 self.outcome.moves += 1
                 job.moves_to = decision.placement
@@ -305,13 +317,14 @@
         if job.reclaimable:
             self.outcome.reclaims.append(wait_ms)
 
-    def _stop(self, job: _Job) -> None:
-        loss_ms = job.loss_ms(self._now_ms)
+    def _stop(self, job: _Job, *, at_once: bool = False) -> None:
+        loss_ms = job.loss_ms(self._now_ms, at_once=at_once)
+        stop_ms = STOP_MS if at_once else CHECKPOINT_MS
         job.left_ms -= self._now_ms - job.started_ms - loss_ms
-        overhead_ms = loss_ms + CHECKPOINT_MS + RESTART_MS
+        overhead_ms = loss_ms + stop_ms + RESTART_MS
         self.outcome.lost_work += overhead_ms * job.accelerators
         job.state = JobState.STOPPING
-        self._push(self._now_ms + CHECKPOINT_MS, "released", job.trace.id, job.attempt)
+        self._push(self._now_ms + stop_ms, "released", job.trace.id, job.attempt)
 
     def _measure_space(self, elapsed_ms: int) -> None:
         """Weighs the fragmentation of each zone where a gang waits by how long it lasted."""
--- a/src/jujubehall/core/jobs/guarantee_book.py
+++ b/src/jujubehall/core/jobs/guarantee_book.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from enum import IntEnum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -69,6 +70,35 @@
     chunks: tuple[Chunk, ...] = ()
 
 
+class BlockKind(IntEnum):
+    """How a place for a block stands to the packing; the lower one is taken at equal cost."""
+
+    ANCHORED = 0
+    """In a block that the team uses already."""
+
+    OWN = 1
+    """Where the standing packing keeps a block of the team."""
+
+    FREE = 2
+    """On room that no block takes."""
+
+    MOVABLE = 3
+    """On room of other teams' floating blocks, which would have to go elsewhere."""
+
+
+class BlockCandidate(msgspec.Struct, frozen=True):
+    """A possible place for a block, with the parts of a job that each worker could hold."""
+
+    kind: BlockKind
+    rack: RackName
+    parts: dict[WorkerName, int]
+
+    @property
+    def capacity(self) -> int:
+        """How many parts fit in all."""
+        return sum(self.parts.values())
+
+
 class _Saved(msgspec.Struct):
     rooms: dict[RackName, dict[WorkerName, int]]
     floating: dict[TeamName, list[FloatingBlock]]
@@ -159,6 +189,8 @@
         saved = self._save(team)
         unpacked = len(self.unpacked)
         opened = self._use_slots(spec, placement)
+        if opened is not None and not forced and len(opened) > self.blocks_needed(spec):
+            opened = None
         done = opened is not None and self._open(team, opened, forced)
         if done and not forced:
             done = self._repair(saved.rooms) and len(self.unpacked) <= unpacked
@@ -166,22 +198,29 @@
             self._restore(team, saved)
         return done
 
-    def allowances(self, spec: JobSpec) -> list[dict[WorkerName, int]]:
-        """Where parts of a team's job may go as guaranteed work: parts a worker.
-
-        The first table is the widest and may need other floating blocks to move; the last one is
-        the standing packing itself, which is feasible by construction.
-        """
-        team = spec.team
-        base = Counter[WorkerName]()
-        for block in self._anchored[team]:
+    def candidates(self, spec: JobSpec) -> list[BlockCandidate]:
+        """The places where a block of a job's team lies or could lie, with the parts it holds."""
+        size = spec.accelerators_per_part
+        found = []
+        for block in self._anchored[spec.team]:
+            parts = Counter[WorkerName]()
             for slot in block.slots:
                 if slot.worker in self._usable:
-                    base[slot.worker] += (slot.size - slot.used) // spec.accelerators_per_part
-        own, free, movable = Counter(base), Counter(base), Counter(base)
-        if self._floating[team]:
-            self._add_floating(spec, own, free, movable)
-        return [dict(movable), dict(free), dict(own)]
+                    parts[slot.worker] += (slot.size - slot.used) // size
+            found.append(BlockCandidate(BlockKind.ANCHORED, block.rack, dict(parts)))
+        for floating in self._floating[spec.team]:
+            if floating.chunks:
+                found.append(_candidate(BlockKind.OWN, floating.rack, floating.chunks, size))
+        if self._floating[spec.team]:
+            found += self._other_places(self._floating[spec.team][0].size, size)
+        return [candidate for candidate in found if candidate.capacity]
+
+    def blocks_needed(self, spec: JobSpec) -> int:
+        """How many blocks a job fills; scattered over more, it would waste the guarantee."""
+        parts_per_block = (
+            self._shape[spec.team].accelerators_per_block // spec.accelerators_per_part
+        )
+        return -(-spec.parts // max(1, parts_per_block))
 
     def claimed(self) -> Counter[WorkerName]:
         """The accelerators of each usable worker that blocks take, used or not."""
@@ -195,33 +234,27 @@
                 claimed[chunk.worker] += chunk.accelerators
         return claimed
 
-    def _add_floating(
-        self,
-        spec: JobSpec,
-        own: Counter[WorkerName],
-        free: Counter[WorkerName],
-        movable: Counter[WorkerName],
-    ) -> None:
-        size = self._floating[spec.team][0].size
-        for block in self._floating[spec.team]:
-            for chunk in block.chunks:
-                parts = chunk.accelerators // spec.accelerators_per_part
-                for allowance in (own, free, movable):
-                    allowance[chunk.worker] += parts
+    def _other_places(self, block_size: int, part_size: int) -> list[BlockCandidate]:
+        """Where an unused block could lie instead, if need be by moving other floating blocks."""
         packed = Counter[WorkerName]()
         for block in self.floating:
             for chunk in block.chunks:
                 packed[chunk.worker] += chunk.accelerators
+        found = []
         for rack in self._racks.values():
-            if rack.per_worker and size > rack.per_worker:
-                for chunk in find_block_in_rack(size, rack) or ():
-                    free[chunk.worker] += chunk.accelerators // spec.accelerators_per_part
-                    movable[chunk.worker] += chunk.accelerators // spec.accelerators_per_part
+            chunks: Sequence[Chunk] | None
+            if block_size > rack.per_worker:
+                chunks = find_block_in_rack(block_size, rack)
+                if chunks:
+                    found.append(_candidate(BlockKind.FREE, rack.rack, chunks, part_size))
                 continue
-            parts = size // spec.accelerators_per_part
             for worker, room in rack.room.items():
-                free[worker] += parts * max(0, room // size)
-                movable[worker] += parts * max(0, (room + packed[worker]) // size)
+                chunks = (Chunk(worker, block_size),)
+                if room >= block_size:
+                    found.append(_candidate(BlockKind.FREE, rack.rack, chunks, part_size))
+                elif room + packed[worker] >= block_size:
+                    found.append(_candidate(BlockKind.MOVABLE, rack.rack, chunks, part_size))
+        return found
 
     def _still_valid(self, block: FloatingBlock, hint: FloatingBlock) -> bool:
         rack = self._racks.get(hint.rack)
@@ -393,3 +426,10 @@
             self._racks[name].room = room
         self._floating = saved.floating
         self._anchored[team] = saved.anchored
+
+
+def _candidate(
+    kind: BlockKind, rack: RackName, chunks: Sequence[Chunk], part_size: int
+) -> BlockCandidate:
+    parts = {chunk.worker: chunk.accelerators // part_size for chunk in chunks}
+    return BlockCandidate(kind, rack, parts)
--- a/src/jujubehall/core/jobs/moves.py
+++ b/src/jujubehall/core/jobs/moves.py
@@ -9,6 +9,7 @@
 from jujubehall.core.jobs.job import PartPlacement
 from jujubehall.core.jobs.placement import FreeSpace
 from jujubehall.core.jobs.placement import place_gang
+from jujubehall.core.jobs.preemption import index_victims
 from jujubehall.core.jobs.preemption import plan_preemption
 from jujubehall.core.jobs.running_job import RunningJob
 
@@ -44,7 +45,7 @@
     """
     worth = wait_ms * max(1, spec.parts * spec.accelerators_per_part)
     spaces = [space.copy() for space in spaces]
-    plan = plan_preemption(spec, spaces, movable)
+    plan = plan_preemption(spec, spaces, index_victims(movable))
     if plan is None or not plan.victims or len(plan.victims) > MAX_MOVES:
         return None
     if plan.cost * PAYOFF_FACTOR > worth:
--- a/src/jujubehall/core/jobs/preemption.py
+++ b/src/jujubehall/core/jobs/preemption.py
@@ -10,6 +10,7 @@
 from jujubehall.core.jobs.placement import FreeSpace
 from jujubehall.core.jobs.placement import group_racks
 from jujubehall.core.jobs.running_job import RunningJob
+from jujubehall.identifiers import WorkerName
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -18,7 +19,6 @@
 
     from jujubehall.core.jobs.job import JobSpec
     from jujubehall.identifiers import JobId
-    from jujubehall.identifiers import WorkerName
 
 
 class PreemptionPlan(msgspec.Struct, frozen=True):
@@ -28,38 +28,64 @@
     victims: tuple[RunningJob, ...]
     cost: int
 
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Orders plans: least lost work, fewest jobs, youngest jobs."""
+        youngest = max((job.started_at_ms for job in self.victims), default=0)
+        return self.cost, len(self.victims), -youngest
+
 
 class _Step(msgspec.Struct, frozen=True):
-    """One more part on a worker: what it costs and whom."""
+    """One more part on a worker: what it costs, what is free there now, and whom to stop."""
 
     cost: int
     left: int
     victims: tuple[RunningJob, ...]
 
+    @property
+    def rank(self) -> tuple[int, int, int, int]:
+        """Orders steps: least lost work, fewest jobs, youngest jobs, fullest worker."""
+        youngest = max((job.started_at_ms for job in self.victims), default=0)
+        return self.cost, len(self.victims), -youngest, self.left
+
+
+Occupants = dict[WorkerName, list[RunningJob]]
+
+
+def index_victims(victims: Iterable[RunningJob], *, at_once: bool = False) -> Occupants:
+    """The jobs that may be stopped on each worker, the cheapest and then the youngest first.
+
+    With ``at_once``, there is no time for a checkpoint.
+    """
+    if at_once:
+        replace = msgspec.structs.replace
+        victims = [replace(job, preemption_cost=job.at_once_cost) for job in victims]
+    occupants: Occupants = {}
+    for job in sorted(victims, key=lambda job: (job.preemption_cost, -job.started_at_ms)):
+        for worker in job.parts_on:
+            occupants.setdefault(worker, []).append(job)
+    return occupants
+
 
 def plan_preemption(
     spec: JobSpec,
     spaces: Iterable[FreeSpace],
-    victims: Iterable[RunningJob],
+    occupants: Occupants,
     allowance: Mapping[WorkerName, int] | None = None,
 ) -> PreemptionPlan | None:
-    """Finds the cheapest way to place a gang by stopping some of ``victims``.
+    """Finds the cheapest way to place a gang by stopping some of the ``occupants``.
 
     The cost of a victim is the work that it loses; among equal ones the youngest goes first.
     ``allowance`` limits the parts on each worker. Parts are placed one at a time where the next
     one costs least, a greedy choice that is exact for a single part on one worker but for sets of
     victims of which neither one alone nor the cheapest together suffice.
     """
-    occupants: dict[WorkerName, list[RunningJob]] = {}
-    for job in sorted(victims, key=lambda job: (job.preemption_cost, -job.started_at_ms)):
-        for worker in job.parts_on:
-            occupants.setdefault(worker, []).append(job)
     if allowance is not None:
         spaces = [space for space in spaces if allowance.get(space.worker, 0) > 0]
     best: PreemptionPlan | None = None
     for rack in group_racks(spec, spaces):
         plan = _RackPlanner(spec, rack, occupants, allowance).plan()
-        if plan is not None and (best is None or plan.cost < best.cost):
+        if plan is not None and (best is None or plan.rank < best.rank):
             best = plan
     return best
 
@@ -111,15 +137,15 @@
         return space is not None and min(space.accelerators, space.cores, space.memory_gb) < 0
 
     def _cheapest(self) -> WorkerName | None:
-        best: tuple[tuple[int, int], WorkerName] | None = None
+        best: tuple[tuple[int, int, int, int], WorkerName] | None = None
         for worker, left in self._left.items():
             if left == 0:
                 continue
             if worker not in self._steps:
                 self._steps[worker] = self._step(worker)
             step = self._steps[worker]
-            if step is not None and (best is None or (step.cost, step.left) < best[0]):
-                best = ((step.cost, step.left), worker)
+            if step is not None and (best is None or step.rank < best[0]):
+                best = (step.rank, worker)
         return None if best is None else best[1]
 
     def _take(self, worker: WorkerName) -> None:
--- a/src/jujubehall/core/jobs/running_job.py
+++ b/src/jujubehall/core/jobs/running_job.py
@@ -25,7 +25,8 @@
 class RunningJob(msgspec.Struct):
     """A running job with the parts that each worker holds and what its preemption costs.
 
-    ``preemption_cost`` is in accelerator-milliseconds; a CPU-only job counts as one accelerator.
+    ``preemption_cost`` is in accelerator-milliseconds, ``at_once_cost`` the same without a
+    checkpoint; a CPU-only job counts as one accelerator.
     """
 
     record: JobRecord
@@ -33,6 +34,7 @@
     ends_at_ms: int
     parts_on: dict[WorkerName, int]
     preemption_cost: int
+    at_once_cost: int = 0
     guaranteed: bool = False
 
     @property
@@ -46,12 +48,15 @@
         return not self.guaranteed and self.record.state is JobState.RUNNING
 
 
-def make_running_job(view: JobView, ends_at_ms: int) -> RunningJob:
+def make_running_job(view: JobView, now_ms: int, ends_at_ms: int) -> RunningJob:
     """Reads a running job from the view."""
+    at_once_ms = view.lost_at_once_ms
+    if at_once_ms is None:
+        at_once_ms = max(0, now_ms - view.started_at_ms)
     spec = view.record.spec
     accelerators = max(1, spec.parts * spec.accelerators_per_part)
-    cost = (view.lost_on_stop_ms + RESTART_COST_MS) * accelerators
-    if spec.urgent:
-        cost *= URGENT_COST_FACTOR
+    factor = accelerators * (URGENT_COST_FACTOR if spec.urgent else 1)
+    cost = (view.lost_on_stop_ms + RESTART_COST_MS) * factor
+    at_once_cost = (at_once_ms + RESTART_COST_MS) * factor
     parts_on = dict(Counter(part.worker for part in view.record.placement))
-    return RunningJob(view.record, view.started_at_ms, ends_at_ms, parts_on, cost)
+    return RunningJob(view.record, view.started_at_ms, ends_at_ms, parts_on, cost, at_once_cost)
--- a/src/jujubehall/core/jobs/scheduling_round.py
+++ b/src/jujubehall/core/jobs/scheduling_round.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -11,6 +13,7 @@
 from jujubehall.core.jobs.decisions import Refuse
 from jujubehall.core.jobs.feasibility import reason_impossible
 from jujubehall.core.jobs.guarantee_book import GuaranteeBook
+from jujubehall.core.jobs.guaranteed_placement import plan_guaranteed
 from jujubehall.core.jobs.invariants import RoundOutcome
 from jujubehall.core.jobs.invariants import check_round
 from jujubehall.core.jobs.job import JobState
@@ -20,6 +23,7 @@
 from jujubehall.core.jobs.policy_memory import CLAIM_TIMEOUT_MS
 from jujubehall.core.jobs.policy_memory import GUARANTEE_MEMORY_MS
 from jujubehall.core.jobs.policy_memory import Claim
+from jujubehall.core.jobs.preemption import index_victims
 from jujubehall.core.jobs.preemption import plan_preemption
 from jujubehall.core.jobs.reservation import make_reservation
 from jujubehall.core.jobs.running_job import RunningJob
@@ -46,6 +50,12 @@
 _AGEING_FLOOR_MS = 600_000
 """Waiting counts against the expected run time, but against no less than this."""
 
+_OVERDUE_FACTOR = 2
+"""A job that waited so many times its run time is overdue, within the next two bounds."""
+
+_OVERDUE_MIN_MS = 3_600_000
+_OVERDUE_MAX_MS = 6 * 3_600_000
+
 _SIZE_EXPONENT = 1.0
 """How strongly the fragmentation weight favours small (at 0) or large jobs (at 1)."""
 
@@ -113,7 +123,7 @@
     def _read_running(self, job: JobView) -> RunningJob:
         age_ms = max(0, self._view.now_ms - job.started_at_ms)
         remaining_ms = self._remaining_ms(job.record.spec, age_ms)
-        return make_running_job(job, self._view.now_ms + remaining_ms)
+        return make_running_job(job, self._view.now_ms, self._view.now_ms + remaining_ms)
 
     def _run_time_ms(self, spec: JobSpec) -> int:
         if not self._options.learns:
@@ -231,20 +241,13 @@
                 continue
             if not self._book.has_unused(spec.team, spec.accelerators_per_part):
                 continue
-            plan = self._plan_guaranteed(spec)
+            occupants = index_victims(self._victims(urgent=True), at_once=spec.urgent)
+            plan = plan_guaranteed(spec, self._book, self._spaces, occupants)
             if plan is None:
                 failed.add(key)
                 continue
             self._carry_out(job.record.id, plan, "the guarantee of its team", guaranteed=True)
 
-    def _plan_guaranteed(self, spec: JobSpec) -> PreemptionPlan | None:
-        for allowance in self._book.allowances(spec):
-            spaces, victims = self._spaces.values(), self._victims(urgent=True)
-            plan = plan_preemption(spec, spaces, victims, allowance)
-            if plan is not None and self._book.anchor(spec, plan.placement):
-                return plan
-        return None
-
     def _place_urgent(self) -> None:
         """Starts urgent jobs beyond a guarantee over other borrowed work that is not urgent."""
         waiting = [job for job in self._queued.values() if job.record.spec.urgent]
@@ -256,8 +259,8 @@
             if placement is not None:
                 self._place(job.record.id, placement)
                 continue
-            victims = self._victims(urgent=False)
-            plan = plan_preemption(spec, self._spaces.values(), victims)
+            occupants = index_victims(self._victims(urgent=False), at_once=True)
+            plan = plan_preemption(spec, self._spaces.values(), occupants)
             if plan is not None:
                 self._carry_out(job.record.id, plan, "an urgent job", guaranteed=False)
 
@@ -321,11 +324,14 @@
         self._memory.claims[reservation.job] = Claim(plan.placement, now_ms, moved, False)
 
     def _priority(self, job: JobView) -> tuple[bool, float, int, str]:
+        """Orders by slowdown and size; whoever is overdue comes first, oldest first."""
         spec = job.record.spec
-        if not self._options.orders_queue:
-            return not spec.urgent, 0.0, job.queued_since_ms, job.record.id
         waited_ms = max(0, self._view.now_ms - job.queued_since_ms)
-        aged = 1 + waited_ms / max(_AGEING_FLOOR_MS, self._run_time_ms(spec))
+        run_time_ms = self._run_time_ms(spec)
+        overdue_ms = min(max(_OVERDUE_FACTOR * run_time_ms, _OVERDUE_MIN_MS), _OVERDUE_MAX_MS)
+        if not self._options.orders_queue or waited_ms > overdue_ms:
+            return not spec.urgent, -math.inf, job.queued_since_ms, job.record.id
+        aged = 1 + waited_ms / max(_AGEING_FLOOR_MS, run_time_ms)
         exponent = _SIZE_EXPONENT * (self._view.fragmentation_weight - 0.5)
         size = max(1, spec.parts * spec.accelerators_per_part) ** exponent
         return not spec.urgent, -aged * size, job.queued_since_ms, job.record.id
@@ -352,8 +358,10 @@
             self._place(job_id, plan.placement, guaranteed=guaranteed)
             return
         victims = frozenset(victim.record.id for victim in plan.victims)
+        at_once = self._queued[job_id].record.spec.urgent
         for victim in plan.victims:
-            self._decisions.append(Preempt(victim.record.id, job_id, f"preempted for {reason}"))
+            preempt = Preempt(victim.record.id, job_id, f"preempted for {reason}", at_once)
+            self._decisions.append(preempt)
         self._stopping |= victims
         self._memory.claims[job_id] = Claim(
             plan.placement, self._view.now_ms, victims, guaranteed=guaranteed
@@ -365,6 +373,7 @@
         self, job_id: JobId, placement: tuple[PartPlacement, ...], *, guaranteed: bool = False
     ) -> None:
         self._decisions.append(Place(job_id, placement))
+        self._memory.claims.pop(job_id, None)
         spec = self._queued[job_id].record.spec
         _take(self._spaces, spec, placement)
         _take(self._unheld, spec, placement)
@@ -380,7 +389,7 @@
         now_ms = self._view.now_ms
         parts_on: dict[WorkerName, int] = dict(Counter(part.worker for part in placement))
         ends_at_ms = now_ms + self._run_time_ms(record.spec)
-        job = RunningJob(record, now_ms, ends_at_ms, parts_on, 0, guaranteed)
+        job = RunningJob(record, now_ms, ends_at_ms, parts_on, 0, 0, guaranteed)
         self._running.append(job)
         self._in_use[record.spec.team] += record.spec.parts * record.spec.accelerators_per_part
         return job
--- a/src/jujubehall/core/jobs/zone_view.py
+++ b/src/jujubehall/core/jobs/zone_view.py
@@ -32,13 +32,15 @@
 class JobView(msgspec.Struct, frozen=True):
     """A queued or running job; all times are on the owner's monotonic clock, in milliseconds.
 
-    ``lost_on_stop_ms`` is the work that would be lost if it were stopped after a checkpoint.
+    ``lost_on_stop_ms`` is the work that would be lost if it were stopped after a checkpoint, and
+    ``lost_at_once_ms`` without one; if that is None, all work since the start.
     """
 
     record: JobRecord
     queued_since_ms: int
     started_at_ms: int = 0
     lost_on_stop_ms: int = 0
+    lost_at_once_ms: int | None = None
 
 
 class TeamView(msgspec.Struct, frozen=True):
--- a/tests/core/jobs/fake_zone.py
+++ b/tests/core/jobs/fake_zone.py
@@ -14,6 +14,7 @@
 from jujubehall.core.jobs.job import JobRecord
 from jujubehall.core.jobs.job import JobSpec
 from jujubehall.core.jobs.job import JobState
+from jujubehall.core.jobs.job import PartPlacement
 from jujubehall.core.jobs.policy import Policy
 from jujubehall.core.jobs.zone_view import JobView
 from jujubehall.core.jobs.zone_view import TeamView
@@ -95,6 +96,13 @@
         self.jobs[job] = JobView(record, self.now_ms)
         return job
 
+    def run(self, spec: JobSpec, *workers: str) -> JobId:
+        """Has a job running, one part on each named worker."""
+        job = self.submit(spec)
+        placement = tuple(PartPlacement(i, WorkerName(name)) for i, name in enumerate(workers))
+        self._change(job, JobState.RUNNING, placement)
+        return job
+
     def state(self, job: JobId) -> JobState | None:
         return self.jobs[job].record.state if job in self.jobs else None
 
--- /dev/null
+++ b/tests/core/jobs/test_policy.py
@@ -0,0 +1,343 @@
+"""Tests what the policy decides in chosen situations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jujubehall.core.configuration.document import Shape
+from jujubehall.core.jobs.decisions import Move
+from jujubehall.core.jobs.decisions import Place
+from jujubehall.core.jobs.decisions import Preempt
+from jujubehall.core.jobs.decisions import Refuse
+from jujubehall.core.jobs.job import JobState
+from tests.core.jobs.fake_zone import MINUTE_MS
+from tests.core.jobs.fake_zone import FakeZone
+from tests.core.jobs.fake_zone import job_spec
+
+if TYPE_CHECKING:
+    from jujubehall.identifiers import JobId
+
+RUNNING = JobState.RUNNING
+QUEUED = JobState.QUEUED
+
+
+def preempted(zone: FakeZone) -> set[JobId]:
+    return {decision.job for decision in zone.decisions if isinstance(decision, Preempt)}
+
+
+def set_loss(zone: FakeZone, job: JobId, lost_on_stop_ms: int) -> None:
+    view = msgspec.structs.replace(zone.jobs[job], lost_on_stop_ms=lost_on_stop_ms)
+    zone.jobs[job] = view
+
+
+def test_guaranteed_work_preempts_the_borrower_that_loses_least() -> None:
+    zone = FakeZone(1, {"a": Shape(1, 8)})
+    borrowers = [zone.submit(job_spec("b", 1, 8)) for _ in range(4)]
+    zone.decide()
+    for index, job in enumerate(borrowers):
+        set_loss(zone, job, 100_000 - 1_000 * index)
+    job = zone.submit(job_spec("a", 1, 8))
+
+    zone.decide()
+
+    assert preempted(zone) == {borrowers[3]}
+    assert zone.state(job) is QUEUED
+    zone.release()
+    zone.decide()
+    assert zone.state(job) is RUNNING
+    assert zone.state(borrowers[3]) is QUEUED
+
+
+def test_one_victim_is_taken_rather_than_two() -> None:
+    zone = FakeZone(1, {"a": Shape(1, 8)})
+    for worker in ("r0-w0", "r0-w1", "r0-w2"):
+        zone.run(job_spec("b", 1, 4), worker)
+        zone.run(job_spec("b", 1, 4), worker)
+    single = zone.run(job_spec("b", 1, 8), "r0-w3")
+    for job in zone.jobs:
+        set_loss(zone, job, 0 if job == single else 1_000)
+    zone.submit(job_spec("a", 1, 8))
+
+    zone.decide()
+
+    assert preempted(zone) == {single}
+
+
+def test_of_equal_borrowers_the_youngest_is_preempted() -> None:
+    zone = FakeZone(1, {"a": Shape(1, 8)})
+    for worker in ("r0-w0", "r0-w1", "r0-w2"):
+        zone.run(job_spec("b", 1, 8), worker)
+    zone.now_ms = MINUTE_MS
+    youngest = zone.run(job_spec("b", 1, 8), "r0-w3")
+    zone.submit(job_spec("a", 1, 8))
+
+    zone.decide()
+
+    assert preempted(zone) == {youngest}
+
+
+def test_a_small_job_does_not_take_the_last_place_of_a_block() -> None:
+    zone = FakeZone(1, {"a": Shape(3, 8), "c": Shape(2, 4)})
+    small = [zone.submit(job_spec("c", 1, 4)) for _ in range(2)]
+    zone.decide()
+    blocks = [zone.submit(job_spec("a", 1, 8)) for _ in range(3)]
+    zone.settle()
+
+    assert {zone.state(job) for job in small + blocks} == {RUNNING}
+    assert len({zone.jobs[job].record.placement[0].worker for job in small}) == 1
+
+
+def test_a_gang_keeps_to_one_block_although_its_parts_fit_elsewhere() -> None:
+    zone = FakeZone(1, {"a": Shape(2, 8), "c": Shape(1, 8)})
+    for worker in zone.workers[:3]:
+        zone.run(job_spec("b", 1, 4), worker)
+    zone.run(job_spec("c", 1, 8), "r0-w3")
+    jobs = [zone.submit(job_spec("a", 4, 2)) for _ in range(2)]
+
+    zone.settle()
+
+    assert {zone.state(job) for job in jobs} == {RUNNING}
+    for job in jobs:
+        assert len({part.worker for part in zone.jobs[job].record.placement}) == 1
+
+
+def test_a_block_larger_than_a_worker_is_reclaimed_over_borrowers() -> None:
+    zone = FakeZone(2, {"a": Shape(1, 24)})
+    for _ in range(16):
+        zone.submit(job_spec("b", 1, 4))
+    zone.decide()
+    job = zone.submit(job_spec("a", 3, 8))
+
+    zone.settle()
+
+    assert zone.state(job) is RUNNING
+    assert len(zone.in_state(RUNNING)) == 11
+
+
+def test_borrowed_work_becomes_guaranteed_when_the_guarantee_is_free_again() -> None:
+    zone = FakeZone(1, {"a": Shape(1, 8), "c": Shape(3, 8)})
+    first = zone.run(job_spec("a", 1, 8), "r0-w0")
+    second = zone.run(job_spec("a", 1, 8), "r0-w1")
+    zone.decide()
+    zone.finish(first, MINUTE_MS)
+    zone.decide()
+    others = [zone.submit(job_spec("c", 1, 8)) for _ in range(3)]
+
+    zone.settle()
+
+    assert {zone.state(job) for job in (second, *others)} == {RUNNING}
+
+
+def test_a_gang_with_a_claim_that_becomes_guaranteed_is_placed_once() -> None:
+    zone = FakeZone(2, {"a": Shape(1, 16)})
+    first = zone.run(job_spec("a", 2, 8), "r0-w0", "r0-w1")
+    for worker in ("r0-w2", "r0-w3", "r1-w0", "r1-w1", "r1-w2", "r1-w3"):
+        zone.run(job_spec("b", 1, 4, run_time_ms=600 * MINUTE_MS), worker)
+    gang = zone.submit(job_spec("a", 2, 8))
+    zone.decide()
+    assert any(isinstance(decision, Move) for decision in zone.decisions)
+    zone.finish(first, MINUTE_MS)
+
+    zone.decide()
+
+    assert zone.state(gang) is RUNNING
+
+
+def test_moves_free_adjacent_space_where_they_pay() -> None:
+    zone = FakeZone(2)
+    zone.run(job_spec("b", 1, 8), "r0-w0")
+    zone.run(job_spec("b", 1, 8), "r0-w1")
+    for worker in ("r0-w2", "r0-w3", "r1-w0", "r1-w1", "r1-w2", "r1-w3"):
+        zone.run(job_spec("b", 1, 4, run_time_ms=600 * MINUTE_MS), worker)
+    gang = zone.submit(job_spec("c", 2, 8, run_time_ms=600 * MINUTE_MS))
+    zone.decide()
+    moved = [decision for decision in zone.decisions if isinstance(decision, Move)]
+    assert len(moved) == 2
+
+    zone.release()
+    zone.decide()
+
+    assert zone.state(gang) is RUNNING
+    for move in moved:
+        assert zone.jobs[move.job].record.placement == move.placement
+
+
+def test_nothing_is_moved_for_a_short_wait() -> None:
+    zone = FakeZone(2)
+    for worker in zone.workers:
+        zone.run(job_spec("b", 1, 4, run_time_ms=MINUTE_MS // 2), worker)
+    zone.submit(job_spec("c", 2, 8))
+
+    assert zone.decide() == []
+
+
+def test_an_urgent_job_preempts_borrowed_work_but_not_guaranteed_or_urgent_work() -> None:
+    zone = FakeZone(1, {"a": Shape(1, 8)})
+    zone.run(job_spec("a", 1, 8), "r0-w0")
+    zone.run(job_spec("b", 1, 8, urgent=True), "r0-w1")
+    zone.run(job_spec("b", 1, 8, urgent=True), "r0-w2")
+    borrowed = zone.run(job_spec("b", 1, 8), "r0-w3")
+    urgent = zone.submit(job_spec("d", 1, 2, urgent=True))
+    second = zone.submit(job_spec("d", 1, 8, urgent=True))
+
+    zone.settle()
+
+    assert preempted(zone) == set()
+    assert zone.state(urgent) is RUNNING
+    assert zone.state(second) is QUEUED
+    assert zone.state(borrowed) is QUEUED
+
+
+def test_an_urgent_job_stops_at_once_whoever_loses_least_without_a_checkpoint() -> None:
+    zone = FakeZone(1)
+    for worker in zone.workers[:3]:
+        zone.run(job_spec("b", 1, 8), worker)
+    zone.now_ms = MINUTE_MS
+    young = zone.run(job_spec("b", 1, 8), "r0-w3")
+    set_loss(zone, young, 30_000)
+    zone.submit(job_spec("d", 1, 1, urgent=True))
+
+    zone.decide()
+
+    assert next(d for d in zone.decisions if isinstance(d, Preempt)).at_once
+    assert preempted(zone) == {young}
+
+
+def test_a_stream_of_small_jobs_does_not_starve_a_large_gang() -> None:
+    for weight in (0.0, 0.5, 1.0):
+        zone = FakeZone(1, weight=weight)
+        for _ in range(32):
+            zone.submit(job_spec("b", run_time_ms=30 * MINUTE_MS))
+        zone.decide()
+        gang = zone.submit(job_spec("c", 4, 8, run_time_ms=60 * MINUTE_MS))
+        minutes = 0
+        while zone.state(gang) is QUEUED and minutes < 24 * 60:
+            zone.now_ms += MINUTE_MS
+            minutes += 1
+            for job in zone.in_state(RUNNING):
+                if zone.now_ms - job.started_at_ms >= 30 * MINUTE_MS:
+                    zone.finish(job.record.id, 30 * MINUTE_MS)
+            zone.submit(job_spec("b", run_time_ms=30 * MINUTE_MS))
+            zone.submit(job_spec("b", run_time_ms=30 * MINUTE_MS))
+            zone.decide()
+
+        assert zone.state(gang) is RUNNING, weight
+        assert minutes < 12 * 60, weight
+
+
+def test_backfill_does_not_delay_the_reserved_gang() -> None:
+    zone = FakeZone(1)
+    zone.run(job_spec("b", 1, 8, run_time_ms=30 * MINUTE_MS), "r0-w0")
+    gang = zone.submit(job_spec("c", 4, 8))
+    zone.now_ms = MINUTE_MS
+    long = zone.submit(job_spec("d", 1, 8, run_time_ms=40 * MINUTE_MS))
+    short = zone.submit(job_spec("d", 1, 8, run_time_ms=20 * MINUTE_MS))
+
+    zone.decide()
+
+    assert (zone.state(gang), zone.state(long), zone.state(short)) == (QUEUED, QUEUED, RUNNING)
+
+
+def test_learned_run_times_replace_declared_ones() -> None:
+    zone = FakeZone(1)
+    for _ in range(8):
+        job = zone.run(job_spec("d", 1, 1, run_time_ms=MINUTE_MS), "r0-w1")
+        zone.finish(job, 300 * MINUTE_MS)
+    zone.run(job_spec("b", 1, 8, run_time_ms=30 * MINUTE_MS), "r0-w0")
+    zone.submit(job_spec("c", 4, 8))
+    zone.now_ms = MINUTE_MS
+    liar = zone.submit(job_spec("d", 1, 8, run_time_ms=MINUTE_MS))
+
+    zone.decide()
+
+    assert zone.state(liar) is QUEUED
+
+
+def test_jobs_that_can_never_run_are_refused_with_the_reason() -> None:
+    zone = FakeZone(2, {"a": None}, quota=16)
+    part = zone.submit(job_spec("b", 1, 9))
+    rack = zone.submit(job_spec("b", 5, 8))
+    quota = zone.submit(job_spec("a", 3, 8))
+    cores = zone.submit(msgspec.structs.replace(job_spec("b"), cores_per_part=131))
+    spread = zone.submit(job_spec("b", 5, 8, adjacent=False))
+
+    reasons = {d.job: d.reason for d in zone.decide() if isinstance(d, Refuse)}
+
+    assert reasons == {
+        part: "no worker holds a part of 9 accelerators, 36 cores and 90 GB",
+        rack: "one rack holds at most 4 of its 5 parts",
+        quota: "it needs 24 accelerators; team a may use 16",
+        cores: "no worker holds a part of 1 accelerators, 131 cores and 10 GB",
+    }
+    assert zone.state(spread) is RUNNING
+
+
+def test_nothing_is_refused_while_workers_are_missing_from_the_view() -> None:
+    zone = FakeZone(1)
+    zone.submit(job_spec("b", 5, 8))
+    view = msgspec.structs.replace(zone.view(), complete=False)
+
+    assert zone.policy.decide(view) == []
+
+
+def test_a_job_that_no_usable_worker_holds_now_waits() -> None:
+    zone = FakeZone(1)
+    zone.unusable = set(zone.workers)
+    job = zone.submit(job_spec("b"))
+
+    zone.decide()
+    assert zone.state(job) is QUEUED
+    zone.unusable.clear()
+    zone.decide()
+    assert zone.state(job) is RUNNING
+
+
+def test_quotas_limit_what_a_team_uses() -> None:
+    zone = FakeZone(1, {"a": Shape(1, 8)}, quota=12)
+    jobs = [zone.submit(job_spec("a", 1, 4)) for _ in range(4)]
+
+    zone.decide()
+
+    assert [zone.state(job) for job in jobs] == [RUNNING, RUNNING, RUNNING, QUEUED]
+
+
+def test_the_older_scheduler_keeps_what_it_uses() -> None:
+    zone = FakeZone(1, {"a": Shape(4, 8)})
+    zone.foreign[zone.workers[0]] = 3
+    jobs = [zone.submit(job_spec("a", 1, 8)) for _ in range(4)]
+
+    zone.settle()
+
+    assert [zone.state(job) for job in jobs] == [RUNNING, RUNNING, RUNNING, QUEUED]
+
+
+def test_a_cancelled_job_is_not_placed() -> None:
+    zone = FakeZone(1)
+    job = zone.submit(job_spec("b"))
+    view = zone.jobs[job]
+    record = msgspec.structs.replace(view.record, cancel_requested=True)
+    zone.jobs[job] = msgspec.structs.replace(view, record=record)
+
+    assert zone.decide() == []
+
+
+def test_small_jobs_share_workers_so_that_whole_ones_stay_free() -> None:
+    zone = FakeZone(2)
+    for accelerators in (4, 2, 2, 4):
+        zone.submit(job_spec("b", 1, accelerators))
+        zone.decide()
+
+    placed = {job.record.placement[0].worker for job in zone.in_state(RUNNING)}
+    assert len(placed) == 2
+    assert len({zone.rack_of[worker] for worker in placed}) == 1
+
+
+def test_parts_of_a_gang_are_placed_together_or_not_at_all() -> None:
+    zone = FakeZone(2)
+    for worker in zone.workers[:3] + zone.workers[4:6]:
+        zone.run(job_spec("b", 1, 8), worker)
+    zone.submit(job_spec("c", 3, 8))
+
+    assert not any(isinstance(decision, Place) for decision in zone.decide())
