--- a/src/jujubehall/services/zone_workers.py
+++ b/src/jujubehall/services/zone_workers.py
@@ -15,6 +15,7 @@
 from jujubehall.core.jobs.gang_timing import RESEND_INTERVAL_MS
 from jujubehall.core.jobs.gang_timing import TASK_LEASE_MS
 from jujubehall.core.jobs.gang_timing import UNSEEN_LIMIT_MS
+from jujubehall.errors import FailureKind
 from jujubehall.identifiers import WorkerName
 from jujubehall.platform.host import Host
 from jujubehall.platform.host import HostState
@@ -60,7 +61,7 @@
     """A listed worker and what its last answers said.
 
     ``inventory`` is the answer to the command numbered ``sequence``, sent at ``answered_at_ms``.
-    While ``no_room_until_ms`` lies ahead, the worker gets no new parts, because it refused one
+    ``is_suspect`` says that the last command to end was not answered. While ``no_room_until_ms`` lies ahead, the worker gets no new parts, because it refused one
     although its reported use left room.
     """
 
@@ -68,6 +69,7 @@
     inventory: Inventory | None = None
     sequence: int = 0
     answered_at_ms: int = 0
+    is_suspect: bool = False
     no_room_until_ms: int = 0
     no_room_back_off_ms: int = FIRST_NO_ROOM_BACK_OFF_MS
 
@@ -82,7 +84,7 @@
 
     def is_usable(self, now_ms: int) -> bool:
         """Whether the worker may get new parts, as far as its answers and the list tell."""
-        is_live = self.host.state is HostState.LIVE
+        is_live = self.host.state is HostState.LIVE and not self.is_suspect
         return is_live and self.is_reachable(now_ms) and self.no_room_until_ms <= now_ms
 
     def note_no_room(self, now_ms: int) -> None:
@@ -183,6 +185,7 @@
         answered = await getattr(self._workers, step)(contact.host.address, command)
         if not self._running:
             return None
+        contact.is_suspect = isinstance(answered, Err) and _is_unanswered(answered.err_value)
         if isinstance(answered, Ok):
             self._learn(contact, answered.ok_value, sequence, sent_at_ms)
         elif is_fenced(answered.err_value):
@@ -215,3 +218,7 @@
         if contact.inventory is None:
             return Fence(self._epoch)
         return Renew(self._epoch, self._listener.renewable(contact.name), TASK_LEASE_MS)
+
+
+def _is_unanswered(failure: Failure) -> bool:
+    return failure.kind in (FailureKind.NO_ANSWER, FailureKind.NOT_SENT)
--- a/tests/services/job_site.py
+++ b/tests/services/job_site.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import gc
+
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from twisted.logger import globalLogPublisher
+
 from jujubehall.core.jobs.gang_timing import PARTIAL_GANG_BOUND_MS
 from jujubehall.core.jobs.job import JOBS_PREFIX
 from jujubehall.core.jobs.job import JobSpec
@@ -19,6 +23,8 @@
 from jujubehall.workers.messages import TaskState
 
 if TYPE_CHECKING:
+    from twisted.logger import LogEvent
+
     from jujubehall.core.jobs.job import JobRecord
     from jujubehall.services.zone_owner import ZoneOwner
     from jujubehall.testing.virtual.site import VirtualHost
@@ -29,11 +35,24 @@
 ZONE = ZoneName("zone-a")
 LONG_MS = 100_000_000
 
+escaped: list[str] = []
+"""Exceptions that escaped from a service, such as a failed invariant, since the last site."""
+
+
+def _note_failure(event: LogEvent) -> None:
+    if "log_failure" in event:
+        escaped.append(event["log_failure"].getTraceback())
+
+
+globalLogPublisher.addObserver(_note_failure)  # type: ignore[arg-type]
+
 
 def make_site(
     seed: int = 1, *, zones: int = 1, workers: int = 4, entry_hosts: int = 3, per_rack: int = 4
 ) -> VirtualSite:
     """A started site whose zones are owned and whose workers are known."""
+    gc.collect()
+    escaped.clear()
     site_file = SiteFile(
         zones=tuple(f"zone-{letter}" for letter in "abcdefgh"[:zones]),
         entry_hosts=entry_hosts,
@@ -146,6 +165,13 @@
     check_started_once(site)
 
 
+def check_no_exception() -> None:
+    """Asserts that no invariant inside the program failed."""
+    # An exception that nobody handles is logged when its Deferred is collected.
+    gc.collect()
+    assert not escaped, escaped[0]
+
+
 def check_attempt(
     name: str, parts: dict[TaskKey, Span], size: int | None, now_ms: int, bound_ms: int
 ) -> None:
--- /dev/null
+++ b/tests/services/random_jobs.py
@@ -0,0 +1,209 @@
+"""A seeded random run of jobs and failures on a virtual site."""
+
+from __future__ import annotations
+
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from jujubehall.core.jobs.job import JobState
+from jujubehall.core.jobs.job import job_key
+from jujubehall.errors import FailureKind
+from jujubehall.identifiers import JobId
+from jujubehall.services.timing import start
+from jujubehall.testing.virtual.network import PLATFORM
+from jujubehall.testing.worker_state import WorkerBehaviour
+from jujubehall.workers.messages import Resources
+from tests.services.job_site import check_no_exception
+from tests.services.job_site import check_workers
+from tests.services.job_site import live_hosts
+from tests.services.job_site import make_site
+from tests.services.job_site import spec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from jujubehall.core.jobs.job import JobRecord
+    from jujubehall.errors import Failure
+    from jujubehall.testing.virtual.site import VirtualHost
+
+STEPS = 60
+SETTLING_MS = 400_000
+
+
+class RandomJobs:
+    """Submits and cancels jobs while hosts, workers, the network and the platform fail."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.site = make_site(seed, zones=2, workers=8, per_rack=4, entry_hosts=4)
+        self.accepted: set[JobId] = set()
+        self.unknown: set[JobId] = set()
+        self.cancelled: set[JobId] = set()
+        self.ended: dict[str, JobState] = {}
+        self._number = 0
+        self._steps = {
+            self.submit: 12,
+            self.cancel: 3,
+            self.kill_host: 2,
+            self.freeze_host: 3,
+            self.cut_host_from_worker: 3,
+            self.cut_host_from_platform: 2,
+            self.restart_worker: 2,
+            self.worker_goes_down: 2,
+            self.worker_fails_everything: 1,
+            self.slow_worker: 1,
+            self.stray_scheduler: 1,
+            self.platform_outage: 1,
+            self.lost_answers: 2,
+            self.slow_platform: 1,
+        }
+
+    def run(self) -> None:
+        """Runs, lets everything heal, and checks what was promised."""
+        for _ in range(STEPS):
+            step = self.random.choices(list(self._steps), list(self._steps.values()))[0]
+            step()
+            self.site.run_for(self.random.randint(50, 2_500))
+            check_workers(self.site)
+            self.check_ends()
+        self.heal()
+        self.settle()
+
+    def heal(self) -> None:
+        """Ends every failure that lasts."""
+        network = self.site.network
+        network.join_all()
+        network.platform_down = False
+        network.platform_delay_ms = 0
+        network.lost_answer_share = 0.0
+        for worker in self.site.workers.values():
+            worker.is_down = False
+            worker.answer_delay_ms = 0
+            worker.behaviour = WorkerBehaviour()
+            worker.set_foreign(Resources(0))
+        for each in list(self.site.hosts.values()):
+            each.reactor.thaw()
+            if each.reactor.is_killed:
+                self.restart_host(each)
+        self.site.run_for(15_000)
+
+    def settle(self) -> None:
+        """Every accepted job ends, also those whose acceptance was unknown to the caller."""
+        self.site.run_until(lambda: not self.unfinished(), SETTLING_MS)
+        check_workers(self.site)
+        self.check_ends()
+        check_no_exception()
+        for job in self.accepted:
+            assert job_key(job) in self.recorded(), f"{job} was accepted and is lost"
+
+    def check_ends(self) -> None:
+        """What has ended stays as it ended."""
+        recorded = self.recorded()
+        for key, state in self.ended.items():
+            assert recorded.get(key, state) is state, f"{key} was {state} and is {recorded[key]}"
+        self.ended.update((key, state) for key, state in recorded.items() if state.is_final)
+
+    def recorded(self) -> dict[str, JobState]:
+        """The states of the recorded jobs, by key."""
+        entries = self.site.store.list_entries(job_key(JobId(""))).entries
+        return {entry.key: JobState(entry.value["state"]) for entry in entries}
+
+    def unfinished(self) -> list[str]:
+        """The jobs that have not ended."""
+        return [key for key, state in self.recorded().items() if not state.is_final]
+
+    def submit(self) -> None:
+        self._number += 1
+        job = JobId(f"job-{self._number}")
+        parts = self.random.choice([1, 1, 2, 3, 4])
+        run_ms = self.random.randint(100, 30_000)
+        urgent = self.random.random() < 0.2
+        wanted = spec(parts, self.random.choice([2, 4, 8]), f"run:{run_ms}", urgent=urgent)
+        host = self.random.choice(live_hosts(self.site)).host
+
+        def note(result: Result[JobRecord, Failure]) -> None:
+            if not isinstance(result, Err):
+                self.accepted.add(job)
+            elif result.err_value.kind is FailureKind.NO_ANSWER:
+                self.unknown.add(job)
+
+        start(host.jobs.submit(wanted, job)).addCallback(note)
+
+    def cancel(self) -> None:
+        if self.accepted:
+            job = self.random.choice(sorted(self.accepted))
+            self.cancelled.add(job)
+            start(self.random.choice(live_hosts(self.site)).host.jobs.cancel(job))
+
+    def kill_host(self) -> None:
+        if len(live_hosts(self.site)) < 3:
+            return
+        victim = self.random.choice(live_hosts(self.site))
+        victim.reactor.kill()
+        self.later(3_000, 12_000, lambda: self.restart_host(victim))
+
+    def restart_host(self, victim: VirtualHost) -> None:
+        if self.site.hosts[victim.name] is victim:
+            self.site.start_host(int(victim.name.rsplit("-", 1)[1]))
+
+    def freeze_host(self) -> None:
+        if len(live_hosts(self.site)) < 3:
+            return
+        victim = self.random.choice(live_hosts(self.site))
+        victim.reactor.freeze()
+        self.later(500, 20_000, victim.reactor.thaw)
+
+    def cut_host_from_worker(self) -> None:
+        host = self.random.choice(list(self.site.hosts))
+        for worker in self.random.sample(sorted(self.site.workers), self.random.randint(1, 4)):
+            self.site.network.cut(host, worker)
+            self.later(1_000, 30_000, partial(self.site.network.join, host, worker))
+
+    def cut_host_from_platform(self) -> None:
+        host = self.random.choice(list(self.site.hosts))
+        self.site.network.cut(host, PLATFORM)
+        self.later(1_000, 20_000, lambda: self.site.network.join(host, PLATFORM))
+
+    def restart_worker(self) -> None:
+        self.site.workers[self.random.choice(sorted(self.site.workers))].restart()
+
+    def worker_goes_down(self) -> None:
+        worker = self.site.workers[self.random.choice(sorted(self.site.workers))]
+        worker.go_down()
+        self.later(1_000, 30_000, lambda: setattr(worker, "is_down", False))
+
+    def worker_fails_everything(self) -> None:
+        worker = self.site.workers[self.random.choice(sorted(self.site.workers))]
+        worker.behaviour = WorkerBehaviour(fail_all=True)
+        self.later(5_000, 30_000, lambda: setattr(worker, "behaviour", WorkerBehaviour()))
+
+    def slow_worker(self) -> None:
+        worker = self.site.workers[self.random.choice(sorted(self.site.workers))]
+        worker.answer_delay_ms = self.random.choice([300, 900, 3_000])
+        self.later(5_000, 30_000, lambda: setattr(worker, "answer_delay_ms", 0))
+
+    def stray_scheduler(self) -> None:
+        worker = self.site.workers[self.random.choice(sorted(self.site.workers))]
+        worker.set_foreign(Resources(self.random.randint(1, 8)))
+        self.later(5_000, 30_000, lambda: worker.set_foreign(Resources(0)))
+
+    def platform_outage(self) -> None:
+        self.site.network.platform_down = True
+        self.later(1_000, 30_000, lambda: setattr(self.site.network, "platform_down", False))
+
+    def lost_answers(self) -> None:
+        self.site.network.lost_answer_share = self.random.random() / 2
+        self.later(1_000, 15_000, lambda: setattr(self.site.network, "lost_answer_share", 0.0))
+
+    def slow_platform(self) -> None:
+        self.site.network.platform_delay_ms = self.random.randint(100, 1_900)
+        self.later(1_000, 15_000, lambda: setattr(self.site.network, "platform_delay_ms", 0))
+
+    def later(self, least_ms: int, most_ms: int, action: Callable[[], object]) -> None:
+        delay_ms = self.random.randint(least_ms, most_ms)
+        self.site.time.callLater(delay_ms / 1_000, action)
