Prove the runtime of jobs under outages, bad workers, waves and bursts

A job that crashed twice on the same worker quarantined it. A worker is now quarantined by failures of several jobs, or of one that has failed nowhere else, and freed when the job that led to it turns out to be at fault.

The broken variants of the protocol are each found: renewing without all parts known, starting before all are reserved, queueing again while parts run, writing without the version.

--- a/src/jujubehall/core/jobs/worker_health.py
+++ b/src/jujubehall/core/jobs/worker_health.py
@@ -13,7 +13,8 @@
     from collections.abc import Iterable
 
 FAILURES_TO_QUARANTINE = 3
-"""So many attempts that fail on a worker one after the other quarantine it."""
+"""So many attempts that fail on a worker one after the other quarantine it, if they were of
+several jobs, or of a job that has failed nowhere else."""
 
 FIRST_QUARANTINE_MS = 60_000
 MAX_QUARANTINE_MS = 3_600_000
@@ -22,9 +23,13 @@
 
 
 class Health(msgspec.Struct):
-    """A worker's failures since its last success, by job, and its quarantine."""
+    """A worker's failures since its last success, by job, and its quarantine.
+
+    ``blamed_by`` holds the jobs whose failures led to the quarantine.
+    """
 
     failures: list[JobId] = msgspec.field(default_factory=list)
+    blamed_by: set[JobId] = msgspec.field(default_factory=set)
     until_ms: int = 0
     next_quarantine_ms: int = FIRST_QUARANTINE_MS
     on_probation: bool = False
@@ -54,13 +59,16 @@
         health = self._healths.get(worker)
         return health is not None and health.until_ms > self._now_ms
 
-    def record_failure(self, worker: WorkerName, job: JobId) -> bool:
+    def record_failure(self, worker: WorkerName, job: JobId, *, failed_elsewhere: bool) -> bool:
         """Notes that a part failed on a worker; returns whether that quarantined it."""
         health = self._healths.setdefault(worker, Health())
         health.failures.append(job)
         limit = 1 if health.on_probation else FAILURES_TO_QUARANTINE
         if len(health.failures) < limit or self.is_quarantined(worker) or not self._has_room():
             return False
+        if len(set(health.failures)) == 1 and failed_elsewhere:
+            return False
+        health.blamed_by = set(health.failures)
         health.until_ms = self._now_ms + health.next_quarantine_ms
         health.next_quarantine_ms = min(2 * health.next_quarantine_ms, MAX_QUARANTINE_MS)
         health.on_probation = True
@@ -76,6 +84,9 @@
         """Takes back the failures of a job that has turned out to be at fault itself."""
         for health in self._healths.values():
             health.failures = [failed for failed in health.failures if failed != job]
+            if health.blamed_by == {job}:
+                health.until_ms = 0
+                health.on_probation = False
 
     def _has_room(self) -> bool:
         quarantined = sum(self.is_quarantined(name) for name in self._workers)
--- a/src/jujubehall/services/zone_owner.py
+++ b/src/jujubehall/services/zone_owner.py
@@ -168,7 +168,9 @@
             parts = [part for part in runner.gang.parts if part.worker == worker]
             ended = {states.get(part.key) for part in parts if not part.is_ended}
             if TaskState.FAILED in ended and not runner.gang.is_stopping:
-                if self.health.record_failure(worker, runner.gang.record.id):
+                record = runner.gang.record
+                elsewhere = any(name != worker for name in record.failed_workers)
+                if self.health.record_failure(worker, record.id, failed_elsewhere=elsewhere):
                     log.warning("worker quarantined", worker=worker)
             elif TaskState.SUCCEEDED in ended:
                 self.health.record_success(worker)
--- a/src/jujubehall/testing/worker_state.py
+++ b/src/jujubehall/testing/worker_state.py
@@ -98,6 +98,8 @@
         self.spans: dict[TaskKey, Span] = {}
         """When each task ran, for the invariants of tests."""
 
+        self.reserved_at_ms: dict[TaskKey, int] = {}
+
     @property
     def tasks(self) -> list[Task]:
         """The tasks known here, after the passing of time."""
@@ -146,6 +148,7 @@
             self._tasks[command.key] = Task(
                 command.key, command.resources, TaskState.RESERVED, 0, 0, self._clock.now_ms
             )
+            self.reserved_at_ms[command.key] = self._clock.now_ms
         return self._extend("reserve", command.key, command.lease_ms)
 
     def start(self, command: StartTask) -> Result[Inventory, Failure]:
--- a/tests/services/job_site.py
+++ b/tests/services/job_site.py
@@ -64,6 +64,10 @@
     )
     site = VirtualSite(site_file, seed)
     site.run_until(lambda: all(each.host.is_ready for each in site.hosts.values()))
+    for each in site.hosts.values():
+        # The requests' side plays no part here, and its loop would take most of the time.
+        if (takeover := getattr(each.host, "_takeover", None)) is not None:
+            takeover.stop()
     site.run_until(lambda: len(all_owners(site)) == zones)
     site.run_for(2_000)
     return site
@@ -163,6 +167,7 @@
         assert began >= last_end.get(job, 0), f"{job}: attempt {attempt} began before the last end"
         last_end[job] = max(_end(span, now_ms) for span in parts.values())
     check_started_once(site)
+    check_all_reserved_first(site, sizes)
 
 
 def check_no_exception() -> None:
@@ -188,6 +193,19 @@
         assert partial_ms <= bound_ms, f"{name} was partial for {partial_ms} ms"
 
 
+def check_all_reserved_first(site: VirtualSite, sizes: dict[str, int]) -> None:
+    """Asserts that no part was started before all parts of its attempt had been reserved."""
+    reserved: dict[tuple[JobId, int], dict[int, int]] = defaultdict(dict)
+    for worker in site.workers.values():
+        for key, at_ms in worker.reserved_at_ms.items():
+            reserved[key.job, key.attempt][key.part] = at_ms
+    for attempt, parts in spans(site).items():
+        times = reserved[attempt]
+        began = min(span.began_at_ms for span in parts.values())
+        assert len(times) >= sizes.get(attempt[0], 0), f"{attempt}: not all parts were reserved"
+        assert max(times.values()) <= began, f"{attempt}: a part began before the last reservation"
+
+
 def check_started_once(site: VirtualSite) -> None:
     """Asserts that no task was started twice on its worker."""
     for worker in site.workers.values():
--- a/tests/services/random_jobs.py
+++ b/tests/services/random_jobs.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from jujubehall.core.jobs.job import JobState
+from jujubehall.core.jobs.job import archive_key
 from jujubehall.core.jobs.job import job_key
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import JobId
@@ -99,19 +100,20 @@
         self.check_ends()
         check_no_exception()
         for job in self.accepted:
-            assert job_key(job) in self.recorded(), f"{job} was accepted and is lost"
+            assert job in self.recorded(), f"{job} was accepted and is lost"
 
     def check_ends(self) -> None:
         """What has ended stays as it ended."""
         recorded = self.recorded()
-        for key, state in self.ended.items():
-            assert recorded.get(key, state) is state, f"{key} was {state} and is {recorded[key]}"
-        self.ended.update((key, state) for key, state in recorded.items() if state.is_final)
+        for job, state in self.ended.items():
+            assert recorded.get(job, state) is state, f"{job} was {state} and is {recorded[job]}"
+        self.ended.update((job, state) for job, state in recorded.items() if state.is_final)
 
     def recorded(self) -> dict[str, JobState]:
-        """The states of the recorded jobs, by key."""
-        entries = self.site.store.list_entries(job_key(JobId(""))).entries
-        return {entry.key: JobState(entry.value["state"]) for entry in entries}
+        """The states of the recorded jobs, archived ones included."""
+        keys = [archive_key(JobId("")), job_key(JobId(""))]
+        entries = [entry for key in keys for entry in self.site.store.list_entries(key).entries]
+        return {entry.value["id"]: JobState(entry.value["state"]) for entry in entries}
 
     def unfinished(self) -> list[str]:
         """The jobs that have not ended."""
@@ -121,7 +123,7 @@
         self._number += 1
         job = JobId(f"job-{self._number}")
         parts = self.random.choice([1, 1, 2, 3, 4])
-        run_ms = self.random.randint(100, 30_000)
+        run_ms = self.random.choice([500, 5_000, 20_000, 60_000])
         urgent = self.random.random() < 0.2
         wanted = spec(parts, self.random.choice([2, 4, 8]), f"run:{run_ms}", urgent=urgent)
         host = self.random.choice(live_hosts(self.site)).host
@@ -159,10 +161,11 @@
         self.later(500, 20_000, victim.reactor.thaw)
 
     def cut_host_from_worker(self) -> None:
-        host = self.random.choice(list(self.site.hosts))
-        for worker in self.random.sample(sorted(self.site.workers), self.random.randint(1, 4)):
+        owners = [host.name for host in live_hosts(self.site) if host.host.scheduler.owners]
+        host = self.random.choice(owners or list(self.site.hosts))
+        for worker in self.random.sample(sorted(self.site.workers), self.random.randint(1, 3)):
             self.site.network.cut(host, worker)
-            self.later(1_000, 30_000, partial(self.site.network.join, host, worker))
+            self.later(3_000, 40_000, partial(self.site.network.join, host, worker))
 
     def cut_host_from_platform(self) -> None:
         host = self.random.choice(list(self.site.hosts))
@@ -175,7 +178,7 @@
     def worker_goes_down(self) -> None:
         worker = self.site.workers[self.random.choice(sorted(self.site.workers))]
         worker.go_down()
-        self.later(1_000, 30_000, lambda: setattr(worker, "is_down", False))
+        self.later(1_000, 60_000, lambda: setattr(worker, "is_down", False))
 
     def worker_fails_everything(self) -> None:
         worker = self.site.workers[self.random.choice(sorted(self.site.workers))]
--- /dev/null
+++ b/tests/services/test_broken_variants.py
@@ -0,0 +1,128 @@
+"""Broken variants of the gang protocol: the invariants at the workers must find each of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import pytest
+
+from jujubehall.core.jobs.gang import Gang
+from jujubehall.core.jobs.gang import Part
+from jujubehall.core.jobs.gang_messages import PartStep
+from jujubehall.core.jobs.gang_timing import TASK_LEASE_MS
+from jujubehall.core.jobs.job import JobState
+from jujubehall.core.jobs.job import job_key
+from jujubehall.services.gang_runner import GangRunner
+from jujubehall.services.job_store import JobStore
+from jujubehall.workers.messages import StartTask
+from tests.services.job_site import check_workers
+from tests.services.job_site import job_of
+from tests.services.job_site import make_site
+from tests.services.job_site import owner_host
+from tests.services.job_site import running_parts
+from tests.services.job_site import spec
+from tests.services.job_site import submit
+from tests.services.random_jobs import RandomJobs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jujubehall.core.jobs.gang_messages import CommandPart
+    from jujubehall.core.jobs.job import JobRecord
+    from jujubehall.identifiers import Version
+
+
+def renew_without_all_parts(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Part, "is_known", lambda *_: True)
+
+
+def start_before_all_are_reserved(patch: pytest.MonkeyPatch) -> None:
+    command = GangRunner._command
+
+    async def command_and_start(self: GangRunner, action: CommandPart) -> None:
+        await command(self, action)
+        if action.step is PartStep.RESERVE:
+            start = StartTask(self._epoch, action.key, "run:60000", TASK_LEASE_MS)
+            await self._workers.send(action.worker, start)
+
+    patch.setattr(GangRunner, "_command", command_and_start)
+
+
+def queue_again_while_parts_run(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Gang, "_blocks_the_end", lambda *_: False)
+    patch.setattr(Gang, "_check_invariants", lambda *_: None)
+
+
+def write_without_the_version(patch: pytest.MonkeyPatch) -> None:
+    put = JobStore.put
+
+    async def put_anyway(self: JobStore, record: JobRecord, version: Version) -> Any:
+        found = await self.read(job_key(record.id))
+        return await put(self, record, found.map(lambda each: each[1]).unwrap_or(version))
+
+    patch.setattr(JobStore, "put", put_anyway)
+
+
+def lose_a_worker() -> None:
+    site = make_site(workers=8, per_rack=8)
+    job = submit(site, spec(parts=4, accelerators=6))
+    site.run_until(lambda: running_parts(site, job) == 4)
+    next(worker for worker in site.workers.values() if worker.spans).go_down()
+    site.run_for(60_000)
+    check_workers(site)
+
+
+def lose_a_worker_during_the_placement() -> None:
+    site = make_site()
+    next(iter(site.workers.values())).go_down()
+    submit(site, spec(parts=4, accelerators=6))
+    site.run_for(10_000)
+    check_workers(site)
+
+
+def cancel_while_the_owner_records_the_end() -> None:
+    site = make_site()
+    job = submit(site, spec(parts=2, accelerators=4))
+    site.run_until(lambda: running_parts(site, job) == 2)
+    owner = owner_host(site).host
+    running = owner.jobs.job(job)
+    assert running is not None
+    version = owner.cache.version(job_key(job))
+    site.finish(owner.jobs.cancel(job)).unwrap()
+    ended = msgspec.structs.replace(running, state=JobState.SUCCEEDED)
+    site.finish(owner.jobs._store.write(ended, version, lambda: True))
+    site.run_for(1_000)
+    assert job_of(site, job).state is JobState.CANCELLED
+
+
+def run_at_random() -> None:
+    RandomJobs(seed=1).run()
+
+
+VARIANTS = [
+    (renew_without_all_parts, lose_a_worker),
+    (start_before_all_are_reserved, lose_a_worker_during_the_placement),
+    (queue_again_while_parts_run, run_at_random),
+    (write_without_the_version, cancel_while_the_owner_records_the_end),
+]
+
+
+@pytest.mark.parametrize(("break_it", "scenario"), VARIANTS)
+def test_a_broken_variant_is_found(
+    break_it: Callable[[pytest.MonkeyPatch], None],
+    scenario: Callable[[], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    break_it(monkeypatch)
+    with pytest.raises(AssertionError):
+        scenario()
+
+
+@pytest.mark.parametrize(
+    "scenario",
+    [lose_a_worker, lose_a_worker_during_the_placement, cancel_while_the_owner_records_the_end],
+)
+def test_the_scenarios_pass_unbroken(scenario: Callable[[], None]) -> None:
+    scenario()
