--- /dev/null
+++ b/tests/core/jobs/test_gang.py
@@ -0,0 +1,146 @@
+"""The gang protocol as a state machine."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubehall.core.jobs.gang import Gang
+from jujubehall.core.jobs.gang import GangPhase
+from jujubehall.core.jobs.gang_messages import CommandPart
+from jujubehall.core.jobs.gang_messages import GangAction
+from jujubehall.core.jobs.gang_messages import PartRefused
+from jujubehall.core.jobs.gang_messages import PartSeen
+from jujubehall.core.jobs.gang_messages import PartStep
+from jujubehall.core.jobs.gang_messages import RecordChanged
+from jujubehall.core.jobs.gang_messages import RecordWritten
+from jujubehall.core.jobs.gang_messages import Refusal
+from jujubehall.core.jobs.gang_messages import TimePassed
+from jujubehall.core.jobs.gang_messages import WriteRecord
+from jujubehall.core.jobs.gang_timing import TICK_INTERVAL_MS
+from jujubehall.core.jobs.gang_timing import UNSEEN_LIMIT_MS
+from jujubehall.core.jobs.job import JobRecord
+from jujubehall.core.jobs.job import JobSpec
+from jujubehall.core.jobs.job import JobState
+from jujubehall.core.jobs.job import PartPlacement
+from jujubehall.identifiers import Epoch
+from jujubehall.identifiers import JobId
+from jujubehall.identifiers import TeamName
+from jujubehall.identifiers import Version
+from jujubehall.identifiers import WorkerName
+from jujubehall.identifiers import ZoneName
+from jujubehall.workers.messages import TaskState
+
+SPEC = JobSpec(TeamName("studio"), "mix-render", parts=2, accelerators_per_part=4)
+QUEUED = JobRecord(JobId("job-1"), SPEC, JobState.QUEUED, ZoneName("zone-a"), 0)
+PLACEMENT = (PartPlacement(0, WorkerName("worker-0")), PartPlacement(1, WorkerName("worker-1")))
+
+
+def seen(part: int, state: TaskState | None, at_ms: int = 0, sequence: int = 1) -> PartSeen:
+    return PartSeen(part, state, at_ms, sequence, sequence)
+
+
+def steps(actions: list[GangAction]) -> list[PartStep]:
+    return [action.step for action in actions if isinstance(action, CommandPart)]
+
+
+def written(actions: list[GangAction]) -> list[JobState]:
+    return [action.record.state for action in actions if isinstance(action, WriteRecord)]
+
+
+def new_gang() -> Gang:
+    return Gang(QUEUED, Version(1), Epoch(3), lambda _: False)
+
+
+def running_gang() -> Gang:
+    gang = new_gang()
+    gang.begin(PLACEMENT, 0)
+    gang.handle(RecordWritten(Version(2)), 0)
+    for part in range(2):
+        gang.handle(seen(part, TaskState.RESERVED), 0)
+    gang.handle(RecordWritten(Version(3)), 0)
+    for part in range(2):
+        gang.handle(seen(part, TaskState.RUNNING, sequence=2), 0)
+    assert gang.phase is GangPhase.RUNNING
+    return gang
+
+
+def test_the_steps_come_in_their_order() -> None:
+    gang = new_gang()
+    assert written(gang.begin(PLACEMENT, 0)) == [JobState.RESERVING]
+    assert steps(gang.handle(RecordWritten(Version(2)), 0)) == [PartStep.RESERVE] * 2
+    assert gang.handle(seen(0, TaskState.RESERVED), 0) == []
+    assert written(gang.handle(seen(1, TaskState.RESERVED), 0)) == [JobState.RUNNING]
+    assert steps(gang.handle(RecordWritten(Version(3)), 0)) == [PartStep.START] * 2
+
+
+def test_a_refused_reservation_releases_all_without_counting_a_failure() -> None:
+    gang = new_gang()
+    gang.begin(PLACEMENT, 0)
+    gang.handle(RecordWritten(Version(2)), 0)
+    gang.handle(seen(0, TaskState.RESERVED), 0)
+    stopped = gang.handle(PartRefused(1, Refusal.NO_ROOM), 0)
+    assert set(steps(stopped)) == {PartStep.STOP}
+    gang.handle(seen(0, TaskState.STOPPED), 0)
+    ended = gang.handle(seen(1, None), 0)
+    assert written(ended) == [JobState.QUEUED]
+    assert gang.record.failures == 0
+
+
+def test_leases_are_renewed_only_while_all_parts_are_known() -> None:
+    gang = running_gang()
+    worker = WorkerName("worker-0")
+    assert len(gang.renewable(worker, UNSEEN_LIMIT_MS)) == 1
+    gang.handle(seen(0, TaskState.RUNNING, 5_000, 3), 5_000)
+    assert gang.renewable(worker, UNSEEN_LIMIT_MS + 1) == ()
+
+
+def test_an_unseen_part_stops_the_whole() -> None:
+    gang = running_gang()
+    actions: list[GangAction] = []
+    for now_ms in range(0, 2 * UNSEEN_LIMIT_MS, TICK_INTERVAL_MS):
+        gang.handle(seen(0, TaskState.RUNNING, now_ms, 3), now_ms)
+        actions += gang.handle(TimePassed(), now_ms)
+    assert PartStep.STOP in steps(actions)
+    assert gang.phase is GangPhase.STOPPING
+
+
+def test_the_job_is_queued_again_only_when_no_part_can_run() -> None:
+    gang = running_gang()
+    assert PartStep.STOP in steps(gang.handle(seen(0, None, sequence=3), 0))
+    assert gang.phase is GangPhase.STOPPING
+    assert written(gang.handle(TimePassed(), 20_000)) == []
+    assert written(gang.handle(seen(1, TaskState.STOPPED), 20_000)) == [JobState.QUEUED]
+
+
+def test_an_answer_from_before_the_reservation_loses_no_part() -> None:
+    gang = new_gang()
+    gang.begin(PLACEMENT, 0)
+    gang.handle(RecordWritten(Version(2)), 0)
+    gang.handle(PartSeen(0, TaskState.RESERVED, 0, sequence=5, latest=7), 0)
+    assert gang.handle(PartSeen(0, None, 0, sequence=7, latest=8), 0) == []
+    assert steps(gang.handle(PartSeen(0, None, 0, sequence=8, latest=8), 0))
+
+
+def test_a_lost_race_before_the_reservation_ends_the_attempt() -> None:
+    gang = new_gang()
+    gang.begin(PLACEMENT, 0)
+    assert gang.handle(RecordChanged(QUEUED, Version(9), write_failed=True), 0) == []
+    assert gang.phase is GangPhase.DONE
+
+
+@pytest.mark.parametrize("failed", [0, 1])
+def test_a_failed_part_counts_against_the_job(failed: int) -> None:
+    gang = running_gang()
+    gang.handle(seen(failed, TaskState.FAILED, sequence=3), 0)
+    (action,) = gang.handle(seen(1 - failed, TaskState.STOPPED, sequence=4), 0)
+    assert isinstance(action, WriteRecord)
+    assert action.record.failures == 1
+    assert action.record.failed_workers == (PLACEMENT[failed].worker,)
+    assert action.version == Version(3)
+
+
+def test_a_pause_of_the_owner_renews_nothing_and_stops_nothing() -> None:
+    gang = running_gang()
+    gang.handle(TimePassed(), 0)
+    assert gang.handle(TimePassed(), UNSEEN_LIMIT_MS + 1_000) == []
+    assert gang.renewable(WorkerName("worker-0"), UNSEEN_LIMIT_MS + 1_000) == ()
