--- a/tests/services/job_site.py
+++ b/tests/services/job_site.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import gc
+
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from twisted.logger import globalLogPublisher
+
 from jujubehall.core.jobs.gang_timing import PARTIAL_GANG_BOUND_MS
 from jujubehall.core.jobs.job import JOBS_PREFIX
 from jujubehall.core.jobs.job import JobSpec
@@ -19,6 +23,8 @@
 from jujubehall.workers.messages import TaskState
 
 if TYPE_CHECKING:
+    from twisted.logger import LogEvent
+
     from jujubehall.core.jobs.job import JobRecord
     from jujubehall.services.zone_owner import ZoneOwner
     from jujubehall.testing.virtual.site import VirtualHost
@@ -29,11 +35,24 @@
 ZONE = ZoneName("zone-a")
 LONG_MS = 100_000_000
 
+escaped: list[str] = []
+"""Exceptions that escaped from a service, such as a failed invariant, since the last site."""
+
+
+def _note_failure(event: LogEvent) -> None:
+    if "log_failure" in event:
+        escaped.append(event["log_failure"].getTraceback())
+
+
+globalLogPublisher.addObserver(_note_failure)  # type: ignore[arg-type]
+
 
 def make_site(
     seed: int = 1, *, zones: int = 1, workers: int = 4, entry_hosts: int = 3, per_rack: int = 4
 ) -> VirtualSite:
     """A started site whose zones are owned and whose workers are known."""
+    gc.collect()
+    escaped.clear()
     site_file = SiteFile(
         zones=tuple(f"zone-{letter}" for letter in "abcdefgh"[:zones]),
         entry_hosts=entry_hosts,
@@ -45,6 +64,10 @@
     )
     site = VirtualSite(site_file, seed)
     site.run_until(lambda: all(each.host.is_ready for each in site.hosts.values()))
+    for each in site.hosts.values():
+        # The requests' side plays no part here, and its loop would take most of the time.
+        if (takeover := getattr(each.host, "_takeover", None)) is not None:
+            takeover.stop()
     site.run_until(lambda: len(all_owners(site)) == zones)
     site.run_for(2_000)
     return site
@@ -144,6 +167,14 @@
         assert began >= last_end.get(job, 0), f"{job}: attempt {attempt} began before the last end"
         last_end[job] = max(_end(span, now_ms) for span in parts.values())
     check_started_once(site)
+    check_all_reserved_first(site, sizes)
+
+
+def check_no_exception() -> None:
+    """Asserts that no invariant inside the program failed."""
+    # An exception that nobody handles is logged when its Deferred is collected.
+    gc.collect()
+    assert not escaped, escaped[0]
 
 
 def check_attempt(
@@ -162,6 +193,19 @@
         assert partial_ms <= bound_ms, f"{name} was partial for {partial_ms} ms"
 
 
+def check_all_reserved_first(site: VirtualSite, sizes: dict[str, int]) -> None:
+    """Asserts that no part was started before all parts of its attempt had been reserved."""
+    reserved: dict[tuple[JobId, int], dict[int, int]] = defaultdict(dict)
+    for worker in site.workers.values():
+        for key, at_ms in worker.reserved_at_ms.items():
+            reserved[key.job, key.attempt][key.part] = at_ms
+    for attempt, parts in spans(site).items():
+        times = reserved[attempt]
+        began = min(span.began_at_ms for span in parts.values())
+        assert len(times) >= sizes.get(attempt[0], 0), f"{attempt}: not all parts were reserved"
+        assert max(times.values()) <= began, f"{attempt}: a part began before the last reservation"
+
+
 def check_started_once(site: VirtualSite) -> None:
     """Asserts that no task was started twice on its worker."""
     for worker in site.workers.values():
