Hold the state cache encoded; pack guarantees on the published racks; add measurements

The cache held each value as maps and lists beside the decoded struct. Ruled out: decoding at every read, which costs the zone's loop more than the memory is worth.

SitePacker refuses guarantees while no zone has published its racks.

--- /dev/null
+++ b/benchmarks/control_memory.py
@@ -0,0 +1,57 @@
+"""Resident memory of the daemon's imports, step by step, in fresh interpreters of one run.
+
+Run as ``python -m benchmarks.control_memory``.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+STEPS = {
+    "bare interpreter": "pass",
+    "argparse": "import argparse",
+    "msgspec": "import msgspec",
+    "structlog": "import structlog",
+    "result": "import result",
+    "aioprometheus": "import aioprometheus",
+    "orjson alone": "import orjson",
+    "pyzmq with asyncio": "import zmq, zmq.asyncio",
+    "asyncio alone": "import asyncio",
+    "twisted asyncio reactor": "from twisted.internet import asyncioreactor",
+    "twisted.web server": "import twisted.web.server",
+    "twisted.web client": "import twisted.web.client",
+    "jsonschema": "import jsonschema",
+    "cleo": "import cleo.application",
+    "daemon, all of it": (
+        "import asyncio\nfrom twisted.internet import asyncioreactor\n"
+        "asyncioreactor.install(asyncio.new_event_loop())\nimport jujubehall.daemon.process"
+    ),
+}
+
+REPORT = """
+import re
+text = open('/proc/self/status').read()
+print(*(re.search(name + r':\\s+(\\d+)', text)[1] for name in ('VmRSS', 'RssAnon')))
+import sys
+print(len(sys.modules))
+"""
+
+
+def main() -> None:
+    """Prints a line for each step."""
+    bare: tuple[float, float] | None = None
+    print(f"{'import':26} resident MB  anonymous MB  over bare MB  modules")
+    for name, code in STEPS.items():
+        run = subprocess.run(
+            [sys.executable, "-c", code + REPORT], capture_output=True, text=True, check=True
+        )
+        resident, anonymous, modules = (int(word) for word in run.stdout.split())
+        resident_mb, anonymous_mb = resident / 1024, anonymous / 1024
+        bare = bare or (resident_mb, anonymous_mb)
+        over = resident_mb - bare[0]
+        print(f"{name:26} {resident_mb:11.1f} {anonymous_mb:13.1f} {over:13.1f} {modules:8}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/jujubehall/services/state_cache.py
+++ b/src/jujubehall/services/state_cache.py
@@ -35,6 +35,13 @@
 _REVISION_UNKNOWN = (FailureKind.NOT_FOUND, FailureKind.CONFLICT, FailureKind.INVALID)
 
 
+class _Kept(msgspec.Struct, frozen=True):
+    """A value as JSON, and the version that the last write gave it."""
+
+    content: bytes
+    version: Version
+
+
 class StateCache:
     """Follows ``STATE_PREFIX``; during an outage it keeps the last known state.
 
@@ -46,7 +53,7 @@
         self._reactor = reactor
         self._platform = platform
         self._back_off = BackOff(random)
-        self._entries: dict[str, Entry] = {}
+        self._entries: dict[str, _Kept] = {}
         self._folders: dict[str, set[str]] = {}
         self._decoded: dict[str, tuple[Version, Any]] = {}
         self._lists: dict[tuple[str, type[Any]], list[Any]] = {}
@@ -70,7 +77,8 @@
 
     def entry(self, key: str) -> Entry | None:
         """A key as the platform holds it, undecoded, or None if it is absent."""
-        return self._entries.get(key)
+        kept = self._entries.get(key)
+        return Entry(key, msgspec.json.decode(kept.content), kept.version) if kept else None
 
     def version(self, key: str) -> Version:
         """The version of a key, 0 if it is absent."""
@@ -79,15 +87,15 @@
 
     def read(self, key: str, type_: type[Any]) -> Any | None:
         """The value of a key as ``type_``, or None if it is absent."""
-        entry = self._entries.get(key)
-        return self._decode(entry, type_) if entry else None
+        kept = self._entries.get(key)
+        return self._decode(key, kept, type_) if kept else None
 
     def read_all(self, prefix: str, type_: type[Any]) -> list[Any]:
         """The values of all keys under ``prefix``, as ``type_``, ordered by key."""
         known = self._lists.get((prefix, type_))
         if known is None:
             keys = sorted(key for key in self._keys_near(prefix) if key.startswith(prefix))
-            known = [self._decode(self._entries[key], type_) for key in keys]
+            known = [self._decode(key, self._entries[key], type_) for key in keys]
             self._lists[prefix, type_] = known
         return list(known)
 
@@ -143,7 +151,9 @@
         if entry.deleted:
             self._remove(entry.key)
         else:
-            self._entries[entry.key] = entry
+            # Encoded, a value takes a fraction of the memory of its maps and lists.
+            content = msgspec.json.encode(entry.value)
+            self._entries[entry.key] = _Kept(content, entry.version)
             self._folders.setdefault(_folder(entry.key), set()).add(entry.key)
         self._notify(entry)
 
@@ -159,12 +169,12 @@
             return self._folders.get(prefix, ())
         return self._entries
 
-    def _decode(self, entry: Entry, type_: type[Any]) -> Any:
+    def _decode(self, key: str, kept: _Kept, type_: type[Any]) -> Any:
         # Values are read far more often than they change.
-        decoded = self._decoded.get(entry.key)
-        if decoded is None or decoded[0] != entry.version:
-            decoded = (entry.version, msgspec.convert(entry.value, type_))
-            self._decoded[entry.key] = decoded
+        decoded = self._decoded.get(key)
+        if decoded is None or decoded[0] != kept.version:
+            decoded = (kept.version, msgspec.json.decode(kept.content, type=type_))
+            self._decoded[key] = decoded
         return decoded[1]
 
     async def _load(self) -> bool:
@@ -189,9 +199,7 @@
     def _forget(self, key: str, revision: int) -> None:
         known = self._entries[key]
         if known.version <= revision:
-            gone = msgspec.structs.replace(
-                known, value=None, version=Version(revision), deleted=True
-            )
+            gone = Entry(key, None, Version(revision), deleted=True)
             self._remove(key)
             self._notify(gone)
 
--- a/tests/services/test_configuration_service.py
+++ b/tests/services/test_configuration_service.py
@@ -10,6 +10,7 @@
 import pytest
 
 from result import Err
+from result import Ok
 from twisted.internet.task import Clock as VirtualTime
 
 from jujubehall.clock import reactor_clock
@@ -21,12 +22,21 @@
 from jujubehall.core.configuration.change import set_default
 from jujubehall.core.configuration.document import CONFIGURATION_KEY
 from jujubehall.core.configuration.document import Configuration
+from jujubehall.core.configuration.document import Shape
 from jujubehall.core.configuration.document import Team
+from jujubehall.core.jobs.zone_summary import RackSummary
+from jujubehall.core.jobs.zone_summary import ZoneSummary
+from jujubehall.core.jobs.zone_summary import zone_summary_key
+from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
+from jujubehall.identifiers import Epoch
+from jujubehall.identifiers import RackName
 from jujubehall.identifiers import TeamName
 from jujubehall.identifiers import Version
+from jujubehall.identifiers import ZoneName
 from jujubehall.platform.entry import Entry
 from jujubehall.services.configuration_service import ConfigurationService
+from jujubehall.services.site_packer import SitePacker
 from jujubehall.services.state_cache import StateCache
 from jujubehall.services.timing import start
 from jujubehall.testing.key_value_store import KeyValueStore
@@ -37,11 +47,12 @@
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from result import Result
     from twisted.internet.defer import Deferred
 
-    from jujubehall.errors import Failure
     from jujubehall.services.configuration_service import Change
 
 STEP_S = 0.01
@@ -273,3 +284,38 @@
     fresh = hosts.add_host("entry-9")
     hosts.run_for(200)
     assert not fresh.is_known
+
+
+def pack_by_total(
+    zones: Mapping[ZoneName, Sequence[RackSummary]], teams: Sequence[Team]
+) -> Result[dict[TeamName, dict[ZoneName, int]], Failure]:
+    """Takes any number of blocks as long as the accelerators of the first zone last."""
+    zone, racks = next(iter(zones.items()))
+    shapes = {team.name: team.guarantee for team in teams if team.guarantee}
+    needed = sum(shape.accelerators for shape in shapes.values())
+    if needed > sum(rack.accelerators for rack in racks):
+        return Err(Failure(FailureKind.INVALID, "pack guarantees", "operator", "no room"))
+    return Ok({name: {zone: shape.blocks} for name, shape in shapes.items()})
+
+
+def test_a_guarantee_is_accepted_only_while_the_published_racks_can_hold_it() -> None:
+    hosts = Hosts(1)
+    cache = hosts.caches[0]
+    service = ConfigurationService(cache._platform, cache, SitePacker(cache, pack_by_total))
+    author = ChangeAuthor("ada", "a reason", "token", 0)
+
+    def guarantee(blocks: int) -> Change:
+        team = Team(TeamName("a"), Shape(blocks, 8))
+        return lambda current: put_team(current, author, team)
+
+    (early,) = hosts.finish(service.change(0, guarantee(1)))
+    assert early.err_value.kind is FailureKind.UNAVAILABLE
+    zone = ZoneName("zone-a")
+    summary = ZoneSummary(zone, Epoch(1), (RackSummary(RackName("r"), 16, 16, 2, 8),))
+    hosts.store.put(zone_summary_key(zone), msgspec.to_builtins(summary), 0)
+    hosts.run_for(200)
+    (refused,) = hosts.finish(service.change(0, guarantee(3)))
+    assert refused.err_value.detail == "no room"
+    (accepted,) = hosts.finish(service.change(0, guarantee(2)))
+    assert accepted.unwrap().teams[0].blocks_by_zone == {zone: 2}
+    assert service.current.number == 1
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -17,6 +17,7 @@
 from jujubehall.services.membership import RETURN_GRACE_MS
 from jujubehall.services.membership import Membership
 from jujubehall.services.state_cache import StateCache
+from jujubehall.services.state_cache import _Kept
 from jujubehall.services.timing import start
 from jujubehall.testing.key_value_store import KeyValueStore
 from jujubehall.testing.virtual.network import PLATFORM
@@ -410,7 +411,7 @@
         if entry.deleted:
             self._remove(entry.key)
             return
-        self._entries[entry.key] = entry
+        self._entries[entry.key] = _Kept(msgspec.json.encode(entry.value), entry.version)
         self._folders.setdefault(entry.key[: entry.key.rfind("/") + 1], set()).add(entry.key)
         self._notify(entry)
 
