--- a/benchmarks/control_convergence.py
+++ b/benchmarks/control_convergence.py
@@ -26,7 +26,7 @@
     from jujubehall.core.configuration.document import Configuration
     from jujubehall.errors import Failure
 
-SIZES = (8,)
+SIZES = (8, 24)
 CHANGES = 20
 DAILY_INTERVAL_MS = 48_000
 BURST_INTERVAL_MS = 150
--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -28,6 +28,7 @@
 from jujubehall.services.zone_scheduler import ZoneScheduler
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
     from random import Random
 
@@ -90,6 +91,8 @@
         self.jobs = JobService(platform, self.cache, self.hosts, random)
         self._scheduler = ZoneScheduler(reactor, self.cache, self.membership, self.hosts, workers)
         self._draining = False
+        self._has_failed = False
+        self._failure_listeners: list[Callable[[], object]] = []
 
     @property
     def is_ready(self) -> bool:
@@ -107,7 +110,16 @@
             self._takeover,
             self._scheduler,
         ):
-            start(service.run())
+            start(service.run()).addErrback(self._fail, type(service).__name__)
+
+    def on_failure(self, listener: Callable[[], object]) -> None:
+        """Calls ``listener`` if a service ends by an unexpected exception.
+
+        The process must end then: its lease lapses, and other entry hosts take over.
+        """
+        self._failure_listeners.append(listener)
+        if self._has_failed:
+            listener()
 
     async def stop(self, timeout_ms: int) -> bool:
         """Stops gracefully; returns whether everything in progress was finished in time."""
@@ -129,6 +141,12 @@
         self.hosts.stop()
         return finished
 
+    def _fail(self, failure: object, service: str) -> None:
+        self._has_failed = True
+        log.error("service failed", service=service, error=str(failure))
+        for listener in self._failure_listeners:
+            listener()
+
     def _known_zones(self) -> list[ZoneName]:
         return sorted({ZoneName(host.zone) for host in self.hosts.workers})
 
--- a/src/jujubehall/daemon/process.py
+++ b/src/jujubehall/daemon/process.py
@@ -66,6 +66,10 @@
             self._stopping = True
             start(self._stop())
 
+    def abort(self) -> None:
+        """Ends the process at once, as a failure does; others take over."""
+        reactor.callWhenRunning(reactor.callLater, 0, _stop_reactor)
+
     async def _stop(self) -> None:
         self.stopped_cleanly = await self._host.stop(self._stop_timeout_ms)
         await self._port.stopListening()
@@ -74,6 +78,11 @@
         reactor.stop()
 
 
+def _stop_reactor() -> None:
+    if reactor.running:
+        reactor.stop()
+
+
 def start_process(settings: Settings, random: Random) -> Process | str:
     """Binds the addresses and starts the services; returns the reason if an address is taken."""
     configure_logging(settings)
@@ -112,6 +121,7 @@
         return f"listen.http_port: {error}"
     process = Process(host, mesh, port, settings.stop_timeout_ms)
     host.membership.on_replaced(process.begin_stop)
+    host.on_failure(process.abort)
     host.start()
     log.info("started", incarnation=incarnation, address=member.http_address)
     return process
--- a/src/jujubehall/services/membership.py
+++ b/src/jujubehall/services/membership.py
@@ -129,8 +129,11 @@
 
     async def run(self) -> None:
         """Registers, renews the registration and proposes records until stopped."""
-        start(self._propose_records())
+        proposals = start(self._propose_records())
         while self._running:
+            if proposals.called:
+                # Only an exception ends the proposals while this runs: it ends the service.
+                await proposals
             if self._lease:
                 # Not awaited: the next renewal goes out in time also if this answer is lost.
                 start(self._renew(self._lease))
--- /dev/null
+++ b/tests/services/test_failed_service.py
@@ -0,0 +1,32 @@
+"""An entry host whose loop ended by an exception must not live on as a member."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubehall.services.membership import Membership
+from jujubehall.services.state_cache import StateCache
+from jujubehall.testing.site_file import SiteFile
+from jujubehall.testing.virtual.site import VirtualSite
+from jujubehall.workers.messages import Resources
+
+SITE = SiteFile(("zone-a",), 2, 1, 1, 1, Resources(8, 60, 250), 20_000)
+
+
+@pytest.mark.parametrize(
+    ("service", "method"),
+    [(StateCache, "_follow"), (Membership, "_propose_record"), (Membership, "_acquire")],
+)
+def test_an_unexpected_exception_ends_the_entry_host(
+    service: type, method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(self: object) -> bool:
+        raise RuntimeError("a fault in the program")
+
+    monkeypatch.setattr(service, method, fail)
+    site = VirtualSite(SITE, seed=1)
+    ended: list[str] = []
+    for name, each in site.hosts.items():
+        each.host.on_failure(lambda name=name: ended.append(name))  # type: ignore[misc]
+    site.run_for(3_000)
+    assert sorted(set(ended)) == sorted(site.hosts)
