--- a/src/jujubehall/services/membership.py
+++ b/src/jujubehall/services/membership.py
@@ -280,12 +280,11 @@
 
     def _next_record(self, record: OwnershipRecord) -> OwnershipRecord | None:
         members = with_retained(record, self.members, self._may_return)
-        scopes = all_scopes(self._scoped_zones(record))
         stored = self._cache.version(OWNERSHIP_KEY)
-        inputs = (record.epoch, stored, members, scopes)
+        inputs = (record.epoch, stored, members, self._zones())
         if inputs == self._settled:
             return None
-        proposal = next_record(record, members, scopes)
+        proposal = next_record(record, members, all_scopes(self._scoped_zones(record)))
         if proposal is None and self._is_record_lost(record):
             return msgspec.structs.replace(record, epoch=Epoch(record.epoch + 1))
         if proposal is None:
--- a/src/jujubehall/testing/virtual/ownership_site.py
+++ b/src/jujubehall/testing/virtual/ownership_site.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from result import Err
-from twisted.internet.task import Clock as VirtualTime
 
 from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import reactor_clock
@@ -32,6 +31,7 @@
 from jujubehall.testing.virtual.mesh import VirtualMesh
 from jujubehall.testing.virtual.network import Network
 from jujubehall.testing.virtual.platform import VirtualPlatform
+from jujubehall.testing.virtual.virtual_time import VirtualTime
 
 if TYPE_CHECKING:
     from collections.abc import Callable
