--- a/src/jujubehall/daemon/process.py
+++ b/src/jujubehall/daemon/process.py
@@ -80,6 +80,10 @@
             self._stopping = True
             start(self._stop())
 
+    def abort(self) -> None:
+        """Ends the process at once, as a failure does; others take over."""
+        reactor.callWhenRunning(reactor.callLater, 0, _stop_reactor)
+
     async def _stop(self) -> None:
         give_up_at_ms = self._clock.now_ms + self._stop_timeout_ms
         finished = await self._host.stop(self._stop_timeout_ms)
@@ -100,6 +104,11 @@
         return condition()
 
 
+def _stop_reactor() -> None:
+    if reactor.running:
+        reactor.stop()
+
+
 def start_process(settings: Settings, random: Random) -> Process | str:
     """Binds the addresses and starts the services; returns the reason if an address is taken."""
     configure_logging(settings)
@@ -143,6 +152,7 @@
         mesh.close()
         return f"$.listen.http_port: {member.http_address}: {error.socketError}"
     host.membership.on_replaced(process.begin_stop)
+    host.on_failure(process.abort)
     host.start()
     log.info("started", incarnation=incarnation, address=member.http_address)
     return process
