--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -24,6 +24,8 @@
 from jujubehall.services.peer_monitor import PeerMonitor
 from jujubehall.services.request_service import RequestService
 from jujubehall.services.shard_takeover import ShardTakeover
+from jujubehall.services.slot_allotments import SlotAllotments
+from jujubehall.services.slot_queue import SlotQueue
 from jujubehall.services.state_cache import StateCache
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -92,7 +94,11 @@
             clearance,
             random,
         )
-        dispatcher = Dispatcher(clock, endpoints, self.endpoint_table, self._slot_allotment)
+        self._allotments = SlotAllotments(
+            reactor, clock, mesh, self.membership, self.endpoint_table, self._endpoint_slots
+        )
+        slots = SlotQueue(reactor, clock, self.endpoint_table, self._allotments.allotment)
+        self.dispatcher = Dispatcher(clock, endpoints, self.endpoint_table, slots)
         self.requests = RequestService(
             reactor,
             clock,
@@ -101,7 +107,7 @@
             self._takeover,
             self._claim_log,
             claim_table,
-            dispatcher,
+            self.dispatcher,
             self._outage_claims,
         )
         self.peers = PeerMonitor(reactor, clock, mesh, self.membership, self.cache)
@@ -123,6 +129,7 @@
             self.peers,
             self._takeover,
             self._outage_claims,
+            self._allotments,
             self._scheduler,
         ):
             start(service.run())
@@ -140,6 +147,7 @@
         self._scheduler.stop()
         self._takeover.stop()
         self._outage_claims.stop()
+        self._allotments.stop()
         self.peers.stop()
         await self._claim_log.seal()
         await self.membership.leave()
@@ -150,9 +158,8 @@
     def _known_zones(self) -> list[ZoneName]:
         return sorted({ZoneName(host.zone) for host in self.hosts.workers})
 
-    def _slot_allotment(self) -> int:
-        members = max(1, len(self.membership.record.members))
-        return max(1, self.configuration.current.defaults.endpoint_slots // members)
+    def _endpoint_slots(self) -> int:
+        return self.configuration.current.defaults.endpoint_slots
 
     def _update_endpoints(self) -> None:
         self.endpoint_table.update(
--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -104,6 +104,18 @@
     claims: tuple[int, ...]
 
 
+class AllotmentWanted(msgspec.Struct, frozen=True, tag="allotment-wanted"):
+    """Asks whether the receiver uses no more slots than its part under the record of ``epoch``."""
+
+    epoch: Epoch
+
+
+class AllotmentSettled(msgspec.Struct, frozen=True, tag="allotment-settled"):
+    """Answers ``AllotmentWanted``."""
+
+    settled: bool
+
+
 Message = (
     Heartbeat
     | HeartbeatAnswer
@@ -118,6 +130,8 @@
     | GrantWithdrawn
     | SurrenderWanted
     | Surrendered
+    | AllotmentWanted
+    | AllotmentSettled
 )
 
 
--- a/src/jujubehall/services/claim_log.py
+++ b/src/jujubehall/services/claim_log.py
@@ -147,14 +147,15 @@
         self._in_memory[claim_hash(request)] = None
         return True
 
-    async def flush(self) -> None:
+    async def flush(self) -> Result[None, Failure]:
         """Records the claims in memory, and shows from time to time that the head is in use."""
         if not self._is_open or not (self._in_memory or self._write_age_ms >= REWRITE_INTERVAL_MS):
-            return
+            return Ok(None)
         await self._write_lock.acquire()
         try:
-            if self._is_open:
-                await self._write_all(self._head.claims)
+            if not self._is_open:
+                return Err(_closed_failure(self._head.name))
+            return await self._write_all(self._head.claims)
         finally:
             self._write_lock.release()
 
--- a/src/jujubehall/services/outage_claims.py
+++ b/src/jujubehall/services/outage_claims.py
@@ -34,6 +34,7 @@
 
 RENEWAL_INTERVAL_MS = 1_000
 ASK_TIMEOUT_MS = 500
+COLLECTIONS = 2
 
 
 class OutageClaims:
@@ -79,8 +80,10 @@
 
     async def claim(self, request: RequestId) -> Result[None, Failure]:
         """Claims a request in memory; the failure proves that it must not be sent."""
-        if not self._suffice():
-            await self._collect()
+        # A write attempted meanwhile voids the grants: they are asked for once more.
+        for _ in range(COLLECTIONS):
+            if not self._suffice():
+                await self._collect()
         # Checked and claimed in one step: nothing may come between.
         if self._suffice() and self._claim_log.claim_in_memory(request):
             return Ok(None)
--- a/src/jujubehall/services/request_service.py
+++ b/src/jujubehall/services/request_service.py
@@ -182,6 +182,9 @@
             return await self._join(request, give_up_at_ms)
         if durable and self._table.may_be_lost(request.id):
             return unknown(request, "its claim may be lost", "claim", "entry host")
+        refused = self._dispatcher.admit(request, give_up_at_ms)
+        if refused is not None:
+            return refused
         self._table.begin(request, self._clock.now_ms)
         try:
             answer = await self._claim_and_dispatch(request, give_up_at_ms, durable=durable)
--- a/src/jujubehall/services/shard_takeover.py
+++ b/src/jujubehall/services/shard_takeover.py
@@ -22,6 +22,7 @@
 from jujubehall.core.requests.claim_records import LostClaims
 from jujubehall.core.requests.claim_records import head_key
 from jujubehall.errors import FailureKind
+from jujubehall.identifiers import Epoch
 from jujubehall.services.claim_log import seal_head
 from jujubehall.services.timing import BackOff
 from jujubehall.services.timing import sleep
@@ -33,7 +34,6 @@
     from jujubehall.clock import Reactor
     from jujubehall.core.ownership.record import OwnershipRecord
     from jujubehall.core.requests.claim_table import ClaimTable
-    from jujubehall.identifiers import Epoch
     from jujubehall.platform.interface import Platform
     from jujubehall.services.claim_log import ClaimLog
     from jujubehall.services.clearance import Clearance
@@ -73,6 +73,7 @@
         self._clearance = clearance
         self._back_off = BackOff(random)
         self._ready: dict[str, Epoch] = {}
+        self._settled = Epoch(0)
         self._running = True
 
     def is_ready(self, scope: str) -> bool:
@@ -116,10 +117,18 @@
             return True
         if self._claim_log.epoch != record.epoch and not await self._open(record):
             return False
-        await self._claim_log.flush()
-        gained = [scope for scope in self._owned_shards() if not self.is_ready(scope)]
-        if not gained:
+        if isinstance(await self._claim_log.flush(), Err):
+            return False
+        if self._settled == record.epoch:
             return True
+        gained = [scope for scope in self._owned_shards() if not self.is_ready(scope)]
+        if gained and not await self._take_over(record, gained):
+            return False
+        if self._membership.record.epoch == record.epoch:
+            self._settled = record.epoch
+        return True
+
+    async def _take_over(self, record: OwnershipRecord, gained: list[str]) -> bool:
         if not await self._fence_others(record.epoch) or not await self._inherit():
             return False
         if self._membership.record.epoch != record.epoch:
@@ -132,7 +141,8 @@
     async def _open(self, record: OwnershipRecord) -> bool:
         if not await self._clear_earlier_incarnation(record.epoch):
             return False
-        shards = tuple(n for n in range(REQUEST_SHARDS) if self._membership.owns(shard_scope(n)))
+        own = self._membership.member.name
+        shards = tuple(n for n in range(REQUEST_SHARDS) if record.owners[shard_scope(n)] == own)
         granters = tuple(
             Granter(each.name, each.incarnation, each.mesh_address) for each in record.members
         )
--- a/src/jujubehall/testing/virtual/endpoints.py
+++ b/src/jujubehall/testing/virtual/endpoints.py
@@ -21,6 +21,8 @@
 from jujubehall.testing.endpoint_stand_in import EndpointBehaviour
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from jujubehall.clock import Reactor
     from jujubehall.endpoints.messages import Work
     from jujubehall.identifiers import RequestId
@@ -41,6 +43,9 @@
         self.running = 0
         self.most_running = 0
         self.refused_busy = 0
+        self.run_ms_of: Callable[[Work], int] | None = None
+        """Overrides the behaviour's time of each request."""
+
         self.held_back = b""
         self.runs: dict[RequestId, int] = {}
 
@@ -71,7 +76,7 @@
             return Err(Failure(FailureKind.NOT_SENT, STEP, name, "connection refused"))
         answered: Deferred[Result[Any, Failure]] = Deferred()
         answered.addTimeout(to_seconds(timeout_ms), self._reactor)  # type: ignore[arg-type]
-        delay_s = to_seconds(self._network.delay_ms())
+        delay_s = self._network.latency_s(self._host, name)
         self._time.callLater(delay_s, self._arrive, endpoint, work, answered)
         try:
             return await answered
@@ -93,9 +98,8 @@
             return
         endpoint.running += 1
         endpoint.most_running = max(endpoint.most_running, endpoint.running)
-        self._time.callLater(
-            to_seconds(behaviour.run_ms), self._finish, endpoint, behaviour, work, answered
-        )
+        run_ms = endpoint.run_ms_of(work) if endpoint.run_ms_of else behaviour.run_ms
+        self._time.callLater(to_seconds(run_ms), self._finish, endpoint, behaviour, work, answered)
 
     def _finish(
         self,
@@ -127,4 +131,5 @@
             if not answered.called and not self._network.is_cut(self._host, endpoint.name):
                 answered.callback(client.interpret(Response(status, body), work, endpoint.name))
 
-        self._reactor.callLater(to_seconds(self._network.delay_ms() + late_ms), arrive)
+        latency_s = self._network.latency_s(endpoint.name, self._host)
+        self._reactor.callLater(latency_s + to_seconds(late_ms), arrive)
--- a/src/jujubehall/testing/virtual/mesh.py
+++ b/src/jujubehall/testing/virtual/mesh.py
@@ -16,7 +16,6 @@
 from jujubehall.entry_hosts.messages import Message
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
-from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 
 if TYPE_CHECKING:
@@ -63,9 +62,8 @@
         answered: Deferred[bytes] = Deferred()
         answered.addTimeout(to_seconds(timeout_ms), self._reactor)  # type: ignore[arg-type]
         content = msgspec.msgpack.encode(message)
-        self._reactor.callLater(
-            to_seconds(self._network.delay_ms()), self._deliver, target, content, answered
-        )
+        latency_s = self._network.latency_s(self._member.name, target._member.name)
+        self._reactor.callLater(latency_s, self._deliver, target, content, answered)
         try:
             return Ok(msgspec.msgpack.decode(await answered, type=Message))
         except Exception as error:
@@ -80,7 +78,10 @@
         message = msgspec.msgpack.decode(content, type=Message)
         answer = await self._handlers[type(message)](asker._member.name, message)
         encoded = msgspec.msgpack.encode(answer)
-        await sleep(self._reactor, self._network.delay_ms())
+        sent: Deferred[None] = Deferred()
+        latency_s = self._network.latency_s(self._member.name, asker._member.name)
+        self._reactor.callLater(latency_s, sent.callback, None)
+        await sent
         if not self._network.is_cut(self._member.name, asker._member.name):
             asker._reactor.callLater(0, _resolve, answered, encoded)
 
--- /dev/null
+++ b/tests/services/test_request_limits.py
@@ -0,0 +1,171 @@
+"""Slots of endpoints are respected by all entry hosts together, also while members change."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from jujubehall.core.requests.request import Outcome
+from jujubehall.core.requests.request import Request
+from jujubehall.identifiers import EntryHostName
+from jujubehall.identifiers import RequestId
+from jujubehall.identifiers import TeamName
+from jujubehall.platform.host import HostState
+from jujubehall.services.slot_allotments import SlotAllotments
+from jujubehall.services.timing import start
+from jujubehall.testing.endpoint_stand_in import EndpointBehaviour
+from tests.services.request_storm import ready_site
+
+if TYPE_CHECKING:
+    from jujubehall.core.requests.request import Answer
+    from jujubehall.testing.virtual.site import VirtualSite
+
+STUDIO = TeamName("studio")
+LABEL = TeamName("label")
+
+
+class Load:
+    """Sends requests at a steady rate through random living entry hosts."""
+
+    def __init__(self, site: VirtualSite) -> None:
+        self.site = site
+        self.answers: list[Answer] = []
+        self.waits_ms: list[int] = []
+        self.sent = 0
+
+    def send(self, team: TeamName = STUDIO, *, idempotent: bool = True) -> None:
+        living = [each for each in self.site.hosts.values() if not each.reactor.is_killed]
+        host = self.site.random.choice(living).host
+        request = Request(RequestId(f"r-{self.sent}"), team, "who-is-free", idempotent=idempotent)
+        self.sent += 1
+        began_at_ms = self.site.clock.now_ms
+
+        def record(answer: Answer) -> None:
+            self.answers.append(answer)
+            self.waits_ms.append(self.site.clock.now_ms - began_at_ms)
+
+        start(host.requests.serve(request)).addCallback(record)
+
+    def run(self, duration_ms: int, per_10_ms: int = 2) -> None:
+        for _ in range(duration_ms // 10):
+            for _ in range(per_10_ms):
+                self.send()
+            self.site.run_for(10)
+
+
+def slow(site: VirtualSite, run_ms: int) -> None:
+    for endpoint in site.endpoints.values():
+        endpoint.behaviour = EndpointBehaviour(run_ms=run_ms)
+
+
+def overshoots(site: VirtualSite) -> int:
+    return sum(endpoint.refused_busy for endpoint in site.endpoints.values())
+
+
+def change_members(site: VirtualSite) -> None:
+    load = Load(site)
+    slow(site, 1_500)
+    load.run(2_000)
+    site.hosts[EntryHostName("entry-1")].reactor.kill()
+    load.run(6_000)
+    site.start_host(1)
+    load.run(4_000)
+    site.start_host(4)
+    load.run(6_000)
+    assert max(endpoint.most_running for endpoint in site.endpoints.values()) == 8
+
+
+def test_slots_hold_through_a_death_and_a_newcomer() -> None:
+    site = ready_site(3)
+    change_members(site)
+    assert overshoots(site) == 0
+
+
+def test_slots_are_overrun_if_a_part_grows_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def settle(self: SlotAllotments) -> None:
+        self._settled = self._members
+        self._settled_epoch = self._membership.record.epoch
+
+    monkeypatch.setattr(SlotAllotments, "_settle", settle)
+    monkeypatch.setattr(SlotAllotments, "_departed_have_ended", lambda self, members: True)
+    site = ready_site(3)
+    change_members(site)
+    assert overshoots(site) > 0
+
+
+def test_overload_is_shed_at_once_and_goodput_holds() -> None:
+    site = ready_site(3)
+    slow(site, 100)
+    load = Load(site)
+    # Three endpoints of eight slots and 100 ms carry about 230 requests a second; 800 are sent.
+    load.run(5_000, per_10_ms=8)
+    site.run_for(2_000)
+    completed = sum(answer.outcome is Outcome.COMPLETED for answer in load.answers)
+    assert len(load.answers) == load.sent
+    assert completed >= 0.8 * 5 * 230
+    refused = [answer for answer in load.answers if answer.outcome is Outcome.NOT_RUN]
+    assert all(answer.retry_after_ms >= 1_000 for answer in refused)
+    assert max(load.waits_ms) < 1_500
+    assert overshoots(site) == 0
+
+
+def test_a_quiet_team_is_served_beside_a_flood() -> None:
+    site = ready_site(3)
+    slow(site, 100)
+    load = Load(site)
+    quiet = Load(site)
+    quiet.sent = 1_000_000
+    for _ in range(200):
+        for _ in range(8):
+            load.send()
+        if site.random.random() < 0.3:
+            quiet.send(LABEL)
+        site.run_for(10)
+    site.run_for(2_000)
+    completed = sum(answer.outcome is Outcome.COMPLETED for answer in quiet.answers)
+    assert completed >= 0.9 * len(quiet.answers)
+
+
+@pytest.mark.parametrize("learned_from", ["list", "answer"])
+def test_a_leaving_endpoint_gets_no_new_work(learned_from: str) -> None:
+    site = ready_site(3)
+    load = Load(site)
+    leaving = site.endpoints["endpoint-0"]
+    if learned_from == "list":
+        site.listed = [
+            (
+                msgspec.structs.replace(host, state=HostState.LEAVING)
+                if host.name == leaving.name
+                else host
+            )
+            for host in site.listed
+        ]
+    else:
+        # The list's source is down: only the endpoint itself says that it is leaving.
+        site.network.platform_down = True
+        leaving.behaviour = EndpointBehaviour(leaving=True)
+    load.run(3_000)
+    before = dict(leaving.runs)
+    leaving.behaviour = EndpointBehaviour()
+    load.run(3_000)
+    assert leaving.runs == before
+    assert load.answers
+    assert all(answer.outcome is Outcome.COMPLETED for answer in load.answers)
+
+
+def test_a_planned_stop_cuts_no_request_in_progress() -> None:
+    site = ready_site(3)
+    slow(site, 500)
+    load = Load(site)
+    for _ in range(16):
+        load.send(idempotent=False)
+    site.run_for(20)
+    stopping = site.hosts[EntryHostName("entry-2")].host
+    assert stopping.requests.in_progress > 0
+    assert site.finish(stopping.stop(30_000)) is True
+    assert stopping.requests.in_progress == 0
+    site.run_for(3_000)
+    assert len(load.answers) == 16
+    assert all(answer.outcome is Outcome.COMPLETED for answer in load.answers)
