--- a/src/jujubehall/callers/interface.py
+++ b/src/jujubehall/callers/interface.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Annotated
 
 import msgspec
 
@@ -12,6 +13,7 @@
 from jujubehall.core.requests.request import Answer
 from jujubehall.core.requests.request import Outcome
 from jujubehall.core.requests.request import Request
+from jujubehall.core.requests.tickets import MAX_TICKETS_PER_CALL
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.http.router import Call
@@ -44,6 +46,12 @@
     id: JobId | None = None
 
 
+class TicketsWanted(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How many tickets a caller wants; they are of use for ``TICKET_LIFETIME_MS``."""
+
+    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_TICKETS_PER_CALL)] = 1
+
+
 class CallerInterface:
     """What callers can ask of an entry host."""
 
@@ -56,6 +64,12 @@
         answer = await self._host.requests.serve(call.decode(Request))
         return _answer_reply(answer)
 
+    @routes.register("POST", "/v1/tickets")
+    async def tickets(self, call: Call) -> Reply:
+        """Issues identifiers for requests that this entry host alone may run."""
+        wanted = call.decode(TicketsWanted) if call.body else TicketsWanted()
+        return Reply(201, self._host.requests.issue_tickets(wanted.count))
+
     @routes.register("POST", "/v1/jobs")
     async def submit(self, call: Call) -> Reply:
         """Accepts a job."""
--- a/src/jujubehall/services/slot_allotments.py
+++ b/src/jujubehall/services/slot_allotments.py
@@ -58,12 +58,23 @@
         self._limit = limit
         self._settled: tuple[EntryHostName, ...] = ()
         self._settled_epoch = Epoch(0)
+        self._parts: dict[EndpointName, int] = {}
+        self._basis = (Epoch(0), Epoch(0), 0)
         self._departed_at_ms: dict[EntryHostName, int] = {}
         self._running = True
         mesh.register(AllotmentWanted, self._on_wanted)
 
     def allotment(self, endpoint: EndpointName) -> int:
         """The slots of ``endpoint`` that may be in use by this entry host now."""
+        basis = (self._membership.record.epoch, self._settled_epoch, self._limit())
+        if basis != self._basis:
+            self._basis = basis
+            self._parts.clear()
+        if endpoint not in self._parts:
+            self._parts[endpoint] = self._part(endpoint)
+        return self._parts[endpoint]
+
+    def _part(self, endpoint: EndpointName) -> int:
         own = self._membership.member.name
         members = self._members
         latest = allotment(self._limit(), endpoint, members, own)
--- a/src/jujubehall/services/slot_queue.py
+++ b/src/jujubehall/services/slot_queue.py
@@ -24,7 +24,7 @@
     from jujubehall.identifiers import EndpointName
     from jujubehall.identifiers import TeamName
 
-MAX_WAIT_MS = 1_000
+MAX_WAIT_MS = 250
 FIRST_RUN_ESTIMATE_MS = 50
 RUN_SMOOTHING = 0.1
 MIN_RETRY_AFTER_MS = 1_000
--- a/src/jujubehall/testing/virtual/host_reactor.py
+++ b/src/jujubehall/testing/virtual/host_reactor.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.task import Clock as VirtualTime
+    from jujubehall.testing.virtual.virtual_time import VirtualTime
 
 
 class HostReactor:
--- a/src/jujubehall/testing/virtual/site.py
+++ b/src/jujubehall/testing/virtual/site.py
@@ -8,8 +8,6 @@
 
 import msgspec
 
-from twisted.internet.task import Clock as VirtualTime
-
 from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import reactor_clock
 from jujubehall.clock import to_seconds
@@ -28,6 +26,7 @@
 from jujubehall.testing.virtual.mesh import VirtualMesh
 from jujubehall.testing.virtual.network import Network
 from jujubehall.testing.virtual.platform import VirtualPlatform
+from jujubehall.testing.virtual.virtual_time import VirtualTime
 from jujubehall.testing.virtual.workers import VirtualWorkers
 from jujubehall.testing.worker_state import WorkerBehaviour
 from jujubehall.testing.worker_state import WorkerState
--- a/tests/services/test_claim_log.py
+++ b/tests/services/test_claim_log.py
@@ -10,7 +10,6 @@
 
 from result import Err
 from result import Ok
-from twisted.internet.task import Clock as VirtualTime
 
 from jujubehall.clock import reactor_clock
 from jujubehall.core.ownership.record import OWNERSHIP_KEY
@@ -31,6 +30,7 @@
 from jujubehall.testing.virtual.host_reactor import HostReactor
 from jujubehall.testing.virtual.network import Network
 from jujubehall.testing.virtual.platform import VirtualPlatform
+from jujubehall.testing.virtual.virtual_time import VirtualTime
 
 NAME = EntryHostName("entry-0")
 HOLD = RequestId("hold-1")
