--- a/src/jujubehall/callers/interface.py
+++ b/src/jujubehall/callers/interface.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from jujubehall.callers.messages import Submission
+from jujubehall.callers.messages import TicketsWanted
 from jujubehall.core.requests.request import Answer
 from jujubehall.core.requests.request import Outcome
 from jujubehall.core.requests.request import Request
@@ -53,6 +54,12 @@
         REQUESTS.inc({"outcome": answer.outcome.value, "kind": self._kinds.label(request.kind)})
         return _answer_reply(answer)
 
+    @routes.register("POST", "/v1/tickets")
+    async def tickets(self, call: Call) -> Reply:
+        """Issues identifiers for requests that this entry host alone may run."""
+        wanted = call.decode(TicketsWanted) if call.body else TicketsWanted()
+        return Reply(201, self._host.requests.issue_tickets(wanted.count))
+
     @routes.register("POST", "/v1/jobs")
     async def submit(self, call: Call) -> Reply:
         """Accepts a job."""
