Reserve for waiting gangs by patience, and move for them without a reservation

Cause: a reservation from the first moment leaves accelerators idle.

Now space is reserved only after a wait that shrinks with the fragmentation weight; moves need no reservation any more.

--- a/benchmarks/jobs.py
+++ b/benchmarks/jobs.py
@@ -35,14 +35,28 @@
     "guarantees": lambda: Policy(
         PolicyOptions(learns=False, reservations=0, orders_queue=False, moves=False)
     ),
-    "backfill": lambda: Policy(PolicyOptions(learns=False, orders_queue=False, moves=False)),
-    "learned": lambda: Policy(PolicyOptions(orders_queue=False, moves=False)),
-    "ordered": lambda: Policy(PolicyOptions(moves=False)),
-    "moves": lambda: Policy(PolicyOptions(moves=True)),
+    "moves only": lambda: Policy(PolicyOptions(reservations=1, orders_queue=False)),
+    "ordered only": lambda: Policy(PolicyOptions(reservations=0, moves=False)),
+    "backfill": lambda: Policy(
+        PolicyOptions(learns=False, orders_queue=False, patience=False, moves=False)
+    ),
+    "learned": lambda: Policy(PolicyOptions(orders_queue=False, patience=False, moves=False)),
+    "ordered": lambda: Policy(PolicyOptions(patience=False, moves=False)),
+    "patient": lambda: Policy(PolicyOptions(moves=False)),
+    "patient fifo": lambda: Policy(PolicyOptions(moves=False, orders_queue=False)),
     "shipped": Policy,
 }
 
 
+PAIRED = (
+    "completion p50 h",
+    "completion p99 h",
+    "slowdown mean",
+    "large wait mean h",
+    "large wait p99 h",
+)
+
+
 class Task(msgspec.Struct, frozen=True):
     """One replay."""
 
@@ -72,6 +86,7 @@
         "slowdown mean": statistics.mean(outcome.slowdowns),
         "slowdown p99": _quantile(outcome.slowdowns, 0.99),
         "large wait p50 h": _quantile(outcome.large_waits, 0.5) / HOUR_MS,
+        "large wait mean h": statistics.mean(outcome.large_waits or [0]) / HOUR_MS,
         "large wait p99 h": _quantile(outcome.large_waits, 0.99) / HOUR_MS,
         "block / free": outcome.block_share_sum / max(1, outcome.block_share_ms),
         "unusable share": outcome.unusable_sum / max(1, outcome.unusable_ms),
@@ -112,6 +127,22 @@
                 ]
                 results[version] = list(pool.map(replay, tasks))
             _print_table(results)
+            _print_pairs(results)
+
+
+def _print_pairs(results: dict[str, list[dict[str, float]]]) -> None:
+    """Compares each version with the second one seed by seed: median ratio, seeds won."""
+    base = list(results.values())[min(1, len(results) - 1)]
+    print("paired with " + list(results)[min(1, len(results) - 1)])
+    for version, figures in results.items():
+        cells = []
+        for name in PAIRED:
+            pairs = [(f[name], b[name]) for f, b in zip(figures, base, strict=True)]
+            ratios = [mine / other for mine, other in pairs if other > 0]
+            won = sum(1 for mine, other in pairs if mine < other)
+            lost = sum(1 for mine, other in pairs if mine > other)
+            cells.append(f"{name} x{statistics.median(ratios or [1.0]):.2f} {won}:{lost}")
+        print(f"  {version}: " + ", ".join(cells))
 
 
 def _print_table(results: dict[str, list[dict[str, float]]]) -> None:
--- a/src/jujubehall/core/jobs/placement.py
+++ b/src/jujubehall/core/jobs/placement.py
@@ -32,12 +32,15 @@
     def parts(self, spec: JobSpec) -> int:
         """How many parts of a job fit."""
         fitting = spec.parts
-        if spec.accelerators_per_part:
-            fitting = min(fitting, self.accelerators // spec.accelerators_per_part)
-        if spec.cores_per_part:
-            fitting = min(fitting, self.cores // spec.cores_per_part)
-        if spec.memory_gb_per_part:
-            fitting = min(fitting, self.memory_gb // spec.memory_gb_per_part)
+        need = spec.accelerators_per_part
+        if need and self.accelerators < need * fitting:
+            fitting = self.accelerators // need
+        need = spec.cores_per_part
+        if need and self.cores < need * fitting:
+            fitting = self.cores // need
+        need = spec.memory_gb_per_part
+        if need and self.memory_gb < need * fitting:
+            fitting = self.memory_gb // need
         return max(0, fitting)
 
     def take(self, spec: JobSpec, parts: int = 1) -> None:
--- a/src/jujubehall/core/jobs/policy_memory.py
+++ b/src/jujubehall/core/jobs/policy_memory.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from jujubehall.core.jobs.estimates import RunTimeEstimates
+from jujubehall.core.jobs.feasibility import Feasibility
 from jujubehall.core.jobs.guarantee_book import FloatingBlock
 from jujubehall.core.jobs.job import PartPlacement
 from jujubehall.identifiers import JobId
@@ -36,6 +37,7 @@
     """The policy's memory; ``guaranteed`` and ``moved`` hold the time of the last decision."""
 
     estimates: RunTimeEstimates = msgspec.field(default_factory=RunTimeEstimates)
+    feasibility: Feasibility = msgspec.field(default_factory=Feasibility)
     guaranteed: dict[JobId, int] = msgspec.field(default_factory=dict)
     moved: dict[JobId, int] = msgspec.field(default_factory=dict)
     claims: dict[JobId, Claim] = msgspec.field(default_factory=dict)
--- a/src/jujubehall/core/jobs/policy_options.py
+++ b/src/jujubehall/core/jobs/policy_options.py
@@ -17,5 +17,8 @@
     orders_queue: bool = True
     """Order borrowed work by slowdown and size, rather than first come first served."""
 
+    patience: bool = True
+    """Reserve space only for gangs that have waited, the longer the lower the weight."""
+
     moves: bool = True
     """Move running jobs aside for a waiting gang where it pays."""
--- a/src/jujubehall/core/jobs/scheduling_round.py
+++ b/src/jujubehall/core/jobs/scheduling_round.py
@@ -11,7 +11,7 @@
 from jujubehall.core.jobs.decisions import Place
 from jujubehall.core.jobs.decisions import Preempt
 from jujubehall.core.jobs.decisions import Refuse
-from jujubehall.core.jobs.feasibility import reason_impossible
+from jujubehall.core.jobs.feasibility import shape_of
 from jujubehall.core.jobs.guarantee_book import GuaranteeBook
 from jujubehall.core.jobs.guaranteed_placement import plan_guaranteed
 from jujubehall.core.jobs.invariants import RoundOutcome
@@ -34,6 +34,7 @@
     from collections.abc import Mapping
 
     from jujubehall.core.jobs.decisions import Decision
+    from jujubehall.core.jobs.feasibility import Shape
     from jujubehall.core.jobs.job import JobSpec
     from jujubehall.core.jobs.job import PartPlacement
     from jujubehall.core.jobs.policy_memory import PolicyMemory
@@ -56,13 +57,14 @@
 _OVERDUE_MIN_MS = 3_600_000
 _OVERDUE_MAX_MS = 6 * 3_600_000
 
+_MAX_PATIENCE_MS = 4 * 3_600_000
+"""How long a gang waits for a reservation at the fragmentation weight 0."""
+
 _SIZE_EXPONENT = 1.0
 """How strongly the fragmentation weight favours small (at 0) or large jobs (at 1)."""
 
 _FAR_FUTURE_MS = 2**62
 
-_Shape = tuple[int, int, int, int, bool]
-
 
 class SchedulingRound:
     """Decides once: first guaranteed work, then urgent work, then other borrowed work.
@@ -84,6 +86,7 @@
         self._moving = {job.record.id: job for job in self._running}
         self._stopping: set[JobId] = set()
         self._reservations: list[Reservation] = []
+        self._blocked: JobView | None = None
         self._quota = {team.name: team.accelerator_quota for team in view.teams}
         self._in_use = Counter[str]()
         for job in self._running:
@@ -159,14 +162,11 @@
     def _refuse_impossible(self) -> None:
         if not self._view.complete:
             return
-        known: dict[tuple[_Shape, TeamName], str | None] = {}
+        feasibility = self._memory.feasibility
+        feasibility.read_workers(self._view.workers)
         for job_id, job in list(self._queued.items()):
             spec = job.record.spec
-            key = (_shape(spec), spec.team)
-            if key not in known:
-                quota = self._quota.get(spec.team)
-                known[key] = reason_impossible(spec, self._view.workers, quota)
-            reason = known[key]
+            reason = feasibility.reason_impossible(spec, self._quota.get(spec.team))
             if reason is not None:
                 self._decisions.append(Refuse(job_id, reason))
                 self._memory.claims.pop(job_id, None)
@@ -229,14 +229,14 @@
 
     def _place_guaranteed(self) -> None:
         """Starts each job that its team's guarantee covers, over borrowed work if need be."""
-        failed: set[tuple[_Shape, TeamName]] = set()
+        failed: set[tuple[Shape, TeamName]] = set()
         waiting = sorted(
             self._queued.values(),
             key=lambda job: (not job.record.spec.urgent, job.queued_since_ms, job.record.id),
         )
         for job in waiting:
             spec = job.record.spec
-            key = (_shape(spec), spec.team)
+            key = (shape_of(spec), spec.team)
             if spec.accelerators_per_part == 0 or key in failed or not self._within_quota(spec):
                 continue
             if not self._book.has_unused(spec.team, spec.accelerators_per_part):
@@ -266,22 +266,35 @@
 
     def _place_borrowed(self) -> None:
         """Places what fits in order of priority, around the reservations of gangs that don't."""
-        failed: set[tuple[_Shape, tuple[bool, ...]]] = set()
+        failed: set[tuple[Shape, tuple[bool, ...]]] = set()
         for job in sorted(self._queued.values(), key=self._priority):
             spec = job.record.spec
             if not self._within_quota(spec):
                 continue
             ends_at_ms = self._view.now_ms + self._run_time_ms(spec)
             late = tuple(ends_at_ms > held.start_ms for held in self._reservations)
-            if (_shape(spec), late) in failed:
+            if (shape_of(spec), late) in failed:
                 continue
             placement = place_gang(spec, self._limited(ends_at_ms))
             if placement is not None:
                 self._place(job.record.id, placement)
                 continue
-            failed.add((_shape(spec), late))
-            if len(self._reservations) < self._options.reservations:
+            failed.add((shape_of(spec), late))
+            if len(self._reservations) < self._options.reservations and self._deserves(job):
                 self._reserve(job)
+            elif self._blocked is None:
+                self._blocked = job
+
+    def _deserves(self, job: JobView) -> bool:
+        """Whether a job has waited long enough that others wait for it.
+
+        A reservation leaves accelerators idle, which costs the other jobs time; the lower the
+        fragmentation weight, the later it is worth it.
+        """
+        if not self._options.patience:
+            return True
+        waited_ms = self._view.now_ms - job.queued_since_ms
+        return waited_ms >= _MAX_PATIENCE_MS * (1 - self._view.fragmentation_weight)
 
     def _limited(self, ends_at_ms: int) -> Iterable[FreeSpace]:
         spaces: Iterable[FreeSpace] = self._spaces.values()
@@ -290,38 +303,48 @@
         return spaces
 
     def _reserve(self, job: JobView) -> None:
+        reservation = self._plan_reservation(job)
+        if reservation is not None:
+            self._reservations.append(reservation)
+
+    def _plan_reservation(self, job: JobView) -> Reservation | None:
         spaces = {name: space.copy() for name, space in self._spaces.items()}
         for earlier in self._reservations:
             _take(spaces, self._queued[earlier.job].record.spec, earlier.placement)
-        reservation = make_reservation(
+        return make_reservation(
             job.record.id, job.record.spec, list(spaces.values()), self._running
         )
-        if reservation is not None:
-            self._reservations.append(reservation)
 
     def _move_aside(self) -> None:
-        """Moves borrowed jobs out of the way of the first reserved gang where that pays."""
-        if not self._reservations:
-            return
-        reservation = self._reservations.pop(0)
+        """Moves borrowed jobs out of the way of the first gang that waits, where that pays."""
+        if self._reservations:
+            waiting = self._reservations.pop(0)
+            if not self._move_for(waiting):
+                self._reservations.insert(0, waiting)
+        elif self._blocked is not None:
+            expected = self._plan_reservation(self._blocked)
+            if expected is not None:
+                self._move_for(expected)
+
+    def _move_for(self, waiting: Reservation) -> bool:
         now_ms = self._view.now_ms
         movable = [j for j in self._victims(urgent=False) if j.record.id not in self._memory.moved]
         plan = plan_moves(
-            self._queued[reservation.job].record.spec,
+            self._queued[waiting.job].record.spec,
             self._limited(_FAR_FUTURE_MS),
             movable,
-            reservation.start_ms - now_ms,
+            waiting.start_ms - now_ms,
         )
         if plan is None:
-            self._reservations.insert(0, reservation)
-            return
+            return False
         for job, placement in plan.moves:
-            reason = f"makes room for {reservation.job}"
+            reason = f"makes room for {waiting.job}"
             self._decisions.append(Move(job.record.id, placement, reason))
             self._memory.moved[job.record.id] = now_ms
             self._memory.claims[job.record.id] = Claim(placement, now_ms, frozenset(), False)
         moved = frozenset(job.record.id for job, _ in plan.moves)
-        self._memory.claims[reservation.job] = Claim(plan.placement, now_ms, moved, False)
+        self._memory.claims[waiting.job] = Claim(plan.placement, now_ms, moved, False)
+        return True
 
     def _priority(self, job: JobView) -> tuple[bool, float, int, str]:
         """Orders by slowdown and size; whoever is overdue comes first, oldest first."""
@@ -395,16 +418,6 @@
         return job
 
 
-def _shape(spec: JobSpec) -> _Shape:
-    return (
-        spec.parts,
-        spec.accelerators_per_part,
-        spec.cores_per_part,
-        spec.memory_gb_per_part,
-        spec.adjacent,
-    )
-
-
 def _take(
     spaces: Mapping[WorkerName, FreeSpace],
     spec: JobSpec,
