--- a/src/jujubehall/core/jobs/policy.py
+++ b/src/jujubehall/core/jobs/policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from jujubehall.core.jobs.policy_memory import PolicyMemory
@@ -12,6 +13,8 @@
     from jujubehall.core.jobs.decisions import Decision
     from jujubehall.core.jobs.job import JobRecord
     from jujubehall.core.jobs.zone_view import ZoneView
+    from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import TeamName
 
 IDLE_RECHECK_MS = 5_000
 """A view that led to no decisions is decided again after this time, or once it has changed."""
@@ -30,6 +33,19 @@
         self._memory = PolicyMemory()
         self._idle_view: ZoneView | None = None
 
+    @property
+    def guaranteed_jobs(self) -> frozenset[JobId]:
+        """The jobs that were guaranteed work in the last round; all others are borrowed."""
+        return frozenset(self._memory.guaranteed)
+
+    @property
+    def missing_blocks(self) -> dict[TeamName, int]:
+        """How many of each team's unused guaranteed blocks had no place in the last round.
+
+        Empty unless workers were lost or the older scheduler takes more than its share.
+        """
+        return dict(Counter(block.team for block in self._memory.floating if not block.chunks))
+
     def decide(self, view: ZoneView) -> list[Decision]:
         """Decides for one moment; called again whenever the view has changed.
 
--- a/tests/core/jobs/test_policy.py
+++ b/tests/core/jobs/test_policy.py
@@ -355,6 +355,23 @@
     assert zone.decide() == []
 
 
+def test_blocks_that_a_lost_rack_leaves_without_a_place_are_told() -> None:
+    zone = FakeZone(2, {"a": Shape(1, 32), "b": Shape(4, 8)})
+    job = zone.submit(job_spec("b", 1, 8))
+    zone.decide()
+    assert zone.policy.missing_blocks == {}
+    assert zone.policy.guaranteed_jobs == {job}
+
+    used = zone.rack_of[zone.jobs[job].record.placement[0].worker]
+    zone.unusable = {worker for worker, rack in zone.rack_of.items() if rack != used}
+    zone.decide()
+    assert zone.policy.missing_blocks == {"a": 1}
+
+    zone.unusable.clear()
+    zone.decide()
+    assert zone.policy.missing_blocks == {}
+
+
 def test_an_unchanged_zone_is_decided_again_only_after_a_while(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
