--- /dev/null
+++ b/benchmarks/job_runtime.py
@@ -0,0 +1,137 @@
+"""Measures the runtime of jobs in real processes on loopback.
+
+Prints one JSON line for each size of a zone: the time from the submission of an urgent gang to
+the moment when all its parts run, and the owner's processor time while gangs run. Messages are
+counted by ``tests/services/test_zone_owner_load.py``.
+
+    python -m benchmarks.job_runtime
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import statistics
+import time
+
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from jujubehall.testing.local_site import LocalSite
+from jujubehall.testing.local_site import free_first_port
+from jujubehall.testing.local_site import wait_until
+from jujubehall.testing.site_file import SiteFile
+from jujubehall.workers.messages import Resources
+
+SIZES = (8, 103)
+"""Workers of a zone: today's, and an eighth of the 820 to design for."""
+
+URGENT_JOBS = 20
+MEASURED_S = 30.0
+POLL_S = 0.005
+TICKS_A_SECOND = os.sysconf("SC_CLK_TCK")
+ZONE = "zone-a"
+
+
+def main() -> None:
+    """Measures every size."""
+    for workers in SIZES:
+        with LocalSite(_site(workers)) as site:
+            site.wait_until_ready()
+            wait_until(
+                lambda: len(_summary(site)) == workers, "every worker is known"
+            )  # noqa: B023
+            print(json.dumps(_measure(site, workers)), flush=True)
+
+
+def _site(workers: int) -> SiteFile:
+    return SiteFile(
+        zones=(ZONE,),
+        entry_hosts=2,
+        endpoints=1,
+        workers=workers,
+        workers_per_rack=8,
+        worker_capacity=Resources(8, 60, 250),
+        first_port=free_first_port(),
+    )
+
+
+def _measure(site: LocalSite, workers: int) -> dict[str, Any]:
+    urgent_ms = [_urgent_ms(site) for _ in range(URGENT_JOBS)]
+    jobs = [_submit(site, 2, "run:600000", urgent=False) for _ in range(2 * workers)]
+    wait_until(lambda: all(_state(site, job) == "running" for job in jobs[-3:]), "the gangs run")
+    owner = _owner(site)
+    before = _processor_s(site.pid(owner))
+    time.sleep(MEASURED_S)
+    used_s = _processor_s(site.pid(owner)) - before
+    return {
+        "workers": workers,
+        "urgent_ms_p50": round(statistics.median(urgent_ms)),
+        "urgent_ms_max": round(max(urgent_ms)),
+        "running_tasks": 2 * len(jobs),
+        "owner_processor_share": round(used_s / MEASURED_S, 4),
+    }
+
+
+def _urgent_ms(site: LocalSite) -> float:
+    began = time.monotonic()
+    job = _submit(site, 4, "run:300", urgent=True)
+    while not _all_started(site, job):
+        time.sleep(POLL_S)
+    elapsed_ms = 1_000 * (time.monotonic() - began)
+    wait_until(lambda: _state(site, job) == "succeeded", "the urgent job ends")
+    return elapsed_ms
+
+
+def _all_started(site: LocalSite, job: str) -> bool:
+    answer = httpx.get(f"{site.address('entry-0')}/v1/jobs/{job}").json()
+    addresses = {host.name: host.address for host in site.site.worker_hosts()}
+    placed = {part["worker"] for part in answer["placement"]}
+    started = sum(
+        task["key"]["job"] == job and task["state"] in ("running", "succeeded")
+        for name in placed
+        for task in httpx.get(f"{addresses[name]}/v1/inventory").json()["tasks"]
+    )
+    return started == 4
+
+
+def _submit(site: LocalSite, parts: int, command: str, *, urgent: bool) -> str:
+    wanted = {
+        "team": "studio",
+        "kind": "render",
+        "parts": parts,
+        "accelerators_per_part": 2,
+        "command": command,
+        "urgent": urgent,
+    }
+    answer = httpx.post(f"{site.address('entry-0')}/v1/jobs", json={"spec": wanted})
+    return str(answer.json()["id"])
+
+
+def _state(site: LocalSite, job: str) -> str:
+    return str(httpx.get(f"{site.address('entry-0')}/v1/jobs/{job}").json()["state"])
+
+
+def _platform(site: LocalSite, key: str) -> Any:
+    answer = httpx.get(f"{site.site.platform_address}/v1/kv/{key}")
+    return answer.json()["value"] if answer.is_success else None
+
+
+def _summary(site: LocalSite) -> list[Any]:
+    value = _platform(site, f"state/zones/{ZONE}")
+    return value["workers"] if value else []
+
+
+def _owner(site: LocalSite) -> str:
+    return str(_platform(site, "state/ownership")["owners"][f"zone/{ZONE}"])
+
+
+def _processor_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_A_SECOND
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/end_to_end/test_job_processes.py
@@ -0,0 +1,99 @@
+"""Gangs through real processes whose zone's owner is killed or frozen."""
+
+from __future__ import annotations
+
+import time
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpx
+import pytest
+
+from jujubehall.testing.local_site import LocalSite
+from jujubehall.testing.local_site import free_first_port
+from jujubehall.testing.local_site import wait_until
+from jujubehall.testing.site_file import SiteFile
+from jujubehall.workers.messages import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+URGENT_BOUND_S = 1.4
+ZONE = "zone-a"
+
+
+@pytest.fixture
+def site() -> Iterator[LocalSite]:
+    site_file = SiteFile(
+        zones=(ZONE,),
+        entry_hosts=3,
+        endpoints=1,
+        workers=4,
+        workers_per_rack=4,
+        worker_capacity=Resources(8, 60, 250),
+        first_port=free_first_port(),
+    )
+    with LocalSite(site_file) as site:
+        site.wait_until_ready()
+        wait_until(lambda: summary(site) is not None, "the zone's owner knows its workers")
+        yield site
+
+
+def summary(site: LocalSite) -> Any:
+    answer = httpx.get(f"{site.site.platform_address}/v1/kv/state/zones/{ZONE}")
+    value = answer.json()["value"] if answer.is_success else None
+    return value if value and len(value["workers"]) == 4 else None
+
+
+def owner(site: LocalSite) -> str:
+    answer = httpx.get(f"{site.site.platform_address}/v1/kv/state/ownership")
+    return str(answer.json()["value"]["owners"][f"zone/{ZONE}"])
+
+
+def submit(site: LocalSite, *, urgent: bool = False) -> str:
+    wanted = {
+        "team": "studio",
+        "kind": "render",
+        "parts": 4,
+        "accelerators_per_part": 2,
+        "command": "run:600000",
+        "urgent": urgent,
+    }
+    answer = httpx.post(f"{site.address('entry-0')}/v1/jobs", json={"spec": wanted})
+    assert answer.status_code == 201
+    return str(answer.json()["id"])
+
+
+def tasks(site: LocalSite, job: str) -> list[tuple[int, str]]:
+    """The attempt and the state of each part that a worker knows."""
+    return [
+        (task["key"]["attempt"], task["state"])
+        for host in site.site.worker_hosts()
+        for task in httpx.get(f"{host.address}/v1/inventory").json()["tasks"]
+        if task["key"]["job"] == job
+    ]
+
+
+def all_run(site: LocalSite, job: str) -> bool:
+    return tasks(site, job) == [(1, "running")] * 4
+
+
+def test_an_urgent_gang_starts_in_time(site: LocalSite) -> None:
+    submitted_at = time.monotonic()
+    job = submit(site, urgent=True)
+    wait_until(lambda: all_run(site, job), "all parts run")
+    assert time.monotonic() - submitted_at <= URGENT_BOUND_S
+
+
+def test_a_gang_goes_on_when_its_owner_is_frozen(site: LocalSite) -> None:
+    job = submit(site)
+    wait_until(lambda: all_run(site, job), "all parts run")
+    former = owner(site)
+    site.freeze(former)
+    wait_until(lambda: owner(site) != former, "another entry host owns the zone")
+    site.thaw(former)
+    # Longer than a lease: the parts run only if the next owner renews them.
+    runs_until = time.monotonic() + 14
+    wait_until(lambda: time.monotonic() > runs_until or not all_run(site, job), "a lease passes")
+    assert all_run(site, job)
