Keep an owner for the jobs of a lost zone, add metrics, follow ownership by events

A zone whose workers left the platform's list lost its owner, and its jobs stayed where they were. The zone is now owned as long as it has unfinished jobs; its owner hands them to other zones. Zones without listed workers are chosen for no new job.

The scheduler walked all hosts ten times a second to find changes of ownership; it now acts on the change itself.

--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -68,6 +68,7 @@
         self._platform = platform
         self.cache = StateCache(reactor, platform, random)
         self.hosts = HostList(reactor, platform, random)
+        self._job_index = JobIndex(self.cache, clock)
         self.membership = Membership(
             reactor, platform, self.cache, member, self._known_zones, random
         )
@@ -95,7 +96,7 @@
             workers,
             self.configuration,
             make_policy,
-            JobIndex(self.cache, clock),
+            self._job_index,
             store,
             random,
         )
@@ -139,7 +140,9 @@
         return finished
 
     def _known_zones(self) -> list[ZoneName]:
-        return sorted({ZoneName(host.zone) for host in self.hosts.workers})
+        # The jobs of a zone that was lost still need an owner, who hands them to other zones.
+        listed = {ZoneName(host.zone) for host in self.hosts.workers}
+        return sorted(listed | self._job_index.zones)
 
     def _slot_allotment(self) -> int:
         members = max(1, len(self.membership.record.members))
--- a/src/jujubehall/services/job_index.py
+++ b/src/jujubehall/services/job_index.py
@@ -32,6 +32,15 @@
         self._listeners: list[Callable[[JobId, ZoneName], None]] = []
         cache.listen(JOBS_PREFIX, self._on_entry)
 
+    @property
+    def zones(self) -> set[ZoneName]:
+        """The availability zones with jobs that have not ended."""
+        return {
+            zone
+            for zone, jobs in self._zones.items()
+            if any(not job.state.is_final for job in jobs.values())
+        }
+
     def jobs(self, zone: ZoneName) -> list[JobRecord]:
         """The jobs of a zone that have not ended, in the order of their submission."""
         unfinished = [job for job in self._zones[zone].values() if not job.state.is_final]
--- /dev/null
+++ b/src/jujubehall/services/job_metrics.py
@@ -0,0 +1,46 @@
+"""Counters and gauges of the jobs in the zones that this entry host owns."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter
+from aioprometheus import Gauge
+
+from jujubehall.metrics import REGISTRY
+
+if TYPE_CHECKING:
+    from jujubehall.services.zone_owner import ZoneOwner
+
+ATTEMPTS_ENDED = Counter(
+    "jujubehall_job_attempts_ended_total",
+    "Attempts of jobs that have ended, by the state in which they left the job.",
+    registry=REGISTRY,
+)
+QUARANTINES = Counter(
+    "jujubehall_worker_quarantines_total", "Workers put into quarantine.", registry=REGISTRY
+)
+WORKER_COMMANDS = Gauge(
+    "jujubehall_worker_commands",
+    "Commands sent to workers by the present owner.",
+    registry=REGISTRY,
+)
+GANGS = Gauge("jujubehall_gangs", "Gangs that hold workers, by phase.", registry=REGISTRY)
+QUEUED_JOBS = Gauge("jujubehall_queued_jobs", "Jobs that wait.", registry=REGISTRY)
+
+
+def report(owner: ZoneOwner) -> None:
+    """Sets the gauges of an owned zone."""
+    zone: dict[str, str] = {"zone": owner.zone}
+    phases = [runner.gang.phase.value for runner in owner.gangs.all]
+    for phase in ("placing", "running", "stopping"):
+        GANGS.set({**zone, "phase": phase}, sum(_group(each) == phase for each in phases))
+    QUEUED_JOBS.set(zone, len(owner.queued))
+    for step, count in owner.workers.commands.items():
+        WORKER_COMMANDS.set({**zone, "step": step}, count)
+
+
+def _group(phase: str) -> str:
+    if phase in ("running", "adopting"):
+        return "running"
+    return "stopping" if phase in ("checkpointing", "stopping", "ending") else "placing"
--- a/src/jujubehall/services/job_service.py
+++ b/src/jujubehall/services/job_service.py
@@ -168,7 +168,8 @@
     def _choose_zone(self, spec: JobSpec) -> ZoneName | None:
         """A zone where the gang fits now, else where it ever can, the least loaded first."""
         summaries: list[ZoneSummary] = self._cache.read_all(ZONE_SUMMARY_PREFIX, ZoneSummary)
-        possible = [zone for zone in summaries if can_ever_fit(spec, zone)]
+        listed = {host.zone for host in self._hosts.workers}
+        possible = [z for z in summaries if z.zone in listed and can_ever_fit(spec, z)]
         if not possible:
             return self._least_loaded()
         waiting = self._parts_by_zone()
--- a/src/jujubehall/services/zone_context.py
+++ b/src/jujubehall/services/zone_context.py
@@ -51,8 +51,10 @@
 
     @property
     def summaries(self) -> list[ZoneSummary]:
-        """The published summaries of all zones."""
-        return self.cache.read_all(ZONE_SUMMARY_PREFIX, ZoneSummary)
+        """The published summaries of the zones that have listed workers."""
+        listed = {host.zone for host in self.hosts.workers}
+        summaries: list[ZoneSummary] = self.cache.read_all(ZONE_SUMMARY_PREFIX, ZoneSummary)
+        return [summary for summary in summaries if summary.zone in listed]
 
     def guarantees(self, zone: ZoneName) -> dict[TeamName, Shape]:
         """The shapes guaranteed in a zone."""
--- a/src/jujubehall/services/zone_owner.py
+++ b/src/jujubehall/services/zone_owner.py
@@ -29,6 +29,8 @@
 from jujubehall.core.jobs.zone_view import ZoneView
 from jujubehall.platform.host import HostState
 from jujubehall.services.gang_runner import GangRunner
+from jujubehall.services.job_metrics import ATTEMPTS_ENDED
+from jujubehall.services.job_metrics import QUARANTINES
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 from jujubehall.services.zone_gangs import ZoneGangs
@@ -171,6 +173,7 @@
                 record = runner.gang.record
                 elsewhere = any(name != worker for name in record.failed_workers)
                 if self.health.record_failure(worker, record.id, failed_elsewhere=elsewhere):
+                    QUARANTINES.inc({"zone": self._zone})
                     log.warning("worker quarantined", worker=worker)
             elif TaskState.SUCCEEDED in ended:
                 self.health.record_success(worker)
@@ -251,6 +254,7 @@
         if record.state is JobState.SUCCEEDED and gang.started_at_ms is not None:
             run_ms = self._context.clock.now_ms - gang.started_at_ms
             self._policy.record_finished(record, record.progress_ms + run_ms)
+        ATTEMPTS_ENDED.inc({"zone": self._zone, "state": record.state.value})
         log.info("job changed", job=record.id, state=record.state.value, reason=record.reason)
 
     def _settle_reclaims(self, job: JobId) -> None:
@@ -281,9 +285,10 @@
                 await sleep(self._context.reactor, IDLE_ROUND_INTERVAL_MS)
 
     def _follow_hosts(self) -> None:
-        hosts = [host for host in self._context.hosts.workers if host.zone == self._zone]
-        if not self._context.hosts.workers:
+        listed = self._context.hosts.workers
+        if not listed:
             return
+        hosts = [host for host in listed if host.zone == self._zone]
         self.workers.update(hosts)
         self._note_gone({host.name for host in hosts})
 
--- a/src/jujubehall/services/zone_publisher.py
+++ b/src/jujubehall/services/zone_publisher.py
@@ -6,6 +6,7 @@
 
 from jujubehall.core.jobs.zone_summary import ZoneSummary
 from jujubehall.core.jobs.zone_summary import zone_summary_key
+from jujubehall.services.job_metrics import report
 from jujubehall.services.timing import sleep
 from jujubehall.services.zone_reports import summarise_racks
 from jujubehall.services.zone_reports import summarise_teams
@@ -28,6 +29,7 @@
     async def run(self) -> None:
         """Publishes as long as the zone is owned."""
         while self._owner.is_active:
+            report(self._owner)
             await self._publish()
             await sleep(self._context.reactor, PUBLICATION_INTERVAL_MS)
 
@@ -57,6 +59,9 @@
     async def _publish(self) -> None:
         key = zone_summary_key(self._owner.zone)
         summary = self.summary()
-        if not summary.workers or self._context.cache.read(key, ZoneSummary) == summary:
+        if not summary.workers and self._owner.workers.contacts:
+            # The workers have not answered the new owner yet.
+            return
+        if self._context.cache.read(key, ZoneSummary) == summary:
             return
         await self._context.cache.put(key, summary, self._context.cache.version(key))
--- a/src/jujubehall/services/zone_scheduler.py
+++ b/src/jujubehall/services/zone_scheduler.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from jujubehall.core.ownership.record import OWNERSHIP_KEY
 from jujubehall.core.ownership.scopes import zone_scope
 from jujubehall.identifiers import ZoneName
 from jujubehall.services.job_archive import JobArchive
@@ -19,7 +20,8 @@
     from jujubehall.services.membership import Membership
     from jujubehall.services.zone_context import ZoneContext
 
-CHECK_INTERVAL_MS = 100
+CHECK_INTERVAL_MS = 1_000
+"""A change of the ownership record or of the list of hosts is followed at once."""
 
 
 class ZoneScheduler:
@@ -31,6 +33,8 @@
         self._owners: dict[ZoneName, ZoneOwner] = {}
         self._running = True
         context.index.listen(self._on_job_changed)
+        context.cache.listen(OWNERSHIP_KEY, lambda _: self._follow_all())
+        context.hosts.listen(lambda _: self._follow_all())
 
     @property
     def owners(self) -> list[ZoneOwner]:
@@ -46,10 +50,15 @@
     async def run(self) -> None:
         """Follows the ownership record until stopped."""
         while self._running:
-            for zone in sorted({ZoneName(host.zone) for host in self._context.hosts.workers}):
-                self._follow(zone)
+            self._follow_all()
             await sleep(self._context.reactor, CHECK_INTERVAL_MS)
 
+    def _follow_all(self) -> None:
+        if self._running:
+            listed = {ZoneName(host.zone) for host in self._context.hosts.workers}
+            for zone in sorted(listed | self._owners.keys() | self._context.index.zones):
+                self._follow(zone)
+
     def _follow(self, zone: ZoneName) -> None:
         owner = self._owners.get(zone)
         if not self._membership.owns(zone_scope(zone)):
--- a/tests/services/test_zone_owner_load.py
+++ b/tests/services/test_zone_owner_load.py
@@ -172,6 +172,25 @@
     run_until_state(site, waiting, JobState.SUCCEEDED, timeout_ms=HAND_OVER_AFTER_MS + 20_000)
 
 
+def test_the_jobs_of_a_lost_zone_run_in_another() -> None:
+    site = make_site(zones=2, workers=8, per_rack=4)
+    site.run_for(5_000)
+    job = submit(site, spec(parts=4, accelerators=6, command="run:1000000"))
+    site.run_until(lambda: running_parts(site, job) == 4)
+    waiting = submit(site, spec(parts=4, accelerators=8, command="run:100"))
+    lost = job_of(site, job).zone
+    for host in list(site.listed):
+        if host.name in site.workers and host.zone == lost:
+            site.workers[host.name].go_down()
+            site.listed.remove(host)
+    site.run_until(lambda: running_parts(site, job) == 4, timeout_ms=180_000)
+    assert job_of(site, job).zone != lost
+    site.finish(live_hosts(site)[0].host.jobs.cancel(job))
+    run_until_state(site, waiting, JobState.SUCCEEDED)
+    check_workers(site)
+    check_no_exception()
+
+
 def test_the_summary_shows_racks_teams_and_workers() -> None:
     site = make_site()
     job = submit(site, spec(parts=2, accelerators=6))
