--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -78,6 +78,7 @@
         self._platform = platform
         self.cache = StateCache(reactor, platform, random)
         self.hosts = HostList(reactor, platform, random)
+        self._job_index = JobIndex(self.cache, clock)
         self.membership = Membership(
             reactor, platform, self.cache, member, self._known_zones, random
         )
@@ -134,7 +135,7 @@
             workers,
             self.configuration,
             make_policy,
-            JobIndex(self.cache, clock),
+            self._job_index,
             store,
             random,
         )
@@ -201,7 +202,9 @@
             listener()
 
     def _known_zones(self) -> list[ZoneName]:
-        return sorted({ZoneName(host.zone) for host in self.hosts.workers})
+        # The jobs of a zone that was lost still need an owner, who hands them to other zones.
+        listed = {ZoneName(host.zone) for host in self.hosts.workers}
+        return sorted(listed | self._job_index.zones)
 
     def _endpoint_slots(self) -> int:
         return self.configuration.current.defaults.endpoint_slots
--- a/tests/services/test_configuration_service.py
+++ b/tests/services/test_configuration_service.py
@@ -11,7 +11,6 @@
 
 from result import Err
 from result import Ok
-from twisted.internet.task import Clock as VirtualTime
 
 from jujubehall.clock import reactor_clock
 from jujubehall.core.configuration.audit import AUDIT_PREFIX
@@ -44,6 +43,7 @@
 from jujubehall.testing.virtual.network import PLATFORM
 from jujubehall.testing.virtual.network import Network
 from jujubehall.testing.virtual.platform import VirtualPlatform
+from jujubehall.testing.virtual.virtual_time import VirtualTime
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
