--- a/src/jujubehall/http/site.py
+++ b/src/jujubehall/http/site.py
@@ -103,9 +103,9 @@
     one that has long been sending a request. Requests being served are never cut off for this.
     """
 
-    def __init__(self, resource: Resource, limits: HttpLimits) -> None:
+    def __init__(self, resource: Resource, limits: HttpLimits, reactor: Any = None) -> None:
         timeout = to_seconds(limits.idle_timeout_ms)
-        super().__init__(resource, requestFactory=LimitedRequest, timeout=timeout)
+        super().__init__(resource, requestFactory=LimitedRequest, timeout=timeout, reactor=reactor)
         self._limits = limits
         # Ordered by last use, the longest unused one first.
         self._channels: dict[LimitedChannel, None] = {}
--- /dev/null
+++ b/tests/http/test_timeouts.py
@@ -0,0 +1,116 @@
+"""Time limits of a connection, under virtual time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from jujubehall.clock import to_seconds
+from jujubehall.http.limits import HttpLimits
+from jujubehall.http.router import Call
+from jujubehall.http.router import Reply
+from jujubehall.http.router import Router
+from jujubehall.http.site import JsonResource
+from jujubehall.http.site import LimitedSite
+
+LIMITS = HttpLimits(connections=3, receive_timeout_ms=10_000, idle_timeout_ms=60_000)
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: test\r\n\r\n"
+PARTIAL = b"GET /healthz HTTP/1.1\r\nX-Slow: "
+
+routes = Router()
+
+
+class Interface:
+    @routes.register("GET", "/healthz")
+    async def health(self, call: Call) -> Reply:
+        return Reply(200, {})
+
+
+class Transport(StringTransport):
+    """Notes a half-closed connection, which the library's transport for tests doesn't know."""
+
+    half_closed = False
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        self.half_closed = True
+
+    @property
+    def is_open(self) -> bool:
+        return not (self.disconnecting or self.disconnected or self.half_closed)
+
+
+class Connections:
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self._site: Any = LimitedSite(JsonResource((routes, Interface())), LIMITS, self.clock)
+
+    def open(self) -> tuple[Any, Any]:
+        channel = self._site.buildProtocol(None)
+        # The library's transport carries no types.
+        make_transport: Any = Transport
+        transport = make_transport()
+        channel.makeConnection(transport)
+        return channel, transport
+
+
+@pytest.fixture
+def connections() -> Connections:
+    return Connections()
+
+
+def test_an_idle_connection_is_closed(connections: Connections) -> None:
+    channel, transport = connections.open()
+    channel.dataReceived(HEALTH)
+    connections.clock.advance(to_seconds(LIMITS.idle_timeout_ms) - 1)
+    assert transport.is_open
+    connections.clock.advance(1)
+    assert not transport.is_open
+
+
+def test_a_connection_in_use_stays_open(connections: Connections) -> None:
+    channel, transport = connections.open()
+    for _ in range(10):
+        channel.dataReceived(HEALTH)
+        connections.clock.advance(to_seconds(LIMITS.idle_timeout_ms) / 2)
+    assert transport.is_open
+    assert transport.value().count(b"200 OK") == 10
+
+
+def test_steady_dripping_does_not_extend_the_time_for_a_request(connections: Connections) -> None:
+    channel, transport = connections.open()
+    channel.dataReceived(PARTIAL)
+    for _ in range(9):
+        connections.clock.advance(1)
+        channel.dataReceived(b"a")
+    assert transport.is_open
+    connections.clock.advance(1)
+    assert b" 408 " in transport.value()
+    assert transport.half_closed
+
+
+def test_a_refused_connection_is_dropped_after_a_moment(connections: Connections) -> None:
+    channel, transport = connections.open()
+    channel.dataReceived(b"nonsense\r\n\r\n")
+    assert transport.half_closed
+    channel.dataReceived(HEALTH)
+    assert transport.value().count(b"HTTP/1.1") == 1
+    connections.clock.advance(2)
+    assert transport.disconnected
+
+
+def test_slow_senders_make_room_after_a_second(connections: Connections) -> None:
+    slow = [connections.open() for _ in range(LIMITS.connections)]
+    for channel, _ in slow:
+        channel.dataReceived(PARTIAL)
+    _, refused = connections.open()
+    assert b" 503 " in refused.value()
+    connections.clock.advance(1)
+    channel, transport = connections.open()
+    channel.dataReceived(HEALTH)
+    assert b"200 OK" in transport.value()
+    assert slow[0][1].disconnected
+    assert slow[1][1].is_open
