--- a/src/jujubehall/console/commands/team_list.py
+++ b/src/jujubehall/console/commands/team_list.py
@@ -32,4 +32,8 @@
             return self.fail(found.err_value)
         if self.wants_json:
             return self.show_json(found.ok_value)
-        return self.show_table(TEAM_HEADERS, [view.row for view in found.ok_value])
+        self.show_table(TEAM_HEADERS, [view.row for view in found.ok_value])
+        for view in found.ok_value:
+            if view.shortfall:
+                self.say(view.shortfall)
+        return 0
--- a/src/jujubehall/console/commands/team_show.py
+++ b/src/jujubehall/console/commands/team_show.py
@@ -71,6 +71,8 @@
         if self.wants_json:
             return self.show_json({"team": view, "zones": uses})
         self.show_table(TEAM_HEADERS, [view.row])
+        if view.shortfall:
+            self.say(view.shortfall)
         if not uses:
             self.say("No owner of a zone has published the team's use yet.")
             return 0
--- a/src/jujubehall/console/team_view.py
+++ b/src/jujubehall/console/team_view.py
@@ -36,6 +36,17 @@
     borrowed: int | None = None
     reclaimable: int | None = None
 
+    @property
+    def shortfall(self) -> str | None:
+        """What to tell an operator if the guarantee can't be met at present."""
+        guaranteed = _guaranteed(self.team)
+        if self.reclaimable is None or self.reclaimable >= guaranteed:
+            return None
+        return (
+            f"{self.team.name}: only {self.reclaimable} of the {guaranteed} guaranteed accelerators "
+            "can be reclaimed at present; see worker list for what is lost."
+        )
+
     @property
     def row(self) -> tuple[object, ...]:
         """The team as a row under ``TEAM_HEADERS``."""
@@ -77,5 +88,12 @@
         team,
         sum(use.in_use for use in uses),
         sum(use.borrowed for use in uses),
-        sum(use.reclaimable for use in uses),
+        # A zone that keeps no block for the team may still have room for one.
+        min(sum(use.reclaimable for use in uses), _guaranteed(team)),
     )
+
+
+def _guaranteed(team: Team) -> int:
+    if team.guarantee is None:
+        return 0
+    return team.guarantee.blocks * team.guarantee.accelerators_per_block
