--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -113,7 +113,10 @@
         }
 
     def wait_until_ready(self, names: list[str] | None = None) -> None:
-        """Waits until the named entry hosts, or all of them, answer that they are ready."""
+        """Waits for the started stand-ins, and for the named or all entry hosts to be ready."""
+        for kind, address in self._last_addresses().items():
+            if kind in self._processes:
+                wait_until(partial(self._answers, address), f"the {kind} answer")
         for name in names or self.entry_hosts:
             wait_until(partial(self._is_ready, name), f"{name} is ready")
 
@@ -175,6 +178,20 @@
     def _log_path(self, name: str) -> Path:
         return Path(self._folder.name) / f"{name}.log"
 
+    def _last_addresses(self) -> dict[str, str]:
+        # The stand-ins of a kind are one process, which opens its ports in this order.
+        return {
+            "platform": self.site.platform_address,
+            "endpoints": self.site.endpoint_hosts()[-1].address,
+            "workers": self.site.worker_hosts()[-1].address,
+        }
+
+    def _answers(self, address: str) -> bool:
+        try:
+            return bool(self._http.get(address).status_code)
+        except httpx.TransportError:
+            return False
+
     def _is_ready(self, name: str) -> bool:
         try:
             return self._http.get(f"{self.address(name)}/readyz").status_code == 200
--- a/tests/console/test_examples.py
+++ b/tests/console/test_examples.py
@@ -8,6 +8,7 @@
 
 from jujubehall.console.demo.inputs import DemoFiles
 from jujubehall.console.demo.inputs import read_inputs
+from jujubehall.daemon.settings import load_settings
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 
@@ -21,6 +22,8 @@
     assert (len(site.zones), site.entry_hosts) == (3, entry_hosts)
     assert (site.workers, site.workers_per_rack, site.endpoints) == (24, 8, 24)
     assert (site.worker_capacity.accelerators, site.worker_capacity.cores) == (8, cores)
+    settings = load_settings(folder / "settings.json").unwrap()
+    assert settings.zone in site.zones
     teams = {team.name for team in inputs.teams}
     assert len(teams) == 4
     assert {request.team for request in inputs.requests} <= teams
--- a/tests/http/test_metrics.py
+++ b/tests/http/test_metrics.py
@@ -23,6 +23,9 @@
 
 def test_the_work_done_is_counted(site: LocalSite) -> None:
     address = site.address("entry-0")
+    # Tries made before the endpoints are known are claimed too.
+    hold_until_completed(site, "entry-0", "before")
+    before = read_metrics(site)
     hold_until_completed(site, "entry-0", "counted")
     CLIENT.post(f"{address}/v1/jobs", json={"id": "counted", "spec": {**JOB, "command": "run:1"}})
     change = {**CHANGE, "key": "endpoint_slots", "value": 7}
@@ -31,9 +34,12 @@
         lambda: read_metrics(site).get('jujubehall_jobs{state="succeeded"}') == 1, "the job ends"
     )
     found = read_metrics(site)
-    assert found['jujubehall_requests_total{kind="slot-hold",outcome="completed"}'] == 1
-    assert found['jujubehall_endpoint_attempts_total{result="ok"}'] == 1
-    assert found['jujubehall_claims_total{result="ok"}'] == 1
+    for once in (
+        'jujubehall_requests_total{kind="slot-hold",outcome="completed"}',
+        'jujubehall_endpoint_attempts_total{result="ok"}',
+        'jujubehall_claims_total{result="ok"}',
+    ):
+        assert found[once] - before[once] == 1, once
     assert found['jujubehall_worker_commands_total{result="ok",step="start"}'] == 1
     assert found['jujubehall_platform_calls_total{kind="watch"}'] >= 1
     assert found['jujubehall_configuration_changes_total{result="ok"}'] == 1
