--- a/src/jujubehall/core/jobs/guarantee_book.py
+++ b/src/jujubehall/core/jobs/guarantee_book.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from enum import IntEnum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -19,6 +18,12 @@
 from jujubehall.core.jobs.blocks import find_block
 from jujubehall.core.jobs.blocks import find_block_in_rack
 from jujubehall.core.jobs.blocks import split_block
+from jujubehall.core.jobs.guaranteed_blocks import AnchoredBlock
+from jujubehall.core.jobs.guaranteed_blocks import BlockCandidate
+from jujubehall.core.jobs.guaranteed_blocks import BlockKind
+from jujubehall.core.jobs.guaranteed_blocks import FloatingBlock
+from jujubehall.core.jobs.guaranteed_blocks import Slot
+from jujubehall.core.jobs.guaranteed_blocks import make_candidate
 from jujubehall.identifiers import RackName
 from jujubehall.identifiers import TeamName
 from jujubehall.identifiers import WorkerName
@@ -32,73 +37,6 @@
     from jujubehall.core.jobs.zone_view import WorkerView
 
 
-class Slot(msgspec.Struct):
-    """A chunk of an anchored block: its worker, and how much of it guaranteed jobs use.
-
-    ``worker`` is None while no worker of the rack has room for the chunk.
-    """
-
-    worker: WorkerName | None
-    size: int
-    used: int = 0
-
-    def copy(self) -> Slot:
-        """A slot that changes independently of this one."""
-        return Slot(self.worker, self.size, self.used)
-
-
-class AnchoredBlock(msgspec.Struct):
-    """A block in use, fixed to a rack."""
-
-    rack: RackName
-    slots: list[Slot]
-
-    def free_slot_for(self, worker: WorkerName, accelerators: int, wanted: int) -> Slot | None:
-        """The slot without a worker that suits ``wanted`` accelerators best, if any."""
-        if any(slot.worker == worker for slot in self.slots):
-            return None
-        open_slots = [s for s in self.slots if s.worker is None and s.size >= accelerators]
-        return min(open_slots, key=lambda s: (s.size < wanted, abs(s.size - wanted)), default=None)
-
-
-class FloatingBlock(msgspec.Struct, frozen=True):
-    """An unused block; ``chunks`` is its present place, empty if there is none."""
-
-    team: TeamName
-    size: int
-    rack: RackName = RackName("")
-    chunks: tuple[Chunk, ...] = ()
-
-
-class BlockKind(IntEnum):
-    """How a place for a block stands to the packing; the lower one is taken at equal cost."""
-
-    ANCHORED = 0
-    """In a block that the team uses already."""
-
-    OWN = 1
-    """Where the standing packing keeps a block of the team."""
-
-    FREE = 2
-    """On room that no block takes."""
-
-    MOVABLE = 3
-    """On room of other teams' floating blocks, which would have to go elsewhere."""
-
-
-class BlockCandidate(msgspec.Struct, frozen=True):
-    """A possible place for a block, with the parts of a job that each worker could hold."""
-
-    kind: BlockKind
-    rack: RackName
-    parts: dict[WorkerName, int]
-
-    @property
-    def capacity(self) -> int:
-        """How many parts fit in all."""
-        return sum(self.parts.values())
-
-
 class _Saved(msgspec.Struct):
     rooms: dict[RackName, dict[WorkerName, int]]
     floating: dict[TeamName, list[FloatingBlock]]
@@ -217,7 +155,7 @@
             found.append(BlockCandidate(BlockKind.ANCHORED, block.rack, dict(parts)))
         for floating in self._floating[spec.team]:
             if floating.chunks:
-                found.append(_candidate(BlockKind.OWN, floating.rack, floating.chunks, size))
+                found.append(make_candidate(BlockKind.OWN, floating.rack, floating.chunks, size))
         if self._floating[spec.team]:
             found += self._other_places(self._floating[spec.team][0].size, size)
         return [candidate for candidate in found if candidate.capacity]
@@ -253,14 +191,14 @@
             if block_size > rack.per_worker:
                 chunks = find_block_in_rack(block_size, rack)
                 if chunks:
-                    found.append(_candidate(BlockKind.FREE, rack.rack, chunks, part_size))
+                    found.append(make_candidate(BlockKind.FREE, rack.rack, chunks, part_size))
                 continue
             for worker, room in rack.room.items():
                 chunks = (Chunk(worker, block_size),)
                 if room >= block_size:
-                    found.append(_candidate(BlockKind.FREE, rack.rack, chunks, part_size))
+                    found.append(make_candidate(BlockKind.FREE, rack.rack, chunks, part_size))
                 elif room + packed[worker] >= block_size:
-                    found.append(_candidate(BlockKind.MOVABLE, rack.rack, chunks, part_size))
+                    found.append(make_candidate(BlockKind.MOVABLE, rack.rack, chunks, part_size))
         return found
 
     def _still_valid(self, block: FloatingBlock, hint: FloatingBlock) -> bool:
@@ -447,10 +385,3 @@
             self._racks[name].room = room
         self._floating = saved.floating
         self._anchored[team] = saved.anchored
-
-
-def _candidate(
-    kind: BlockKind, rack: RackName, chunks: Sequence[Chunk], part_size: int
-) -> BlockCandidate:
-    parts = {chunk.worker: chunk.accelerators // part_size for chunk in chunks}
-    return BlockCandidate(kind, rack, parts)
--- a/src/jujubehall/core/jobs/guaranteed_placement.py
+++ b/src/jujubehall/core/jobs/guaranteed_placement.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from jujubehall.core.jobs.guarantee_book import BlockKind
+from jujubehall.core.jobs.guaranteed_blocks import BlockKind
 from jujubehall.core.jobs.preemption import plan_preemption
 from jujubehall.identifiers import WorkerName
 
@@ -16,8 +16,8 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from jujubehall.core.jobs.guarantee_book import BlockCandidate
     from jujubehall.core.jobs.guarantee_book import GuaranteeBook
+    from jujubehall.core.jobs.guaranteed_blocks import BlockCandidate
     from jujubehall.core.jobs.job import JobSpec
     from jujubehall.core.jobs.placement import FreeSpace
     from jujubehall.core.jobs.preemption import Occupants
--- a/src/jujubehall/core/jobs/policy_memory.py
+++ b/src/jujubehall/core/jobs/policy_memory.py
@@ -10,7 +10,7 @@
 
 from jujubehall.core.jobs.estimates import RunTimeEstimates
 from jujubehall.core.jobs.feasibility import Feasibility
-from jujubehall.core.jobs.guarantee_book import FloatingBlock
+from jujubehall.core.jobs.guaranteed_blocks import FloatingBlock
 from jujubehall.core.jobs.job import PartPlacement
 from jujubehall.identifiers import JobId
 
--- a/src/jujubehall/core/jobs/scheduling_round.py
+++ b/src/jujubehall/core/jobs/scheduling_round.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -25,6 +23,9 @@
 from jujubehall.core.jobs.policy_memory import Claim
 from jujubehall.core.jobs.preemption import index_victims
 from jujubehall.core.jobs.preemption import plan_preemption
+from jujubehall.core.jobs.queue_order import arrival_order
+from jujubehall.core.jobs.queue_order import has_waited_long
+from jujubehall.core.jobs.queue_order import queue_order
 from jujubehall.core.jobs.reservation import make_reservation
 from jujubehall.core.jobs.running_job import RunningJob
 from jujubehall.core.jobs.running_job import make_running_job
@@ -41,6 +42,7 @@
     from jujubehall.core.jobs.policy_options import PolicyOptions
     from jujubehall.core.jobs.preemption import Occupants
     from jujubehall.core.jobs.preemption import PreemptionPlan
+    from jujubehall.core.jobs.queue_order import Priority
     from jujubehall.core.jobs.reservation import Reservation
     from jujubehall.core.jobs.zone_view import JobView
     from jujubehall.core.jobs.zone_view import WorkerView
@@ -49,21 +51,6 @@
     from jujubehall.identifiers import TeamName
     from jujubehall.identifiers import WorkerName
 
-_AGEING_FLOOR_MS = 600_000
-"""Waiting counts against the expected run time, but against no less than this."""
-
-_OVERDUE_FACTOR = 2
-"""A job that waited so many times its run time is overdue, within the next two bounds."""
-
-_OVERDUE_MIN_MS = 3_600_000
-_OVERDUE_MAX_MS = 6 * 3_600_000
-
-_PATIENCE_MS = 10 * 3_600_000
-"""How long a job waits before others have to wait for it."""
-
-_SIZE_EXPONENT = 1.0
-"""How strongly the fragmentation weight favours small (at 0) or large jobs (at 1)."""
-
 _FAR_FUTURE_MS = 2**62
 
 
@@ -282,19 +269,12 @@
                 self._place(job.record.id, placement)
                 continue
             failed.add((shape_of(spec), late))
-            if len(self._reservations) < self._options.reservations and self._deserves(job):
+            patient = self._options.patience and not has_waited_long(job, self._view.now_ms)
+            if len(self._reservations) < self._options.reservations and not patient:
                 self._reserve(job)
             elif self._blocked is None:
                 self._blocked = job
 
-    def _deserves(self, job: JobView) -> bool:
-        """Whether a job has waited long enough that others wait for it.
-
-        A reservation leaves accelerators idle, which costs the other jobs time.
-        """
-        waited_ms = self._view.now_ms - job.queued_since_ms
-        return waited_ms >= _PATIENCE_MS or not self._options.patience
-
     def _limited(self, ends_at_ms: int) -> Iterable[FreeSpace]:
         spaces: Iterable[FreeSpace] = self._spaces.values()
         for reservation in self._reservations:
@@ -345,18 +325,11 @@
         self._memory.claims[waiting.job] = Claim(plan.placement, now_ms, moved, False)
         return True
 
-    def _priority(self, job: JobView) -> tuple[bool, float, int, str]:
-        """Orders by slowdown and size; whoever is overdue comes first, oldest first."""
-        spec = job.record.spec
-        waited_ms = max(0, self._view.now_ms - job.queued_since_ms)
-        run_time_ms = self._run_time_ms(spec)
-        overdue_ms = min(max(_OVERDUE_FACTOR * run_time_ms, _OVERDUE_MIN_MS), _OVERDUE_MAX_MS)
-        if not self._options.orders_queue or waited_ms > overdue_ms:
-            return not spec.urgent, -math.inf, job.queued_since_ms, job.record.id
-        aged = 1 + waited_ms / max(_AGEING_FLOOR_MS, run_time_ms)
-        exponent = _SIZE_EXPONENT * (self._view.fragmentation_weight - 0.5)
-        size = max(1, spec.parts * spec.accelerators_per_part) ** exponent
-        return not spec.urgent, -aged * size, job.queued_since_ms, job.record.id
+    def _priority(self, job: JobView) -> Priority:
+        run_time_ms = self._run_time_ms(job.record.spec)
+        if not self._options.orders_queue:
+            return arrival_order(job)
+        return queue_order(job, self._view.now_ms, run_time_ms, self._view.fragmentation_weight)
 
     def _victims(self, *, urgent: bool) -> list[RunningJob]:
         """Borrowed work that may be stopped; ``urgent`` says whether urgent work counts."""
