Refuse nothing in a zone whose workers are not known yet

Cause: a view without any worker made every job look impossible, so a new owner that has heard from no worker yet would have refused its whole queue unless it set ZoneView.complete. The new test failed before.

A second test has jobs on workers that left the view; it passed before too.

--- a/src/jujubehall/core/jobs/scheduling_round.py
+++ b/src/jujubehall/core/jobs/scheduling_round.py
@@ -149,7 +149,7 @@
                 del self._memory.claims[job]
 
     def _refuse_impossible(self) -> None:
-        if not self._view.complete:
+        if not self._view.complete or not self._view.workers:
             return
         feasibility = self._memory.feasibility
         feasibility.read_workers(self._view.workers)
--- a/tests/core/jobs/fake_zone.py
+++ b/tests/core/jobs/fake_zone.py
@@ -117,6 +117,8 @@
         for job in running:
             spec = job.record.spec
             for part in job.record.placement:
+                if part.worker not in held:
+                    continue
                 held[part.worker][0] += spec.accelerators_per_part
                 held[part.worker][1] += spec.cores_per_part
                 held[part.worker][2] += spec.memory_gb_per_part
--- a/tests/core/jobs/test_policy.py
+++ b/tests/core/jobs/test_policy.py
@@ -314,6 +314,26 @@
     assert zone.policy.decide(view) == []
 
 
+def test_nothing_is_refused_in_a_zone_without_known_workers() -> None:
+    zone = FakeZone(0)
+    zone.submit(job_spec("b"))
+
+    assert zone.decide() == []
+
+
+def test_jobs_on_workers_that_left_the_view_stay_guaranteed_or_are_left_alone() -> None:
+    zone = FakeZone(1, {"a": Shape(2, 8)})
+    zone.run(job_spec("a", 1, 8), "r0-w0")
+    zone.run(job_spec("b", 2, 4), "r0-w0", "r0-w1")
+    zone.decide()
+    del zone.rack_of[zone.workers[0]]
+    jobs = [zone.submit(job_spec("a", 1, 8)) for _ in range(2)]
+
+    zone.settle()
+
+    assert JobState.RUNNING in {zone.state(job) for job in jobs}
+
+
 def test_a_job_that_no_usable_worker_holds_now_waits() -> None:
     zone = FakeZone(1)
     zone.unusable = set(zone.workers)
