Let the cancelled wave run in any order

Cause: the test expected the first 64 of 200 equal jobs to run; the policy orders equal jobs by its own rule. It still has to run 64, all that fit.

--- a/tests/services/test_zone_owner_load.py
+++ b/tests/services/test_zone_owner_load.py
@@ -110,7 +110,7 @@
 def test_a_wave_of_cancellations_costs_one_write_a_job() -> None:
     site = make_site(workers=8, per_rack=8)
     jobs = [submit(site, spec(parts=1, accelerators=1, command="run:900000")) for _ in range(200)]
-    site.run_until(lambda: sum(running_parts(site, job) for job in jobs[:64]) == 64)
+    site.run_until(lambda: sum(running_parts(site, job) for job in jobs) == 64)
     before = job_writes(site)
     for job in jobs:
         start(live_hosts(site)[0].host.jobs.cancel(job))
