--- a/src/jujubehall/core/jobs/decisions.py
+++ b/src/jujubehall/core/jobs/decisions.py
@@ -16,11 +16,16 @@
 
 
 class Preempt(msgspec.Struct, frozen=True):
-    """Checkpoint and stop a running job and queue it again, in favour of another."""
+    """Checkpoint and stop a running job and queue it again, in favour of another.
+
+    ``at_once`` means that the beneficiary is urgent: the job is stopped without waiting for a
+    checkpoint that would delay the urgent start beyond its bound.
+    """
 
     job: JobId
     beneficiary: JobId
     reason: str
+    at_once: bool = False
 
 
 class Move(msgspec.Struct, frozen=True):
--- a/src/jujubehall/core/jobs/gang.py
+++ b/src/jujubehall/core/jobs/gang.py
@@ -403,6 +403,8 @@
     def _on_stop_wanted(self, event: StopWanted, now_ms: int) -> list[GangAction]:
         if self._phase in _PLACING or self._phase is GangPhase.ADOPTING:
             return self._stop(now_ms, event.reason)
+        if event.at_once and self._phase in (GangPhase.RUNNING, GangPhase.CHECKPOINTING):
+            return self._stop(now_ms, event.reason)
         if self._phase is not GangPhase.RUNNING:
             return []
         self._reason = event.reason
--- a/src/jujubehall/core/jobs/gang_messages.py
+++ b/src/jujubehall/core/jobs/gang_messages.py
@@ -69,9 +69,10 @@
 
 
 class StopWanted(msgspec.Struct, frozen=True):
-    """The policy wants the gang stopped, after a checkpoint, and queued again."""
+    """The policy wants the gang stopped and queued again, after a checkpoint or ``at_once``."""
 
     reason: str
+    at_once: bool = False
 
 
 class TimePassed(msgspec.Struct, frozen=True):
--- a/src/jujubehall/core/jobs/zone_view.py
+++ b/src/jujubehall/core/jobs/zone_view.py
@@ -32,13 +32,15 @@
 class JobView(msgspec.Struct, frozen=True):
     """A queued or running job; all times are on the owner's monotonic clock, in milliseconds.
 
-    ``lost_on_stop_ms`` is the work that would be lost if it were stopped after a checkpoint.
+    ``lost_on_stop_ms`` is the work that would be lost if it were stopped after a checkpoint, and
+    ``lost_at_once_ms`` without one; if that is None, all work since the start.
     """
 
     record: JobRecord
     queued_since_ms: int
     started_at_ms: int = 0
     lost_on_stop_ms: int = 0
+    lost_at_once_ms: int | None = None
 
 
 class TeamView(msgspec.Struct, frozen=True):
@@ -52,6 +54,10 @@
 class ZoneView(msgspec.Struct, frozen=True):
     """The whole input of one round of decisions.
 
+    ``running`` holds every job that takes resources: reserving, running and stopping ones.
+    ``complete`` says whether all workers of the zone are in the view; until then no job is
+    refused as impossible.
+
     ``fragmentation_weight`` is 0 if only completion time counts, 1 if only fragmentation does.
     """
 
@@ -62,3 +68,4 @@
     running: tuple[JobView, ...]
     teams: tuple[TeamView, ...]
     fragmentation_weight: float
+    complete: bool = True
--- a/src/jujubehall/services/zone_owner.py
+++ b/src/jujubehall/services/zone_owner.py
@@ -342,6 +342,7 @@
                 {team.name: team.accelerator_quota for team in configuration.teams},
             ),
             configuration.defaults.fragmentation_weight,
+            complete=all(contact.inventory is not None for contact in self.workers.contacts),
         )
 
     def view_workers(self) -> tuple[WorkerView, ...]:
@@ -387,7 +388,8 @@
         # Victims of an earlier round are still stopping: more of them would be too many.
         if decision.beneficiary in self._reclaiming:
             return
-        self._stop_for(decision.job, f"{decision.reason} for {decision.beneficiary}")
+        reason = f"{decision.reason} for {decision.beneficiary}"
+        self._stop_for(decision.job, reason, at_once=decision.at_once)
         self._reclaims.setdefault(decision.beneficiary, set()).add(decision.job)
 
     def _any_stops(self, jobs: set[JobId]) -> bool:
@@ -414,10 +416,10 @@
         needed = record.spec.accelerators_per_part
         return all(free.get(name, 0) >= count * needed for name, count in parts.items())
 
-    def _stop_for(self, job: JobId, reason: str) -> None:
+    def _stop_for(self, job: JobId, reason: str, *, at_once: bool = False) -> None:
         runner = self.gangs.get(job)
         if runner is not None:
-            runner.deliver(StopWanted(reason))
+            runner.deliver(StopWanted(reason, at_once))
 
     def _refuse(self, decision: Refuse) -> None:
         record = self._record(decision.job)
--- a/tests/services/test_broken_variants.py
+++ b/tests/services/test_broken_variants.py
@@ -24,7 +24,6 @@
 from tests.services.job_site import running_parts
 from tests.services.job_site import spec
 from tests.services.job_site import submit
-from tests.services.random_jobs import RandomJobs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -97,14 +96,21 @@
     assert job_of(site, job).state is JobState.CANCELLED
 
 
-def run_at_random() -> None:
-    RandomJobs(seed=1).run()
+def cut_the_owner_off_from_workers() -> None:
+    site = make_site(workers=8, per_rack=8)
+    job = submit(site, spec(parts=4, accelerators=6))
+    site.run_until(lambda: running_parts(site, job) == 4)
+    for worker in [name for name, each in site.workers.items() if each.spans][:2]:
+        site.network.cut(owner_host(site).name, worker)
+    site.run_for(60_000)
+    assert running_parts(site, job) == 4
+    check_workers(site)
 
 
 VARIANTS = [
     (renew_without_all_parts, lose_a_worker),
     (start_before_all_are_reserved, lose_a_worker_during_the_placement),
-    (queue_again_while_parts_run, run_at_random),
+    (queue_again_while_parts_run, cut_the_owner_off_from_workers),
     (write_without_the_version, cancel_while_the_owner_records_the_end),
 ]
 
@@ -122,7 +128,12 @@
 
 @pytest.mark.parametrize(
     "scenario",
-    [lose_a_worker, lose_a_worker_during_the_placement, cancel_while_the_owner_records_the_end],
+    [
+        lose_a_worker,
+        lose_a_worker_during_the_placement,
+        cut_the_owner_off_from_workers,
+        cancel_while_the_owner_records_the_end,
+    ],
 )
 def test_the_scenarios_pass_unbroken(scenario: Callable[[], None]) -> None:
     scenario()
--- a/tests/services/test_zone_decisions.py
+++ b/tests/services/test_zone_decisions.py
@@ -90,6 +90,16 @@
     check_workers(site)
 
 
+def test_an_urgent_job_waits_for_no_checkpoint(site: VirtualSite) -> None:
+    job = submit(site, spec(parts=1, accelerators=8))
+    place(site, job, "worker-0")
+    decide(site, Preempt(job, JobId("urgent-1"), "urgent", at_once=True))
+    site.run_until(lambda: running_parts(site, job) == 0, 100)
+    outcome = next(iter(site.workers["worker-0"].spans.values())).outcome
+    assert outcome is TaskState.STOPPED
+    assert job_of(site, job).progress_ms == 0
+
+
 def test_a_reclaim_is_bounded_if_a_checkpoint_is_not_answered(
     site: VirtualSite, monkeypatch: pytest.MonkeyPatch
 ) -> None:
