--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from jujubehall.core.jobs.packing import pack_guarantees
 from jujubehall.core.jobs.policy import make_policy
 from jujubehall.core.requests.claim_table import ClaimTable
 from jujubehall.core.requests.endpoint_table import EndpointState
@@ -28,6 +29,7 @@
 from jujubehall.services.peer_monitor import PeerMonitor
 from jujubehall.services.request_service import RequestService
 from jujubehall.services.shard_takeover import ShardTakeover
+from jujubehall.services.site_packer import SitePacker
 from jujubehall.services.slot_allotments import SlotAllotments
 from jujubehall.services.slot_queue import SlotQueue
 from jujubehall.services.state_cache import StateCache
@@ -82,7 +84,9 @@
         self.membership = Membership(
             reactor, platform, self.cache, member, self._known_zones, random
         )
-        self.configuration = ConfigurationService(platform, self.cache)
+        self.configuration = ConfigurationService(
+            platform, self.cache, SitePacker(self.cache, pack_guarantees)
+        )
         self.endpoint_table = EndpointTable(random)
         self.hosts.listen(lambda _: self._update_endpoints())
         claim_table = ClaimTable()
--- a/src/jujubehall/operators/interface.py
+++ b/src/jujubehall/operators/interface.py
@@ -162,7 +162,7 @@
     ) -> Reply:
         author = ChangeAuthor(body.author, body.reason, body.token, unix_time_ms())
         changed = await self._host.configuration.change(
-            body.expected_number, lambda current: change(current, author)
+            body.expected_number, lambda current: change(current, author), body.token
         )
         CONFIGURATION_CHANGES.inc({"result": result_label(changed)})
         if isinstance(changed, Err):
