--- a/src/jujubehall/entry_hosts/zmq_mesh.py
+++ b/src/jujubehall/entry_hosts/zmq_mesh.py
@@ -38,6 +38,7 @@
 MAX_MESSAGE_BYTES = 2 * 1024 * 1024
 HEARTBEAT_INTERVAL_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 3_000
+CLOSE_LINGER_MS = 1_000
 
 log = structlog.get_logger()
 
@@ -103,10 +104,10 @@
             self._sockets.pop(address).close(linger=0)
 
     def close(self) -> None:
-        """Closes all sockets and drops what is not sent yet."""
+        """Closes all sockets, after a short time for the last answers to leave."""
         for task in self._tasks:
             task.cancel()
-        self._context.destroy(linger=0)
+        self._context.destroy(linger=CLOSE_LINGER_MS)
 
     def _socket(self, address: str) -> Any:
         if address not in self._sockets:
--- a/tests/services/request_storm.py
+++ b/tests/services/request_storm.py
@@ -129,6 +129,8 @@
 
     def _send(self, request: Request | None = None) -> None:
         hosts = [each for each in self.site.hosts.values() if not each.reactor.is_killed]
+        if not hosts:
+            return
         host = self.random.choice(hosts)
         if request is None and self._requests and self.random.random() < 0.5:
             request = self.random.choice(self._requests[-60:])
