--- a/src/jujubehall/services/claim_log.py
+++ b/src/jujubehall/services/claim_log.py
@@ -14,19 +14,16 @@
 
 from jujubehall.core.ownership.record import OWNERSHIP_KEY
 from jujubehall.core.ownership.record import OwnershipRecord
-from jujubehall.core.requests.claim_records import MAX_CLAIMS_IN_ARCHIVE
 from jujubehall.core.requests.claim_records import MAX_CLAIMS_IN_HEAD
-from jujubehall.core.requests.claim_records import ClaimArchive
 from jujubehall.core.requests.claim_records import ClaimHead
-from jujubehall.core.requests.claim_records import LostClaims
-from jujubehall.core.requests.claim_records import archive_key
 from jujubehall.core.requests.claim_records import claim_hash
 from jujubehall.core.requests.claim_records import head_key
-from jujubehall.core.requests.claim_records import lost_key
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import Epoch
 from jujubehall.identifiers import Version
+from jujubehall.services.claim_archives import ABSENT
+from jujubehall.services.claim_archives import ClaimArchives
 from jujubehall.services.timing import start
 
 if TYPE_CHECKING:
@@ -37,15 +34,11 @@
     from jujubehall.identifiers import RequestId
     from jujubehall.platform.interface import Platform
 
-ARCHIVE_LEASE_TTL_MS = 720_000
-ARCHIVE_LEASE_ROTATION_MS = 60_000
 MAX_CLAIMS_IN_MEMORY = 50_000
 REWRITE_INTERVAL_MS = 300_000
 OUTAGE_LIMIT_MS = 4_200_000
 """How long after its last recorded write an entry host may claim in memory."""
 
-ABSENT = Version(0)
-
 
 class ClaimLog:
     """Writes this entry host's claims, many in one write.
@@ -63,9 +56,7 @@
         self._version = ABSENT
         self._is_open = False
         self._opened = Epoch(0)
-        self._archives = 0
-        self._lease = ""
-        self._lease_granted_at_ms = 0
+        self._archives = ClaimArchives(platform, clock, name, incarnation)
         self._gathered: list[tuple[RequestId, Deferred[Result[None, Failure]]]] = []
         self._writing = False
         self._write_lock = DeferredLock()
@@ -95,6 +86,11 @@
         """The members of the record for which the log was last opened."""
         return self._head.granters
 
+    @property
+    def archives(self) -> ClaimArchives:
+        """Writes claims and losses for others as well."""
+        return self._archives
+
     @property
     def carried(self) -> frozenset[int]:
         """Claims of earlier incarnations of this entry host, found in its head."""
@@ -168,27 +164,6 @@
         self._surrendered = True
         return tuple(self._in_memory)
 
-    async def archive(self, claims: tuple[int, ...]) -> Result[None, Failure]:
-        """Records claims that were given up by another entry host."""
-        for first in range(0, len(claims), MAX_CLAIMS_IN_ARCHIVE):
-            archived = await self._archive(claims[first : first + MAX_CLAIMS_IN_ARCHIVE])
-            if isinstance(archived, Err):
-                return archived
-        return Ok(None)
-
-    async def record_loss(
-        self, incarnation: Incarnation, shards: tuple[int, ...]
-    ) -> Result[None, Failure]:
-        """Records that claims of ``shards`` were lost with the memory of an earlier owner."""
-        leased = await self._ensure_lease()
-        if isinstance(leased, Err):
-            return leased
-        value = msgspec.to_builtins(LostClaims(incarnation, shards))
-        written = await self._platform.put(lost_key(incarnation), value, ABSENT, self._lease)
-        if isinstance(written, Err) and written.err_value.kind is FailureKind.CONFLICT:
-            return Ok(None)
-        return written.map(lambda _: None)
-
     def release(self, request: RequestId) -> None:
         """Drops the claim of a request that no endpoint ran, with the next write of others.
 
@@ -298,7 +273,7 @@
         self._head = msgspec.structs.replace(self._head, sequence=sequence)
         in_memory = tuple(self._in_memory)
         if len(kept) + len(in_memory) + len(added) > MAX_CLAIMS_IN_HEAD:
-            archived = await self.archive((*kept, *in_memory))
+            archived = await self._archives.archive((*kept, *in_memory))
             if isinstance(archived, Err):
                 return archived
             written = await self._write(added, sequence)
@@ -342,71 +317,11 @@
         self._is_open = self._is_open and found.ok_value.version == self._version
         return Err(failure)
 
-    async def _archive(self, claims: tuple[int, ...]) -> Result[None, Failure]:
-        leased = await self._ensure_lease()
-        if isinstance(leased, Err):
-            return leased
-        key = archive_key(self._head.name, self._head.incarnation, self._archives)
-        self._archives += 1
-        value = msgspec.to_builtins(ClaimArchive(self._head.incarnation, claims))
-        written = await self._platform.put(key, value, ABSENT, self._lease)
-        return written.map(lambda _: None)
-
-    async def _ensure_lease(self) -> Result[None, Failure]:
-        # A new lease each minute lets the platform delete old archives without calls of ours.
-        age_ms = self._clock.now_ms - self._lease_granted_at_ms
-        if self._lease and age_ms < ARCHIVE_LEASE_ROTATION_MS:
-            return Ok(None)
-        granted = await self._platform.grant_lease(ARCHIVE_LEASE_TTL_MS)
-        if isinstance(granted, Err):
-            return granted
-        self._lease = granted.ok_value
-        self._lease_granted_at_ms = self._clock.now_ms
-        return Ok(None)
-
     def _fail_gathered(self, failure: Failure) -> None:
         gathered, self._gathered = self._gathered, []
         for _, written in gathered:
             written.callback(Err(failure))
 
 
-async def seal_head(platform: Platform, name: EntryHostName, epoch: Epoch) -> Result[None, Failure]:
-    """Seals another entry host's head for ``epoch``, whatever it writes meanwhile.
-
-    The head takes on the epoch, so that its entry host can't open it again for an earlier one.
-    """
-    while True:
-        found = await platform.get(head_key(name))
-        if isinstance(found, Err):
-            return found.map(lambda _: None)
-        head = msgspec.convert(found.ok_value.value, ClaimHead)
-        if head.fences(epoch):
-            return Ok(None)
-        sealed = msgspec.structs.replace(head, sealed=True, epoch=epoch)
-        key = head_key(name)
-        written = await platform.put(key, msgspec.to_builtins(sealed), found.ok_value.version)
-        if isinstance(written, Ok):
-            return Ok(None)
-        if written.err_value.kind is not FailureKind.CONFLICT:
-            return Err(written.err_value)
-
-
 def _closed_failure(name: EntryHostName) -> Failure:
     return Failure(FailureKind.CONFLICT, "claim", "platform", f"the claims of {name} are closed")
-
-
-async def mark_cleared(platform: Platform, head: ClaimHead) -> Result[None, Failure]:
-    """Records that a sealed head has no claims in its entry host's memory that count."""
-    while True:
-        found = await platform.get(head_key(head.name))
-        if isinstance(found, Err):
-            return found.map(lambda _: None)
-        recorded = msgspec.convert(found.ok_value.value, ClaimHead)
-        if recorded.incarnation != head.incarnation or not recorded.sealed or recorded.cleared:
-            return Ok(None)
-        cleared = msgspec.to_builtins(msgspec.structs.replace(recorded, cleared=True))
-        written = await platform.put(head_key(head.name), cleared, found.ok_value.version)
-        if isinstance(written, Ok):
-            return Ok(None)
-        if written.err_value.kind is not FailureKind.CONFLICT:
-            return Err(written.err_value)
--- a/src/jujubehall/services/clearance.py
+++ b/src/jujubehall/services/clearance.py
@@ -17,8 +17,8 @@
 from jujubehall.entry_hosts.messages import Surrendered
 from jujubehall.entry_hosts.messages import SurrenderWanted
 from jujubehall.entry_hosts.messages import WithdrawalWanted
+from jujubehall.services.claim_heads import mark_cleared
 from jujubehall.services.claim_log import OUTAGE_LIMIT_MS
-from jujubehall.services.claim_log import mark_cleared
 from jujubehall.services.outage_claims import ASK_TIMEOUT_MS
 from jujubehall.services.outage_claims import as_member
 from jujubehall.services.timing import sleep
@@ -135,12 +135,12 @@
 
     async def _take_over_claims(self, head: ClaimHead, claims: tuple[int, ...]) -> bool:
         self._table.inherit(claims, self._clock.now_ms)
-        if isinstance(await self._claim_log.archive(claims), Err):
+        if isinstance(await self._claim_log.archives.archive(claims), Err):
             return False
         return await self._mark(head)
 
     async def _give_up_claims(self, head: ClaimHead) -> bool:
-        recorded = await self._claim_log.record_loss(head.incarnation, head.shards)
+        recorded = await self._claim_log.archives.record_loss(head.incarnation, head.shards)
         if isinstance(recorded, Err):
             return False
         self._table.lose(head.incarnation, head.shards, self._clock.now_ms)
--- a/src/jujubehall/services/shard_takeover.py
+++ b/src/jujubehall/services/shard_takeover.py
@@ -23,7 +23,7 @@
 from jujubehall.core.requests.claim_records import head_key
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import Epoch
-from jujubehall.services.claim_log import seal_head
+from jujubehall.services.claim_heads import seal_head
 from jujubehall.services.timing import BackOff
 from jujubehall.services.timing import sleep
 
--- a/tests/services/test_claim_log.py
+++ b/tests/services/test_claim_log.py
@@ -22,9 +22,9 @@
 from jujubehall.identifiers import Incarnation
 from jujubehall.identifiers import RequestId
 from jujubehall.identifiers import Version
+from jujubehall.services.claim_heads import mark_cleared
+from jujubehall.services.claim_heads import seal_head
 from jujubehall.services.claim_log import ClaimLog
-from jujubehall.services.claim_log import mark_cleared
-from jujubehall.services.claim_log import seal_head
 from jujubehall.services.timing import start
 from jujubehall.testing.key_value_store import KeyValueStore
 from jujubehall.testing.virtual.host_reactor import HostReactor
