Void the grants of an outage once the platform is back

Cause: a successor takes claims in memory for lost if it granted them for the head's present sequence. After an outage the owner wrote its claims while it still renewed grants for the next sequence; since the end of an outage no longer reshuffles the owners, no later write voided these, and the shards of an owner that died much later answered 'unknown' for ten minutes. The owner now rewrites its head once it sees the platform again.

The demo and the tests of the commands wait until the zones have published their workers, because guarantees are now checked against them.

--- a/src/jujubehall/console/demo/demonstration.py
+++ b/src/jujubehall/console/demo/demonstration.py
@@ -75,6 +75,7 @@
     def run(self) -> None:
         """Takes every step but the stop."""
         self._show_entry_hosts()
+        self._site.wait_until_published()
         self._create_teams()
         self._send_requests()
         self._run_jobs()
--- a/src/jujubehall/services/claim_log.py
+++ b/src/jujubehall/services/claim_log.py
@@ -145,9 +145,14 @@
         self._in_memory[claim_hash(request)] = None
         return True
 
-    async def flush(self) -> Result[None, Failure]:
-        """Records the claims in memory, and shows from time to time that the head is in use."""
-        if not self._is_open or not (self._in_memory or self._write_age_ms >= REWRITE_INTERVAL_MS):
+    async def flush(self, *, rewrite: bool = False) -> Result[None, Failure]:
+        """Records the claims in memory, and shows from time to time that the head is in use.
+
+        With ``rewrite`` the head is written also without a change, which voids all grants for
+        its earlier ``sequence``.
+        """
+        is_due = rewrite or self._in_memory or self._write_age_ms >= REWRITE_INTERVAL_MS
+        if not self._is_open or not is_due:
             return Ok(None)
         await self._write_lock.acquire()
         try:
--- a/src/jujubehall/services/outage_claims.py
+++ b/src/jujubehall/services/outage_claims.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from jujubehall.core.ownership.record import Member
+from jujubehall.core.requests.grants import NEVER
 from jujubehall.core.requests.grants import HeldGrants
 from jujubehall.entry_hosts.messages import GrantAnswered
 from jujubehall.entry_hosts.messages import GrantWanted
@@ -58,6 +59,7 @@
         self._claim_log = claim_log
         self._grants = grants
         self._held = HeldGrants()
+        self._asked_sequence = NEVER
         self._collections: list[Deferred[None]] | None = None
         self._running = True
         mesh.register(GrantWanted, self._on_grant_wanted)
@@ -76,6 +78,9 @@
         while self._running:
             if self.is_outage and self._is_owner:
                 start(self._collect())
+            elif self._asked_sequence == self._claim_log.sequence:
+                # Otherwise a later owner would take claims in memory for lost, though none is.
+                await self._claim_log.flush(rewrite=True)
             await sleep(self._reactor, RENEWAL_INTERVAL_MS)
 
     async def claim(self, request: RequestId) -> Result[None, Failure]:
@@ -132,7 +137,7 @@
             done.callback(None)
 
     async def _ask(self, granter: Granter) -> None:
-        sequence = self._claim_log.sequence
+        sequence = self._asked_sequence = self._claim_log.sequence
         epoch = self._claim_log.opened
         asked_at_ms = self._clock.now_ms
         wanted = GrantWanted(self._membership.member.incarnation, epoch, sequence)
--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -120,6 +120,14 @@
         for name in names or self.entry_hosts:
             wait_until(partial(self._is_ready, name), f"{name} is ready")
 
+    def wait_until_published(self) -> None:
+        """Waits until every entry host knows all workers from the zones' published summaries.
+
+        Guarantees are refused before, since they are checked against the published racks.
+        """
+        for name in self.entry_hosts:
+            wait_until(partial(self._knows_all_workers, name), f"{name} knows all workers")
+
     def kill(self, name: str) -> None:
         """Ends a process at once, as a failure does."""
         self._processes[name].kill()
@@ -192,6 +200,10 @@
         except httpx.TransportError:
             return False
 
+    def _knows_all_workers(self, name: str) -> bool:
+        zones = self._http.get(f"{self.address(name)}/v1/zones").json()
+        return sum(len(zone["workers"]) for zone in zones) == self.site.workers
+
     def _is_ready(self, name: str) -> bool:
         try:
             return self._http.get(f"{self.address(name)}/readyz").status_code == 200
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -41,6 +41,7 @@
     )
     with LocalSite(site_file) as site:
         site.wait_until_ready()
+        site.wait_until_published()
         yield site
 
 
