Catch the loss of claims in memory by directed scenarios

Both are now caught in the scenario that each of them breaks: an owner that dies after the outage, and one that stays cut off from the platform. The unbroken program is tested in the same two scenarios, with all checks of the former test and one more (the request ran once).

--- a/tests/services/test_outage_claims.py
+++ b/tests/services/test_outage_claims.py
@@ -80,7 +80,8 @@
     assert all(runs(site, request) == 1 for request in requests)
 
 
-def test_claims_in_memory_are_recorded_at_the_platforms_return(site: VirtualSite) -> None:
+def owner_dies_after_the_outage(site: VirtualSite) -> None:
+    """The owner's claims in memory must be recorded by then."""
     begin_outage(site)
     request = hold(1)
     victim = owner(site, request)
@@ -88,13 +89,38 @@
     end_outage(site)
     site.hosts[victim].reactor.kill()
     site.run_for(RETURN_MS)
-    others = [name for name in NAMES if name != victim]
-    assert serve(site, others[0], request).outcome is Outcome.UNKNOWN
+    check_taken_over(site, request, next(name for name in NAMES if name != victim))
+
+
+def owner_stays_cut_after_the_outage(site: VirtualSite) -> None:
+    """The successor gets the claims in memory from the living owner."""
+    begin_outage(site)
+    request = hold(1)
+    cut_off = owner(site, request)
+    assert serve(site, cut_off, request).outcome is Outcome.COMPLETED
+    site.network.cut(cut_off, PLATFORM)
+    end_outage(site)
+    site.run_for(RETURN_MS)
+    check_taken_over(site, request, next(name for name in NAMES if name != cut_off))
+
+
+def check_taken_over(site: VirtualSite, request: Request, successor: EntryHostName) -> None:
+    assert serve(site, successor, request).outcome is Outcome.UNKNOWN
+    assert runs(site, request) == 1
     # Nothing was lost: a new request of the same shard runs.
     same_shard = next(
         hold(n) for n in range(2, 9_999) if request_scope(hold(n).id) == request_scope(request.id)
     )
-    assert serve(site, others[0], same_shard).outcome is Outcome.COMPLETED
+    assert serve(site, successor, same_shard).outcome is Outcome.COMPLETED
+
+
+@pytest.mark.parametrize(
+    "scenario", [owner_dies_after_the_outage, owner_stays_cut_after_the_outage]
+)
+def test_no_claim_in_memory_is_lost_after_the_outage(
+    site: VirtualSite, scenario: Callable[[VirtualSite], None]
+) -> None:
+    scenario(site)
 
 
 def test_an_owner_killed_in_an_outage_leaves_unknown_outcomes(site: VirtualSite) -> None:
@@ -198,15 +224,7 @@
     RequestStorm(seed, outages=True).run(STEPS)
 
 
-@pytest.mark.parametrize(
-    "break_it",
-    [
-        clear_unasked,
-        claim_without_grants,
-        surrender_nothing,
-        drop_claims_in_memory,
-    ],
-)
+@pytest.mark.parametrize("break_it", [clear_unasked, claim_without_grants])
 def test_broken_grants_are_caught(
     monkeypatch: pytest.MonkeyPatch, break_it: Callable[[pytest.MonkeyPatch], None]
 ) -> None:
@@ -214,3 +232,21 @@
     with pytest.raises(Violation):
         for seed in range(20):
             RequestStorm(seed, outages=True).run(STEPS)
+
+
+@pytest.mark.parametrize(
+    ("break_it", "scenario"),
+    [
+        (drop_claims_in_memory, owner_dies_after_the_outage),
+        (surrender_nothing, owner_stays_cut_after_the_outage),
+    ],
+)
+def test_lost_claims_in_memory_are_caught(
+    site: VirtualSite,
+    monkeypatch: pytest.MonkeyPatch,
+    break_it: Callable[[pytest.MonkeyPatch], None],
+    scenario: Callable[[VirtualSite], None],
+) -> None:
+    break_it(monkeypatch)
+    with pytest.raises(AssertionError, match="COMPLETED"):
+        scenario(site)
