--- /dev/null
+++ b/src/jujubehall/http/tcp_endpoint_factory.py
@@ -0,0 +1,31 @@
+"""Connects HTTP clients straight to the address in a URL."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
+
+if TYPE_CHECKING:
+    from twisted.web.client import URI
+
+
+@implementer(IAgentEndpointFactory)
+class TcpEndpointFactory:
+    """Makes plain TCP endpoints.
+
+    Peers are named by IP numbers. twisted's own factory prepares each request for a host name:
+    it encodes the name by IDNA before it even looks for a pooled connection.
+    """
+
+    def __init__(self, reactor: Any, connect_timeout_s: float) -> None:
+        self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_s
+
+    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:  # noqa: N802
+        """Called by twisted's ``Agent`` for each request."""
+        host = uri.host.decode("ascii")
+        return TCP4ClientEndpoint(self._reactor, host, uri.port, self._connect_timeout_s)
--- a/tests/services/job_site.py
+++ b/tests/services/job_site.py
@@ -4,23 +4,20 @@
 
 import gc
 
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from twisted.logger import globalLogPublisher
 
-from jujubehall.core.jobs.gang_timing import PARTIAL_GANG_BOUND_MS
-from jujubehall.core.jobs.job import JOBS_PREFIX
 from jujubehall.core.jobs.job import JobSpec
 from jujubehall.core.jobs.job import JobState
 from jujubehall.core.ownership.scopes import zone_scope
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import TeamName
 from jujubehall.identifiers import ZoneName
+from jujubehall.testing.randomised.gang_invariants import spans
 from jujubehall.testing.site_file import SiteFile
 from jujubehall.testing.virtual.site import VirtualSite
 from jujubehall.workers.messages import Resources
-from jujubehall.workers.messages import TaskState
 
 if TYPE_CHECKING:
     from twisted.logger import LogEvent
@@ -28,8 +25,6 @@
     from jujubehall.core.jobs.job import JobRecord
     from jujubehall.services.zone_owner import ZoneOwner
     from jujubehall.testing.virtual.site import VirtualHost
-    from jujubehall.testing.worker_state import Span
-    from jujubehall.workers.messages import TaskKey
 
 TEAM = TeamName("studio")
 ZONE = ZoneName("zone-a")
@@ -131,17 +126,6 @@
     return None if record is None else record.state
 
 
-def spans(site: VirtualSite) -> dict[tuple[JobId, int], dict[TaskKey, Span]]:
-    """When the parts of each attempt ran, by the workers' own account."""
-    attempts: dict[tuple[JobId, int], dict[TaskKey, Span]] = defaultdict(dict)
-    for worker in site.workers.values():
-        assert worker.tasks is not None
-        for key, span in worker.spans.items():
-            assert key not in attempts[key.job, key.attempt], f"{key} started on two workers"
-            attempts[key.job, key.attempt][key] = span
-    return attempts
-
-
 def running_parts(site: VirtualSite, job: JobId) -> int:
     """How many parts of a job run now, of all its attempts."""
     return sum(
@@ -152,65 +136,8 @@
     )
 
 
-def check_workers(site: VirtualSite, bound_ms: int = PARTIAL_GANG_BOUND_MS) -> None:
-    """Asserts the promises about gangs by the workers' own account of what ran when."""
-    now_ms = site.clock.now_ms
-    attempts = spans(site)
-    sizes = {
-        entry.key.removeprefix(JOBS_PREFIX): entry.value["spec"]["parts"]
-        for entry in site.store.list_entries(JOBS_PREFIX).entries
-    }
-    last_end: dict[JobId, int] = {}
-    for (job, attempt), parts in sorted(attempts.items(), key=lambda item: item[0]):
-        check_attempt(f"{job} attempt {attempt}", parts, sizes.get(job), now_ms, bound_ms)
-        began = min(span.began_at_ms for span in parts.values())
-        assert began >= last_end.get(job, 0), f"{job}: attempt {attempt} began before the last end"
-        last_end[job] = max(_end(span, now_ms) for span in parts.values())
-    check_started_once(site)
-    check_all_reserved_first(site, sizes)
-
-
 def check_no_exception() -> None:
     """Asserts that no invariant inside the program failed."""
     # An exception that nobody handles is logged when its Deferred is collected.
     gc.collect()
     assert not escaped, escaped[0]
-
-
-def check_attempt(
-    name: str, parts: dict[TaskKey, Span], size: int | None, now_ms: int, bound_ms: int
-) -> None:
-    """Asserts that an attempt ran with only some of its parts no longer than the bound."""
-    losses = [
-        span.ended_at_ms
-        for span in parts.values()
-        if span.ended_at_ms is not None and span.outcome is not TaskState.SUCCEEDED
-    ]
-    if size is not None and len(parts) < size:
-        losses.append(min(span.began_at_ms for span in parts.values()))
-    if losses:
-        partial_ms = max(_end(span, now_ms) for span in parts.values()) - min(losses)
-        assert partial_ms <= bound_ms, f"{name} was partial for {partial_ms} ms"
-
-
-def check_all_reserved_first(site: VirtualSite, sizes: dict[str, int]) -> None:
-    """Asserts that no part was started before all parts of its attempt had been reserved."""
-    reserved: dict[tuple[JobId, int], dict[int, int]] = defaultdict(dict)
-    for worker in site.workers.values():
-        for key, at_ms in worker.reserved_at_ms.items():
-            reserved[key.job, key.attempt][key.part] = at_ms
-    for attempt, parts in spans(site).items():
-        times = reserved[attempt]
-        began = min(span.began_at_ms for span in parts.values())
-        assert len(times) >= sizes.get(attempt[0], 0), f"{attempt}: not all parts were reserved"
-        assert max(times.values()) <= began, f"{attempt}: a part began before the last reservation"
-
-
-def check_started_once(site: VirtualSite) -> None:
-    """Asserts that no task was started twice on its worker."""
-    for worker in site.workers.values():
-        assert all(count == 1 for count in worker.started.values())
-
-
-def _end(span: Span, now_ms: int) -> int:
-    return now_ms if span.ended_at_ms is None else span.ended_at_ms
--- a/tests/services/random_jobs.py
+++ b/tests/services/random_jobs.py
@@ -14,11 +14,11 @@
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import JobId
 from jujubehall.services.timing import start
+from jujubehall.testing.randomised.gang_invariants import check_workers
 from jujubehall.testing.virtual.network import PLATFORM
 from jujubehall.testing.worker_state import WorkerBehaviour
 from jujubehall.workers.messages import Resources
 from tests.services.job_site import check_no_exception
-from tests.services.job_site import check_workers
 from tests.services.job_site import live_hosts
 from tests.services.job_site import make_site
 from tests.services.job_site import spec
--- a/tests/services/test_broken_variants.py
+++ b/tests/services/test_broken_variants.py
@@ -16,8 +16,8 @@
 from jujubehall.core.jobs.job import job_key
 from jujubehall.services.gang_runner import GangRunner
 from jujubehall.services.job_store import JobStore
+from jujubehall.testing.randomised.gang_invariants import check_workers
 from jujubehall.workers.messages import StartTask
-from tests.services.job_site import check_workers
 from tests.services.job_site import job_of
 from tests.services.job_site import make_site
 from tests.services.job_site import owner_host
--- a/tests/services/test_gang_bounds.py
+++ b/tests/services/test_gang_bounds.py
@@ -10,7 +10,7 @@
 from jujubehall.core.jobs.gang_timing import SEEN_FAILURE_BOUND_MS
 from jujubehall.core.jobs.gang_timing import UNPAUSED_OWNER_BOUND_MS
 from jujubehall.core.jobs.job import JobState
-from tests.services.job_site import check_workers
+from jujubehall.testing.randomised.gang_invariants import check_workers
 from tests.services.job_site import make_site
 from tests.services.job_site import owner_host
 from tests.services.job_site import run_until_state
--- a/tests/services/test_zone_decisions.py
+++ b/tests/services/test_zone_decisions.py
@@ -19,11 +19,11 @@
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import WorkerName
 from jujubehall.platform.host import HostState
+from jujubehall.testing.randomised.gang_invariants import check_workers
 from jujubehall.testing.worker_state import WorkerState
 from jujubehall.workers.messages import Resources
 from jujubehall.workers.messages import TaskState
 from tests.services.job_site import all_owners
-from tests.services.job_site import check_workers
 from tests.services.job_site import job_of
 from tests.services.job_site import make_site
 from tests.services.job_site import run_until_state
--- a/tests/services/test_zone_owner_failures.py
+++ b/tests/services/test_zone_owner_failures.py
@@ -8,11 +8,11 @@
 
 from jujubehall.core.jobs.gang import GangPhase
 from jujubehall.core.jobs.job import JobState
+from jujubehall.testing.randomised.gang_invariants import check_workers
 from jujubehall.testing.virtual.network import PLATFORM
 from jujubehall.testing.worker_state import WorkerState
 from tests.services.job_site import all_owners
 from tests.services.job_site import check_no_exception
-from tests.services.job_site import check_workers
 from tests.services.job_site import job_of
 from tests.services.job_site import live_hosts
 from tests.services.job_site import make_site
--- a/tests/services/test_zone_owner_load.py
+++ b/tests/services/test_zone_owner_load.py
@@ -16,13 +16,13 @@
 from jujubehall.services.job_archive import ARCHIVE_AFTER_MS
 from jujubehall.services.timing import start
 from jujubehall.services.zone_hand_over import HAND_OVER_AFTER_MS
+from jujubehall.testing.randomised.gang_invariants import check_workers
 from jujubehall.testing.worker_state import WorkerBehaviour
 from jujubehall.workers.messages import Resources
 from tests.services.job_site import TEAM
 from tests.services.job_site import ZONE
 from tests.services.job_site import all_owners
 from tests.services.job_site import check_no_exception
-from tests.services.job_site import check_workers
 from tests.services.job_site import job_of
 from tests.services.job_site import job_state
 from tests.services.job_site import live_hosts
