--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -184,7 +184,7 @@
     """Replaces the dispatchers of all entry hosts."""
     for number, each in enumerate(site.hosts.values()):
         baseline: Any = Baseline(each.host.dispatcher, 3 * number)
-        each.host.dispatcher = baseline
+        each.host.request_services.dispatcher = baseline
         each.host.requests._dispatcher = baseline
 
 
@@ -228,7 +228,7 @@
     site = make_site("ogechi")
     if way == "refuse all":
         for each in site.hosts.values():
-            outage: OutageClaims = each.host._outage_claims
+            outage: OutageClaims = each.host.outage_claims
             outage._ask = _ask_nobody  # type: ignore[method-assign]
     site.network.platform_down = True
     callers = Callers(site, tickets=way == "tickets")
--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -8,30 +8,17 @@
 
 from jujubehall.core.jobs.packing import pack_guarantees
 from jujubehall.core.jobs.policy import make_policy
-from jujubehall.core.requests.claim_table import ClaimTable
-from jujubehall.core.requests.endpoint_table import EndpointState
-from jujubehall.core.requests.endpoint_table import EndpointTable
-from jujubehall.core.requests.grants import GrantBook
-from jujubehall.identifiers import EndpointName
+from jujubehall.daemon.request_services import RequestServices
 from jujubehall.identifiers import ZoneName
-from jujubehall.platform.host import HostState
-from jujubehall.services.claim_log import ClaimLog
-from jujubehall.services.clearance import Clearance
 from jujubehall.services.configuration_relay import ConfigurationRelay
 from jujubehall.services.configuration_service import ConfigurationService
-from jujubehall.services.dispatcher import Dispatcher
 from jujubehall.services.host_list import HostList
 from jujubehall.services.job_index import JobIndex
 from jujubehall.services.job_service import JobService
 from jujubehall.services.job_store import JobStore
 from jujubehall.services.membership import Membership
-from jujubehall.services.outage_claims import OutageClaims
 from jujubehall.services.peer_monitor import PeerMonitor
-from jujubehall.services.request_service import RequestService
-from jujubehall.services.shard_takeover import ShardTakeover
 from jujubehall.services.site_packer import SitePacker
-from jujubehall.services.slot_allotments import SlotAllotments
-from jujubehall.services.slot_queue import SlotQueue
 from jujubehall.services.state_cache import StateCache
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -46,9 +33,14 @@
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.ownership.record import Member
+    from jujubehall.core.requests.endpoint_table import EndpointTable
     from jujubehall.endpoints.interface import Endpoints
     from jujubehall.entry_hosts.mesh import Mesh
     from jujubehall.platform.interface import Platform
+    from jujubehall.services.dispatcher import Dispatcher
+    from jujubehall.services.outage_claims import OutageClaims
+    from jujubehall.services.request_service import RequestService
+    from jujubehall.services.shard_takeover import ShardTakeover
     from jujubehall.workers.interface import Workers
 
 DRAIN_CHECK_INTERVAL_MS = 50
@@ -87,42 +79,16 @@
         self.configuration = ConfigurationService(
             platform, self.cache, SitePacker(self.cache, pack_guarantees)
         )
-        self.endpoint_table = EndpointTable(random)
-        self.hosts.listen(lambda _: self._update_endpoints())
-        claim_table = ClaimTable()
-        self._claim_log = ClaimLog(platform, clock, member.name, member.incarnation)
-        grants = GrantBook()
-        self._outage_claims = OutageClaims(
-            reactor, clock, mesh, self.membership, self.hosts, self._claim_log, grants
-        )
-        clearance = Clearance(
-            reactor, clock, platform, mesh, self.membership, self._claim_log, claim_table, grants
-        )
-        self._takeover = ShardTakeover(
+        self.request_services = RequestServices(
             reactor,
             clock,
             platform,
-            self.membership,
-            self._claim_log,
-            claim_table,
-            clearance,
-            random,
-        )
-        self._allotments = SlotAllotments(
-            reactor, clock, mesh, self.membership, self.endpoint_table, self._endpoint_slots
-        )
-        slots = SlotQueue(reactor, clock, self.endpoint_table, self._allotments.allotment)
-        self.dispatcher = Dispatcher(clock, endpoints, self.endpoint_table, slots)
-        self.requests = RequestService(
-            reactor,
-            clock,
             mesh,
+            endpoints,
             self.membership,
-            self._takeover,
-            self._claim_log,
-            claim_table,
-            self.dispatcher,
-            self._outage_claims,
+            self.hosts,
+            lambda: self.configuration.current.defaults.endpoint_slots,
+            random,
         )
         self.peers = PeerMonitor(reactor, clock, mesh, self.membership, self.cache, seeds)
         self.membership.follow_peers(self.peers.has_heard)
@@ -148,6 +114,31 @@
         self._has_failed = False
         self._failure_listeners: list[Callable[[], object]] = []
 
+    @property
+    def requests(self) -> RequestService:
+        """Serves callers' requests."""
+        return self.request_services.service
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """Sends requests to endpoints."""
+        return self.request_services.dispatcher
+
+    @property
+    def endpoint_table(self) -> EndpointTable:
+        """What this entry host knows of the endpoints."""
+        return self.request_services.endpoint_table
+
+    @property
+    def takeover(self) -> ShardTakeover:
+        """Makes the request shards of this entry host ready to be served."""
+        return self.request_services.takeover
+
+    @property
+    def outage_claims(self) -> OutageClaims:
+        """Claims requests in memory while the platform is down."""
+        return self.request_services.outage_claims
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
@@ -161,9 +152,9 @@
             self.hosts,
             self.membership,
             self.peers,
-            self._takeover,
-            self._outage_claims,
-            self._allotments,
+            self.takeover,
+            self.outage_claims,
+            self.request_services.allotments,
             self.scheduler,
         ):
             start(service.run()).addErrback(self._fail, type(service).__name__)
@@ -189,11 +180,8 @@
             await sleep(self._reactor, DRAIN_CHECK_INTERVAL_MS)
         finished = self.requests.in_progress == 0
         self.scheduler.stop()
-        self._takeover.stop()
-        self._outage_claims.stop()
-        self._allotments.stop()
         self.peers.stop()
-        await self._claim_log.seal()
+        await self.request_services.stop()
         await self.membership.leave()
         self.cache.stop()
         self.hosts.stop()
@@ -209,12 +197,3 @@
         # The jobs of a zone that was lost still need an owner, who hands them to other zones.
         listed = {ZoneName(host.zone) for host in self.hosts.workers}
         return sorted(listed | self._job_index.zones)
-
-    def _endpoint_slots(self) -> int:
-        return self.configuration.current.defaults.endpoint_slots
-
-    def _update_endpoints(self) -> None:
-        self.endpoint_table.update(
-            EndpointState(EndpointName(h.name), h.address, h.state is HostState.LEAVING)
-            for h in self.hosts.endpoints
-        )
--- /dev/null
+++ b/src/jujubehall/daemon/request_services.py
@@ -0,0 +1,97 @@
+"""The services with which an entry host serves requests, wired together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jujubehall.core.requests.claim_table import ClaimTable
+from jujubehall.core.requests.endpoint_table import EndpointState
+from jujubehall.core.requests.endpoint_table import EndpointTable
+from jujubehall.core.requests.grants import GrantBook
+from jujubehall.identifiers import EndpointName
+from jujubehall.platform.host import HostState
+from jujubehall.services.claim_log import ClaimLog
+from jujubehall.services.clearance import Clearance
+from jujubehall.services.dispatcher import Dispatcher
+from jujubehall.services.outage_claims import OutageClaims
+from jujubehall.services.request_service import RequestService
+from jujubehall.services.shard_takeover import ShardTakeover
+from jujubehall.services.slot_allotments import SlotAllotments
+from jujubehall.services.slot_queue import SlotQueue
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
+    from jujubehall.endpoints.interface import Endpoints
+    from jujubehall.entry_hosts.mesh import Mesh
+    from jujubehall.platform.interface import Platform
+    from jujubehall.services.host_list import HostList
+    from jujubehall.services.membership import Membership
+
+
+class RequestServices:
+    """Claims, takeover of shards, slots of endpoints, and dispatch.
+
+    ``endpoint_slots`` gives the number of slots of one endpoint for all entry hosts together.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        clock: Clock,
+        platform: Platform,
+        mesh: Mesh,
+        endpoints: Endpoints,
+        membership: Membership,
+        hosts: HostList,
+        endpoint_slots: Callable[[], int],
+        random: Random,
+    ) -> None:
+        self._hosts = hosts
+        self.endpoint_table = EndpointTable(random)
+        hosts.listen(lambda _: self._update_endpoints())
+        table = ClaimTable()
+        member = membership.member
+        self.claim_log = ClaimLog(platform, clock, member.name, member.incarnation)
+        grants = GrantBook()
+        self.outage_claims = OutageClaims(
+            reactor, clock, mesh, membership, hosts, self.claim_log, grants
+        )
+        clearance = Clearance(
+            reactor, clock, platform, mesh, membership, self.claim_log, table, grants
+        )
+        self.takeover = ShardTakeover(
+            reactor, clock, platform, membership, self.claim_log, table, clearance, random
+        )
+        self.allotments = SlotAllotments(
+            reactor, clock, mesh, membership, self.endpoint_table, endpoint_slots
+        )
+        slots = SlotQueue(reactor, clock, self.endpoint_table, self.allotments.allotment)
+        self.dispatcher = Dispatcher(clock, endpoints, self.endpoint_table, slots)
+        self.service = RequestService(
+            reactor,
+            clock,
+            mesh,
+            membership,
+            self.takeover,
+            self.claim_log,
+            table,
+            self.dispatcher,
+            self.outage_claims,
+        )
+
+    async def stop(self) -> None:
+        """Stops the loops and closes the claim log, once no request is in progress."""
+        self.takeover.stop()
+        self.outage_claims.stop()
+        self.allotments.stop()
+        await self.claim_log.seal()
+
+    def _update_endpoints(self) -> None:
+        self.endpoint_table.update(
+            EndpointState(EndpointName(h.name), h.address, h.state is HostState.LEAVING)
+            for h in self._hosts.endpoints
+        )
--- a/tests/services/job_site.py
+++ b/tests/services/job_site.py
@@ -61,8 +61,7 @@
     site.run_until(lambda: all(each.host.is_ready for each in site.hosts.values()))
     for each in site.hosts.values():
         # The requests' side plays no part here, and its loop would take most of the time.
-        if (takeover := getattr(each.host, "_takeover", None)) is not None:
-            takeover.stop()
+        each.host.takeover.stop()
     site.run_until(lambda: len(all_owners(site)) == zones)
     site.run_for(2_000)
     return site
