Go on with a new policy after a broken round of decisions

Cause: a round that broke an invariant was dropped, but the policy kept the memory that had led to it, so that each later round could break the same way. The owner now starts a new policy, counts the failure and lets the error be reported. The new test fails without this: the same policy went on.

--- a/src/jujubehall/services/job_metrics.py
+++ b/src/jujubehall/services/job_metrics.py
@@ -20,6 +20,11 @@
 QUARANTINES = Counter(
     "jujubehall_worker_quarantines_total", "Workers put into quarantine.", registry=REGISTRY
 )
+POLICY_FAILURES = Counter(
+    "jujubehall_policy_failures_total",
+    "Rounds of decisions dropped because they broke an invariant.",
+    registry=REGISTRY,
+)
 WORKER_COMMANDS = Gauge(
     "jujubehall_worker_commands",
     "Commands sent to workers by the present owner.",
--- a/src/jujubehall/services/zone_owner.py
+++ b/src/jujubehall/services/zone_owner.py
@@ -21,6 +21,7 @@
 from jujubehall.core.jobs.gang_messages import WorkerGone
 from jujubehall.core.jobs.gang_timing import PARTIAL_GANG_BOUND_MS
 from jujubehall.core.jobs.gang_timing import TICK_INTERVAL_MS
+from jujubehall.core.jobs.invariants import InvariantViolation
 from jujubehall.core.jobs.job import JobRecord
 from jujubehall.core.jobs.job import JobState
 from jujubehall.core.jobs.job import job_key
@@ -30,6 +31,7 @@
 from jujubehall.platform.host import HostState
 from jujubehall.services.gang_runner import GangRunner
 from jujubehall.services.job_metrics import ATTEMPTS_ENDED
+from jujubehall.services.job_metrics import POLICY_FAILURES
 from jujubehall.services.job_metrics import QUARANTINES
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -320,9 +322,18 @@
             self._place_moved()
             view = self.view()
             self._reclaiming = {to for to, jobs in self._reclaims.items() if self._any_stops(jobs)}
-            for decision in self._policy.decide(view):
+            for decision in self._decide(view):
                 self._carry_out(decision, view)
 
+    def _decide(self, view: ZoneView) -> list[Decision]:
+        try:
+            return self._policy.decide(view)
+        except InvariantViolation:
+            # Its memory can't be trusted any more; what must last is in the view.
+            self._policy = self._context.make_policy()
+            POLICY_FAILURES.inc({"zone": self._zone})
+            raise
+
     def view(self) -> ZoneView:
         """What the policy decides on now."""
         now_ms = self._context.clock.now_ms
--- a/tests/services/test_zone_decisions.py
+++ b/tests/services/test_zone_decisions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import gc
+
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,6 +15,7 @@
 from jujubehall.core.jobs.decisions import Refuse
 from jujubehall.core.jobs.gang_timing import CHECKPOINT_LIMIT_MS
 from jujubehall.core.jobs.gang_timing import COMMAND_TIMEOUT_MS
+from jujubehall.core.jobs.invariants import InvariantViolation
 from jujubehall.core.jobs.job import JobState
 from jujubehall.core.jobs.job import PartPlacement
 from jujubehall.core.jobs.policy import Policy
@@ -40,10 +43,19 @@
 class ScriptedPolicy(Policy):
     """Decides what a test has put down, once, and keeps the last view."""
 
+    made = 0
+    breaks = False
     script: list[Decision] = []  # noqa: RUF012
     views: list[ZoneView] = []  # noqa: RUF012
 
+    def __init__(self) -> None:
+        super().__init__()
+        ScriptedPolicy.made += 1
+
     def decide(self, view: ZoneView) -> list[Decision]:
+        if ScriptedPolicy.breaks:
+            ScriptedPolicy.breaks = False
+            raise InvariantViolation("a scripted violation")
         self.views.append(view)
         decisions = list(self.script)
         self.script.clear()
@@ -179,3 +191,19 @@
     entry = site.store.get(f"state/jobs/{job}").unwrap()
     site.store.delete(entry.key, entry.version)
     site.run_until(lambda: running_parts(site, job) == 0, 10_000)
+
+
+def test_a_broken_round_is_dropped_and_the_zone_goes_on(
+    site: VirtualSite, background_errors: list[str]
+) -> None:
+    job = submit(site, spec(parts=1, accelerators=8))
+    before = ScriptedPolicy.made
+    ScriptedPolicy.breaks = True
+    decide(site, Place(job, (PartPlacement(0, WorkerName("worker-0")),)))
+    site.run_until(lambda: running_parts(site, job) == 1)
+    assert ScriptedPolicy.made == before + 1
+    gc.collect()
+    tracebacks = [error for error in background_errors if "Traceback" in error]
+    assert len(tracebacks) == 1
+    assert "a scripted violation" in tracebacks[0]
+    background_errors.clear()
