--- a/src/jujubehall/testing/platform_stand_in.py
+++ b/src/jujubehall/testing/platform_stand_in.py
@@ -43,12 +43,14 @@
     """What the stand-in does wrong on purpose.
 
     ``down`` refuses every call; ``delay_ms`` holds each answer back; ``lose_answers`` carries out
-    that many of the next writes but closes the connection in place of the answer.
+    that many of the next writes but answers each with an error; ``host_list_lag_ms`` is the time
+    after which a change of the host list shows.
     """
 
     down: bool = False
     delay_ms: int = 0
     lose_answers: int = 0
+    host_list_lag_ms: int = 0
 
 
 class PlatformStandIn:
@@ -144,8 +146,10 @@
 
     @routes.register("PUT", "/test/hosts")
     async def set_hosts(self, call: Call) -> Reply:
-        """Replaces the list of hosts."""
-        self._hosts = call.decode(list[Host])
+        """Replaces the list of hosts, which shows after the lag in force."""
+        hosts = call.decode(list[Host])
+        lag_s = to_seconds(self._faults.host_list_lag_ms)
+        self._reactor.callLater(lag_s, setattr, self, "_hosts", hosts)
         return Reply(200)
 
     @routes.register("PUT", "/test/faults")
--- a/src/jujubehall/testing/stand_in.py
+++ b/src/jujubehall/testing/stand_in.py
@@ -34,6 +34,7 @@
 
 # The platform holds values up to a megabyte, and the JSON around them takes some room.
 LIMITS = HttpLimits(connections=10_000, body_bytes=2 * MIB)
+ENDPOINT_LIMITS = HttpLimits(connections=60)
 
 reactor: Any = _reactor
 
@@ -72,15 +73,15 @@
     for host in site.endpoint_hosts():
         assert host.kind is HostKind.ENDPOINT
         stand_in = EndpointStandIn(reactor, host.name, EndpointBehaviour())
-        _listen(_port(host), endpoint_stand_in.routes, stand_in)
+        _listen(_port(host), endpoint_stand_in.routes, stand_in, ENDPOINT_LIMITS)
 
 
 def _port(host: Host) -> int:
     return int(host.address.rsplit(":", 1)[1])
 
 
-def _listen(port: int, routes: Any, interface: object) -> None:
-    reactor.listenTCP(port, make_site((routes, interface), limits=LIMITS), interface="127.0.0.1")
+def _listen(port: int, routes: Any, interface: object, limits: HttpLimits = LIMITS) -> None:
+    reactor.listenTCP(port, make_site((routes, interface), limits=limits), interface="127.0.0.1")
 
 
 if __name__ == "__main__":
