Let exceptions bound an endpoint's slots and weigh a zone

Cause: an operator could add an exception for endpoint_slots or fragmentation_weight, and it was accepted and shown, but the services read the fleet default only. Found by searching for readers of Configuration.value: there were none. Still without effect: endpoint_connections, whose pools are fixed when the process starts.

The two new tests fail on the code before (no exception was looked up).

--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -36,6 +36,7 @@
     from jujubehall.core.requests.endpoint_table import EndpointTable
     from jujubehall.endpoints.interface import Endpoints
     from jujubehall.entry_hosts.mesh import Mesh
+    from jujubehall.identifiers import EndpointName
     from jujubehall.platform.interface import Platform
     from jujubehall.services.dispatcher import Dispatcher
     from jujubehall.services.outage_claims import OutageClaims
@@ -87,7 +88,7 @@
             endpoints,
             self.membership,
             self.hosts,
-            lambda: self.configuration.current.defaults.endpoint_slots,
+            self._endpoint_slots,
             random,
         )
         self.peers = PeerMonitor(reactor, clock, mesh, self.membership, self.cache, seeds)
@@ -197,3 +198,8 @@
         # The jobs of a zone that was lost still need an owner, who hands them to other zones.
         listed = {ZoneName(host.zone) for host in self.hosts.workers}
         return sorted(listed | self._job_index.zones)
+
+    def _endpoint_slots(self, endpoint: EndpointName, zone: ZoneName) -> int:
+        scopes = (f"endpoint/{endpoint}", f"zone/{zone}")
+        slots: int = self.configuration.current.value("endpoint_slots", *scopes)
+        return slots
--- a/src/jujubehall/daemon/request_services.py
+++ b/src/jujubehall/daemon/request_services.py
@@ -9,6 +9,7 @@
 from jujubehall.core.requests.endpoint_table import EndpointTable
 from jujubehall.core.requests.grants import GrantBook
 from jujubehall.identifiers import EndpointName
+from jujubehall.identifiers import ZoneName
 from jujubehall.platform.host import HostState
 from jujubehall.services.claim_log import ClaimLog
 from jujubehall.services.clearance import Clearance
@@ -35,7 +36,8 @@
 class RequestServices:
     """Claims, takeover of shards, slots of endpoints, and dispatch.
 
-    ``endpoint_slots`` gives the number of slots of one endpoint for all entry hosts together.
+    ``endpoint_slots`` gives the number of slots of an endpoint, which lies in an availability zone,
+    for all entry hosts together.
     """
 
     def __init__(
@@ -47,10 +49,11 @@
         endpoints: Endpoints,
         membership: Membership,
         hosts: HostList,
-        endpoint_slots: Callable[[], int],
+        endpoint_slots: Callable[[EndpointName, ZoneName], int],
         random: Random,
     ) -> None:
         self._hosts = hosts
+        self._zones: dict[EndpointName, ZoneName] = {}
         self.endpoint_table = EndpointTable(random)
         hosts.listen(lambda _: self._update_endpoints())
         table = ClaimTable()
@@ -67,7 +70,12 @@
             reactor, clock, platform, membership, self.claim_log, table, clearance, random
         )
         self.allotments = SlotAllotments(
-            reactor, clock, mesh, membership, self.endpoint_table, endpoint_slots
+            reactor,
+            clock,
+            mesh,
+            membership,
+            self.endpoint_table,
+            lambda endpoint: endpoint_slots(endpoint, self._zones[endpoint]),
         )
         slots = SlotQueue(reactor, clock, self.endpoint_table, self.allotments.allotment)
         self.dispatcher = Dispatcher(clock, endpoints, self.endpoint_table, slots)
@@ -91,6 +99,8 @@
         await self.claim_log.seal()
 
     def _update_endpoints(self) -> None:
+        for host in self._hosts.endpoints:
+            self._zones[EndpointName(host.name)] = ZoneName(host.zone)
         self.endpoint_table.update(
             EndpointState(EndpointName(h.name), h.address, h.state is HostState.LEAVING)
             for h in self._hosts.endpoints
--- a/src/jujubehall/services/slot_allotments.py
+++ b/src/jujubehall/services/slot_allotments.py
@@ -48,7 +48,7 @@
         mesh: Mesh,
         membership: Membership,
         table: EndpointTable,
-        limit: Callable[[], int],
+        limit: Callable[[EndpointName], int],
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -58,29 +58,28 @@
         self._limit = limit
         self._settled: tuple[EntryHostName, ...] = ()
         self._settled_epoch = Epoch(0)
-        self._parts: dict[EndpointName, int] = {}
-        self._basis = (Epoch(0), Epoch(0), 0)
+        self._parts: dict[EndpointName, tuple[tuple[Epoch, Epoch, int], int]] = {}
         self._departed_at_ms: dict[EntryHostName, int] = {}
         self._running = True
         mesh.register(AllotmentWanted, self._on_wanted)
 
     def allotment(self, endpoint: EndpointName) -> int:
         """The slots of ``endpoint`` that may be in use by this entry host now."""
-        basis = (self._membership.record.epoch, self._settled_epoch, self._limit())
-        if basis != self._basis:
-            self._basis = basis
-            self._parts.clear()
-        if endpoint not in self._parts:
-            self._parts[endpoint] = self._part(endpoint)
-        return self._parts[endpoint]
-
-    def _part(self, endpoint: EndpointName) -> int:
+        limit = self._limit(endpoint)
+        basis = (self._membership.record.epoch, self._settled_epoch, limit)
+        known = self._parts.get(endpoint)
+        if known is None or known[0] != basis:
+            known = (basis, self._part(endpoint, limit))
+            self._parts[endpoint] = known
+        return known[1]
+
+    def _part(self, endpoint: EndpointName, limit: int) -> int:
         own = self._membership.member.name
         members = self._members
-        latest = allotment(self._limit(), endpoint, members, own)
+        latest = allotment(limit, endpoint, members, own)
         if members == self._settled:
             return latest
-        return min(latest, allotment(self._limit(), endpoint, self._settled, own))
+        return min(latest, allotment(limit, endpoint, self._settled, own))
 
     def stop(self) -> None:
         """Ends the following of the record."""
--- a/src/jujubehall/services/zone_owner.py
+++ b/src/jujubehall/services/zone_owner.py
@@ -352,7 +352,7 @@
                 self._context.guarantees(self._zone),
                 {team.name: team.accelerator_quota for team in configuration.teams},
             ),
-            configuration.defaults.fragmentation_weight,
+            configuration.value("fragmentation_weight", f"zone/{self._zone}"),
             complete=all(contact.inventory is not None for contact in self.workers.contacts),
         )
 
--- a/tests/services/test_request_limits.py
+++ b/tests/services/test_request_limits.py
@@ -7,8 +7,11 @@
 import msgspec
 import pytest
 
+from jujubehall.core.configuration.change import ChangeAuthor
+from jujubehall.core.configuration.change import add_exception
 from jujubehall.core.requests.request import Outcome
 from jujubehall.core.requests.request import Request
+from jujubehall.identifiers import EndpointName
 from jujubehall.identifiers import EntryHostName
 from jujubehall.identifiers import RequestId
 from jujubehall.identifiers import TeamName
@@ -19,7 +22,11 @@
 from tests.services.request_storm import ready_site
 
 if TYPE_CHECKING:
+    from result import Result
+
+    from jujubehall.core.configuration.document import Configuration
     from jujubehall.core.requests.request import Answer
+    from jujubehall.errors import Failure
     from jujubehall.testing.virtual.site import VirtualSite
 
 STUDIO = TeamName("studio")
@@ -169,3 +176,23 @@
     site.run_for(3_000)
     assert len(load.answers) == 16
     assert all(answer.outcome is Outcome.COMPLETED for answer in load.answers)
+
+
+def test_an_exception_bounds_the_slots_of_one_endpoint() -> None:
+    site = ready_site(3)
+    host = next(iter(site.hosts.values())).host
+    author = ChangeAuthor("amaka", "a small machine", "token", 0)
+
+    def except_endpoint(current: Configuration) -> Result[Configuration, Failure]:
+        return add_exception(
+            current, author, "endpoint/endpoint-0", "endpoint_slots", 3, author.reason
+        )
+
+    changed = site.finish(host.configuration.change(0, except_endpoint))
+    assert changed.is_ok(), changed
+    site.run_for(5_000)
+    hosts = [each.host.request_services.allotments for each in site.hosts.values()]
+    parts = {
+        name: sum(each.allotment(EndpointName(name)) for each in hosts) for name in site.endpoints
+    }
+    assert parts == {"endpoint-0": 3, "endpoint-1": 8, "endpoint-2": 8}
--- a/tests/services/test_zone_decisions.py
+++ b/tests/services/test_zone_decisions.py
@@ -9,6 +9,8 @@
 import msgspec
 import pytest
 
+from jujubehall.core.configuration.change import ChangeAuthor
+from jujubehall.core.configuration.change import add_exception
 from jujubehall.core.jobs.decisions import Move
 from jujubehall.core.jobs.decisions import Place
 from jujubehall.core.jobs.decisions import Preempt
@@ -26,8 +28,10 @@
 from jujubehall.testing.worker_state import WorkerState
 from jujubehall.workers.messages import Resources
 from jujubehall.workers.messages import TaskState
+from tests.services.job_site import ZONE
 from tests.services.job_site import all_owners
 from tests.services.job_site import job_of
+from tests.services.job_site import live_hosts
 from tests.services.job_site import make_site
 from tests.services.job_site import run_until_state
 from tests.services.job_site import running_parts
@@ -35,8 +39,12 @@
 from tests.services.job_site import submit
 
 if TYPE_CHECKING:
+    from result import Result
+
+    from jujubehall.core.configuration.document import Configuration
     from jujubehall.core.jobs.decisions import Decision
     from jujubehall.core.jobs.zone_view import ZoneView
+    from jujubehall.errors import Failure
     from jujubehall.testing.virtual.site import VirtualSite
 
 
@@ -207,3 +215,17 @@
     assert len(tracebacks) == 1
     assert "a scripted violation" in tracebacks[0]
     background_errors.clear()
+
+
+def test_the_weight_of_a_zone_may_be_an_exception(site: VirtualSite) -> None:
+    configuration = live_hosts(site)[0].host.configuration
+    author = ChangeAuthor("amaka", "long plans", "token", 0)
+
+    def except_zone(current: Configuration) -> Result[Configuration, Failure]:
+        return add_exception(
+            current, author, f"zone/{ZONE}", "fragmentation_weight", 0.9, author.reason
+        )
+
+    assert view(site).fragmentation_weight == 0.5
+    assert site.finish(configuration.change(0, except_zone)).is_ok()
+    assert view(site).fragmentation_weight == 0.9
