--- a/src/jujubehall/testing/worker_state.py
+++ b/src/jujubehall/testing/worker_state.py
@@ -59,6 +59,7 @@
     ends_at_ms: int = 0
     changed_at_ms: int = 0
     fails: bool = False
+    percent: int = 100
 
 
 class Span(msgspec.Struct):
@@ -190,8 +191,17 @@
         return Ok(self.inventory())
 
     def throttle(self, command: Throttle) -> Result[Inventory, Failure]:
-        """Accepts a limit of processor time, which the stand-in doesn't model."""
-        return self._admit("throttle", command.epoch) or Ok(self.inventory())
+        """Slows a running task down to a share of its speed."""
+        if refusal := self._admit("throttle", command.epoch):
+            return refusal
+        task = self._tasks.get(command.key)
+        if task is None or task.state not in (TaskState.RUNNING, TaskState.CHECKPOINTED):
+            return self._refuse("throttle", "no such task")
+        now_ms = self._clock.now_ms
+        left_at_full_speed_ms = (task.ends_at_ms - now_ms) * task.percent // 100
+        task.ends_at_ms = now_ms + left_at_full_speed_ms * 100 // command.percent
+        task.percent = command.percent
+        return Ok(self.inventory())
 
     def _admit(self, step: str, epoch: Epoch) -> Err[Failure] | None:
         self._pass_time()
--- a/src/jujubehall/workers/messages.py
+++ b/src/jujubehall/workers/messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -123,7 +124,7 @@
 
     epoch: Epoch
     key: TaskKey
-    percent: int
+    percent: Annotated[int, msgspec.Meta(ge=1, le=100)]
 
 
 class CommandRefused(msgspec.Struct, frozen=True):
