Use what was there for scoped settings and for errors of background coroutines

Found on reading the whole change: the older scheduler's share looked up its exceptions by a loop of its own beside Configuration.value; the fixture of the tests collected twisted's errors by a copy of EscapedErrors; and EntryHost kept a platform that nothing read. Behaviour and assertions are the same.

--- a/src/jujubehall/daemon/entry_host.py
+++ b/src/jujubehall/daemon/entry_host.py
@@ -70,7 +70,6 @@
     ) -> None:
         self._reactor = reactor
         self._clock = clock
-        self._platform = platform
         self.cache = StateCache(reactor, platform, random)
         self.hosts = HostList(reactor, platform, random)
         self._job_index = JobIndex(self.cache, clock)
--- a/src/jujubehall/services/zone_context.py
+++ b/src/jujubehall/services/zone_context.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from typing import Any
 
 from jujubehall.core.jobs.zone_summary import ZONE_SUMMARY_PREFIX
 from jujubehall.core.jobs.zone_summary import ZoneSummary
@@ -62,22 +61,12 @@
 
     def shares(self, zone: ZoneName) -> dict[WorkerName, Resources]:
         """The older scheduler's configured share of each worker of a zone."""
-        current = self.configuration.current
-        overrides = {
-            each.scope: each.value
-            for each in current.exceptions
-            if each.key == FOREIGN_ACCELERATORS_KEY
-        }
-        default = current.defaults.foreign_accelerators
         return {
-            WorkerName(host.name): _share(overrides, host.name, zone, default)
+            WorkerName(host.name): Resources(self._share(host.name, zone))
             for host in self.hosts.workers
             if host.zone == zone
         }
 
-
-def _share(overrides: dict[str, Any], worker: str, zone: str, default: int) -> Resources:
-    for scope in (f"worker/{worker}", f"zone/{zone}"):
-        if scope in overrides:
-            return Resources(int(overrides[scope]))
-    return Resources(default)
+    def _share(self, worker: str, zone: ZoneName) -> int:
+        scopes = (f"worker/{worker}", f"zone/{zone}")
+        return int(self.configuration.current.value(FOREIGN_ACCELERATORS_KEY, *scopes))
--- a/src/jujubehall/testing/randomised/escaped_errors.py
+++ b/src/jujubehall/testing/randomised/escaped_errors.py
@@ -18,8 +18,8 @@
 
     @property
     def errors(self) -> list[str]:
-        """The errors so far, each as a traceback."""
-        return list(self._errors)
+        """The errors so far, each as a traceback; clear the list to forget them."""
+        return self._errors
 
     def collect(self) -> None:
         """Has errors of coroutines that nobody waits for reported now."""
