--- a/src/jujubehall/clock.py
+++ b/src/jujubehall/clock.py
@@ -68,6 +68,14 @@
     return Clock(lambda: time.monotonic_ns() // NS_PER_MS)
 
 
+def suspend_aware_clock() -> Clock:
+    """Makes a clock that also counts the time in which the machine was suspended.
+
+    Leases go on running then, at the store and at the workers.
+    """
+    return Clock(lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS)
+
+
 def to_seconds(duration_ms: int) -> float:
     """Converts milliseconds to the seconds that libraries expect."""
     return duration_ms / MS_PER_SECOND
--- /dev/null
+++ b/src/jujubehall/core/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about jobs made of steps of tasks, over the workers of a whole site."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/jujubehall/core/fleet/groups.py
@@ -0,0 +1,163 @@
+"""Groups of tasks that are placed together: a whole gang, or a single task."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jujubehall.core.fleet.reports import TaskName
+from jujubehall.core.fleet.resources import Resources
+
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.jobs import FleetJob
+    from jujubehall.core.fleet.requests import StepRequest
+    from jujubehall.core.fleet.workers import FleetWorker
+
+
+class Phase(Enum):
+    """What is known of a run on its worker."""
+
+    STARTING = "starting"
+    """The start has been sent; it may or may not run."""
+
+    RUNNING = "running"
+    STOPPING = "stopping"
+    """It is to be stopped; its room is taken until its end is known."""
+
+
+class GroupProgress(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What is kept of a group in the store."""
+
+    is_done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+    run: int = 0
+
+
+class Placement:
+    """One run of one task on one worker."""
+
+    def __init__(self, worker: FleetWorker, run: int, started_ms: int) -> None:
+        self.worker = worker
+        self.life = worker.listed.life
+        self.run = run
+        self.phase = Phase.STARTING
+        self.started_ms = started_ms
+        self.confirmed_ms: int | None = None
+        """When the worker last answered an order about this run, or reported it."""
+
+        self.stop_confirmed_ms: int | None = None
+        self.is_stop_wanted = False
+        """Whether a stop is still to be sent or confirmed."""
+
+        self.percent = 100
+        self.load = 0
+
+
+class TaskGroup:
+    """All tasks of one occurrence of a gang step, or one task of any other step."""
+
+    def __init__(
+        self, job: FleetJob, occurrence: int, step: int, request: StepRequest, indexes: range
+    ) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.step = step
+        self.request = request
+        self.indexes = indexes
+        self.placements: dict[int, Placement] = {}
+        self.run = 0
+        """The highest number of a run that may have been started."""
+
+        self.failures = 0
+        self.is_done = False
+        self.checkpoint = ""
+        self.ready_since_ms: int | None = None
+        self.not_before_ms = 0
+        self.has_started = False
+        self.reserved_until_ms = 0
+        self.reserved_on: dict[int, FleetWorker] = {}
+        self.failed_on: set[str] = set()
+        self.failed_runs: set[int] = set()
+        """Runs whose failure is counted: the members of a gang fail together."""
+
+        self.is_excluded_until_ms = 0
+        """Until then, an unreachable worker may run it under an earlier owner's orders."""
+
+    @property
+    def key(self) -> str:
+        """Names the group within its job, for the record in the store."""
+        base = f"{self.occurrence}.{self.step}"
+        return base if self.request.is_gang else f"{base}.{self.indexes.start}"
+
+    @property
+    def counted_needs(self) -> Resources:
+        """What one task is counted with on its worker."""
+        needs = self.request.needs
+        if self.request.is_filler:
+            return Resources(0, needs.memory_mb, needs.accelerators)
+        return needs
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it may be placed now, as far as its own state goes."""
+        return not self.is_done and not self.placements and self.ready_since_ms is not None
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether any of its tasks is being stopped."""
+        return any(each.phase is Phase.STOPPING for each in self.placements.values())
+
+    @property
+    def millicore_ms_per_ms(self) -> int:
+        """The core equivalents that all its tasks take together, in thousandths."""
+        needs = self.request.needs
+        return (needs.millicores + 8_000 * needs.accelerators) * len(self.indexes)
+
+    def task(self, index: int) -> TaskName:
+        """The full name of one of its tasks."""
+        return TaskName(self.job.id, self.occurrence, self.step, index)
+
+    def place(self, index: int, placement: Placement) -> None:
+        """Notes that a task may run on a worker from now on."""
+        self.placements[index] = placement
+        placement.worker.add(self, index, placement)
+        self.has_started = True
+
+    def displace(self, index: int) -> None:
+        """Notes that a task no longer runs."""
+        placement = self.placements.pop(index, None)
+        if placement is not None:
+            placement.worker.remove(self, index)
+
+    def reserve(self, chosen: dict[int, FleetWorker], until_ms: int) -> None:
+        """Keeps room on the chosen workers while what runs there is being stopped."""
+        self.release_reservation()
+        self.reserved_on = dict(chosen)
+        self.reserved_until_ms = until_ms
+        for worker in chosen.values():
+            present = worker.reserved.get(self)
+            worker.reserved[self] = (
+                self.counted_needs if present is None else present + self.counted_needs
+            )
+
+    def release_reservation(self) -> None:
+        """Gives up what was reserved."""
+        for worker in self.reserved_on.values():
+            worker.reserved.pop(self, None)
+        self.reserved_on = {}
+        self.reserved_until_ms = 0
+
+    def progress(self) -> GroupProgress:
+        """What is to be kept of it."""
+        return GroupProgress(self.is_done, self.failures, self.checkpoint, self.run)
+
+    def restore(self, kept: GroupProgress) -> None:
+        """Takes over what an earlier owner kept."""
+        self.is_done = kept.is_done
+        self.failures = kept.failures
+        self.checkpoint = kept.checkpoint
+        self.run = max(self.run, kept.run)
+        self.has_started = True
--- /dev/null
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -0,0 +1,105 @@
+"""One round of scheduling: which waiting groups start where, and what stops for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jujubehall.core.fleet.decisions import Decision
+from jujubehall.core.fleet.decisions import StartGroup
+from jujubehall.core.fleet.decisions import StopGroup
+from jujubehall.core.fleet.placing import eligible_workers
+from jujubehall.core.fleet.placing import place
+from jujubehall.core.fleet.preempting import find_room
+
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.book import FleetBook
+    from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.workers import FleetWorker
+
+MOST_URGENT = 0
+RESERVATION_MS = 1_500
+"""How long room is kept for a group while what runs there stops: the site's bound on a stop
+(400 ms) and two looks at a worker."""
+
+NEAR_WAIT_SHARE = 1.0
+"""A task waits for a near place this share of its expected duration, and then goes far: there it
+takes three times as long."""
+
+MIN_NEAR_WAIT_MS = 1_000
+
+
+class Round:
+    """Decides for one moment; the decisions are noted in the book by whoever carries them out."""
+
+    def __init__(self, book: FleetBook, now_ms: int) -> None:
+        self._book = book
+        self._now_ms = now_ms
+        self._decisions: list[Decision] = []
+        self._stopped: set[TaskGroup] = set()
+        self._eligible: dict[tuple[object, ...], list[FleetWorker]] = {}
+
+    def run(self) -> list[Decision]:
+        """The decisions, in the order in which they are to be carried out."""
+        for group in sorted(self._book.waiting_groups(self._now_ms), key=self._urgency):
+            self._decide(group)
+        return self._decisions
+
+    def _urgency(self, group: TaskGroup) -> tuple[int, int, str, str]:
+        job = group.job
+        return (job.priority, group.ready_since_ms or 0, job.id, group.key)
+
+    def _decide(self, group: TaskGroup) -> None:
+        workers = self._eligible_workers(group)
+        if group.reserved_on and not self._continue_reservation(group, workers):
+            return
+        may_go_far = self._may_go_far(group)
+        chosen = place(group, workers, may_go_far)
+        if chosen is not None:
+            self._start(group, chosen)
+        elif group.job.priority == MOST_URGENT and not group.reserved_on:
+            self._preempt(group, workers, may_go_far)
+
+    def _eligible_workers(self, group: TaskGroup) -> list[FleetWorker]:
+        request = group.request
+        pool = group.job.queue.pool if group.job.queue is not None else None
+        key = (pool, request.required_label, request.needs)
+        if key not in self._eligible:
+            self._eligible[key] = eligible_workers(group, self._book.workers.values(), self._now_ms)
+        return self._eligible[key]
+
+    def _may_go_far(self, group: TaskGroup) -> bool:
+        if group.job.priority == MOST_URGENT:
+            return True
+        waited_ms = self._now_ms - (group.ready_since_ms or self._now_ms)
+        patience_ms = max(MIN_NEAR_WAIT_MS, NEAR_WAIT_SHARE * group.request.expected_ms)
+        return waited_ms >= patience_ms
+
+    def _continue_reservation(self, group: TaskGroup, workers: list[FleetWorker]) -> bool:
+        """Starts a group whose reserved room has become free; True if it must look anew."""
+        usable = all(worker in workers for worker in group.reserved_on.values())
+        if usable and all(
+            worker.reserved[group].fits_in(worker.free_for(group))
+            for worker in group.reserved_on.values()
+        ):
+            self._start(group, group.reserved_on)
+            return False
+        if usable and self._now_ms < group.reserved_until_ms:
+            return False
+        group.release_reservation()
+        return True
+
+    def _start(self, group: TaskGroup, chosen: dict[int, FleetWorker]) -> None:
+        group.release_reservation()
+        self._book.note_start(group, chosen, self._now_ms)
+        self._decisions.append(StartGroup(group, dict(chosen)))
+
+    def _preempt(self, group: TaskGroup, workers: list[FleetWorker], may_go_far: bool) -> None:
+        room = find_room(group, workers, self._now_ms, may_go_far)
+        if room is None:
+            return
+        group.reserve(room.workers, self._now_ms + RESERVATION_MS)
+        for victim in sorted(room.victims, key=lambda each: (each.job.id, each.key)):
+            if victim not in self._stopped:
+                self._stopped.add(victim)
+                self._book.note_stop(victim)
+                self._decisions.append(StopGroup(victim, f"preempted by {group.job.id}"))
--- /dev/null
+++ b/src/jujubehall/core/fleet/workers.py
@@ -0,0 +1,96 @@
+"""Workers as the scheduler sees them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jujubehall.core.fleet.resources import NOTHING
+from jujubehall.core.fleet.resources import Resources
+from jujubehall.identifiers import PoolName
+from jujubehall.identifiers import RackName
+from jujubehall.identifiers import WorkerName
+from jujubehall.identifiers import ZoneName
+
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.groups import Placement
+    from jujubehall.core.fleet.groups import TaskGroup
+
+
+class ListedWorker(msgspec.Struct, frozen=True):
+    """A worker as it lists itself."""
+
+    name: WorkerName
+    address: str
+    pool: PoolName
+    zone: ZoneName
+    rack: RackName
+    labels: frozenset[str]
+    capacity: Resources
+    is_draining: bool = False
+    life: int = 0
+    """Unix time in milliseconds at which it started; tells one life from the next."""
+
+    leaves_in_ms: int | None = None
+
+
+class FleetWorker:
+    """A worker with everything that may be running there."""
+
+    def __init__(self, listed: ListedWorker) -> None:
+        self.listed = listed
+        self.placements: dict[tuple[TaskGroup, int], Placement] = {}
+        self.reserved: dict[TaskGroup, Resources] = {}
+        self.is_listed = True
+        self.is_in_touch = False
+        """Whether its last report is recent; nothing is started on a worker out of touch."""
+
+        self.avoid_until_ms = 0
+        self.unknown_use: Resources = NOTHING
+        """What tasks take that it runs and the scheduler does not know."""
+
+        self.has_reported = False
+        self.used: Resources = NOTHING
+        self.slowness = 1.0
+        """How many times as long tasks take here, learned from how they end."""
+
+    @property
+    def name(self) -> WorkerName:
+        """The worker's identifier."""
+        return self.listed.name
+
+    @property
+    def free(self) -> Resources:
+        """What is neither in use nor reserved."""
+        taken = self.used + self.unknown_use
+        for amount in self.reserved.values():
+            taken = taken + amount
+        return self.listed.capacity.minus(taken)
+
+    def free_for(self, group: TaskGroup) -> Resources:
+        """What ``group`` may use: what is free and what is reserved for it."""
+        taken = self.used + self.unknown_use
+        for owner, amount in self.reserved.items():
+            if owner is not group:
+                taken = taken + amount
+        return self.listed.capacity.minus(taken)
+
+    def accepts_work(self, now_ms: int) -> bool:
+        """Whether new tasks may be started here."""
+        return (
+            self.is_listed
+            and self.is_in_touch
+            and not self.listed.is_draining
+            and self.avoid_until_ms <= now_ms
+        )
+
+    def add(self, group: TaskGroup, index: int, placement: Placement) -> None:
+        """Notes that a task may run here from now on."""
+        self.placements[group, index] = placement
+        self.used = self.used + group.counted_needs
+
+    def remove(self, group: TaskGroup, index: int) -> None:
+        """Notes that a task no longer runs here."""
+        if self.placements.pop((group, index), None) is not None:
+            self.used = self.used.minus(group.counted_needs)
--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -8,11 +8,16 @@
 
 import msgspec
 
+from jujubehall.core.jobs.job import JobState
+from jujubehall.core.ownership.record import Member
 from jujubehall.core.requests.request import Answer
 from jujubehall.core.requests.request import Request
 from jujubehall.identifiers import EntryHostName
 from jujubehall.identifiers import Epoch
+from jujubehall.identifiers import FencingToken
 from jujubehall.identifiers import Incarnation
+from jujubehall.identifiers import JobId
+from jujubehall.identifiers import QueueName
 from jujubehall.identifiers import Version
 
 
@@ -116,8 +121,91 @@
     settled: bool
 
 
+class SiteHeartbeat(msgspec.Struct, frozen=True, tag="site-heartbeat"):
+    """Sent by the owner of the site to every entry host.
+
+    ``configuration_age_ms`` is how long ago the owner last knew that no later configuration than
+    ``configuration_version`` was in force.
+    """
+
+    owner: Member
+    token: FencingToken
+    configuration_version: int
+    configuration_age_ms: int
+    members: tuple[Member, ...] = ()
+
+
+class SiteHeartbeatAnswer(msgspec.Struct, frozen=True, tag="site-heartbeat-answer"):
+    """Answers with the highest fencing token of an owner that the entry host has heard of."""
+
+    token: FencingToken
+    configuration_version: int
+
+
+class SiteConfigurationWanted(msgspec.Struct, frozen=True, tag="site-configuration-wanted"):
+    """Asks an entry host for the site's configuration and for how current it is there."""
+
+
+class SiteConfigurationOffered(msgspec.Struct, frozen=True, tag="site-configuration-offered"):
+    """The configuration as its peer's adapter encoded it, and its age in milliseconds."""
+
+    version: int
+    age_ms: int
+    content: bytes
+
+
+class JobStateWanted(msgspec.Struct, frozen=True, tag="job-state-wanted"):
+    """Asks the owner of the site for a job's state."""
+
+    job: JobId
+
+
+class JobStateKnown(msgspec.Struct, frozen=True, tag="job-state-known"):
+    """A job's state as kept in the store; None if the owner does not know the job."""
+
+    state: JobState | None
+    queue: QueueName | None = None
+
+
+class PendingWanted(msgspec.Struct, frozen=True, tag="pending-wanted"):
+    """Asks the owner how many jobs of a queue have had no task started."""
+
+    queue: QueueName
+
+
+class PendingKnown(msgspec.Struct, frozen=True, tag="pending-known"):
+    """Answers ``PendingWanted``."""
+
+    count: int
+
+
+class StoreWriteWanted(msgspec.Struct, frozen=True, tag="store-write-wanted"):
+    """Asks another entry host to create a record, from one that can't reach the store."""
+
+    key: str
+    value: bytes
+    timeout_ms: int
+
+
+class StoreWriteSettled(msgspec.Struct, frozen=True, tag="store-write-settled"):
+    """Whether the record exists now; if not, whether the write may still take effect."""
+
+    is_kept: bool
+    may_take_effect: bool
+
+
 Message = (
-    Heartbeat
+    SiteHeartbeat
+    | SiteHeartbeatAnswer
+    | SiteConfigurationWanted
+    | SiteConfigurationOffered
+    | JobStateWanted
+    | JobStateKnown
+    | PendingWanted
+    | PendingKnown
+    | StoreWriteWanted
+    | StoreWriteSettled
+    | Heartbeat
     | HeartbeatAnswer
     | ForwardedRequest
     | ForwardedAnswer
--- a/src/jujubehall/http/client.py
+++ b/src/jujubehall/http/client.py
@@ -73,6 +73,7 @@
         *,
         timeout_ms: int,
         peer: str | None = None,
+        extra_headers: dict[str, str] | None = None,
     ) -> Result[Response, Failure]:
         """Sends a request and waits for the whole answer, at most ``timeout_ms`` milliseconds.
 
@@ -82,6 +83,8 @@
         peer = peer or self._peer
         producer: Any = None if body is None else BytesBody(msgspec.json.encode(body))
         headers = Headers({b"Content-Type": [b"application/json"]})
+        for name, value in (extra_headers or {}).items():
+            headers.addRawHeader(name.encode(), value.encode())
         deferred: Deferred[Any] = self._agent.request(
             method.encode(), url.encode(), headers, producer
         )
--- a/src/jujubehall/identifiers.py
+++ b/src/jujubehall/identifiers.py
@@ -31,3 +31,12 @@
 
 Version = NewType("Version", int)
 """Version of a key in the platform's key-value service; 0 stands for an absent key."""
+
+QueueName = NewType("QueueName", str)
+"""Names a queue of the site's configuration, where callers submit jobs."""
+
+PoolName = NewType("PoolName", str)
+"""Names a pool of workers that serve the same queues."""
+
+FencingToken = NewType("FencingToken", int)
+"""Drawn from the store at each election; peers refuse orders under a lower one."""
--- /dev/null
+++ b/src/jujubehall/platform/adapter/front.py
@@ -0,0 +1,194 @@
+"""The HTTP interface that the platform's clients call, and the readiness check."""
+
+from __future__ import annotations
+
+import re
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import structlog
+
+from twisted.internet.defer import Deferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from jujubehall.core.fleet.requests import JobRequest
+from jujubehall.core.fleet.requests import StepRequest
+from jujubehall.core.fleet.resources import Resources
+from jujubehall.http.channel import retry_after_seconds
+from jujubehall.identifiers import JobId
+from jujubehall.identifiers import RackName
+from jujubehall.platform.adapter import wire
+from jujubehall.services.fleet.admission import Admitted
+from jujubehall.services.fleet.admission import Answer
+from jujubehall.services.fleet.admission import CallerCall
+from jujubehall.services.fleet.admission import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jujubehall.services.fleet.admission import Admission
+
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+TOKEN_SCHEME = "Token "
+MAX_DEADLINE_MS = 600_000
+
+_STATUS = {
+    Outcome.ACCEPTED: 200,
+    Outcome.SHOWN: 200,
+    Outcome.NO_SUCH_QUEUE: 404,
+    Outcome.NO_SUCH_JOB: 410,
+    Outcome.UNKNOWN_KEY: 401,
+    Outcome.MALFORMED: 400,
+    Outcome.NOT_RUN: 503,
+    Outcome.UNKNOWN: 504,
+}
+
+log = structlog.get_logger()
+
+
+class FrontResource(Resource):
+    """Hands clients' calls to the admission and writes its answers."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, admission: Admission, is_stopping: Callable[[], bool]) -> None:
+        super().__init__()
+        self._admission = admission
+        self._is_stopping = is_stopping
+
+    def render(self, request: Any) -> int:
+        """Called by twisted with each complete request."""
+        Deferred.fromCoroutine(self._serve(request))
+        return NOT_DONE_YET
+
+    async def _serve(self, request: Any) -> None:
+        closed: list[object] = []
+        request.notifyFinish().addErrback(closed.append)
+        try:
+            answer = await self._answer(request)
+        except Exception as error:
+            log.error("call failed", path=_text(request.path), error=repr(error))
+            answer = Answer(Outcome.UNKNOWN, "internal error")
+        if not closed:
+            self._write(request, answer)
+
+    async def _answer(self, request: Any) -> Answer:
+        method = _text(request.method)
+        admitted = self._admission.check(_to_call(request))
+        if isinstance(admitted, Answer):
+            return admitted
+        if not admitted.rest:
+            if method == "GET":
+                return await self._admission.pending(admitted)
+            return Answer(Outcome.MALFORMED, "the job's identifier is missing")
+        if JOB_ID.fullmatch(admitted.rest) is None:
+            return _unfit_identifier(method)
+        job = JobId(admitted.rest)
+        if method == "POST":
+            return await self._submit(admitted, job, request.content.read())
+        if method == "GET":
+            return await self._admission.show(admitted, job)
+        if method == "DELETE":
+            return await self._admission.cancel(admitted, job)
+        return Answer(Outcome.MALFORMED, f"{method} is not served")
+
+    async def _submit(self, admitted: Admitted, job: JobId, body: bytes) -> Answer:
+        try:
+            request = _to_request(msgspec.json.decode(body, type=wire.Submission))
+        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+            log.info("job malformed", job=job, error=str(error))
+            return Answer(Outcome.MALFORMED, str(error))
+        return await self._admission.submit(admitted, job, request)
+
+    def _write(self, request: Any, answer: Answer) -> None:
+        body: dict[str, object] = {}
+        if answer.state is not None:
+            body["state"] = answer.state.value
+        if answer.pending is not None:
+            body["pending"] = answer.pending
+        if answer.detail:
+            body["error"] = answer.detail
+        content = msgspec.json.encode(body)
+        request.setResponseCode(_STATUS[answer.outcome])
+        request.setHeader("Content-Type", "application/json")
+        request.setHeader("Content-Length", str(len(content)))
+        if answer.retry_after_ms:
+            request.setHeader("Retry-After", str(retry_after_seconds(answer.retry_after_ms)))
+        if self._is_stopping():
+            request.setHeader("Connection", "close")
+        request.write(content)
+        request.finish()
+
+
+class ReadinessResource(Resource):
+    """Answers the balancer's check."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        super().__init__()
+        self._is_ready = is_ready
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802
+        """Called by twisted."""
+        request.setResponseCode(200 if self._is_ready() else 503)
+        return b""
+
+
+def _to_call(request: Any) -> CallerCall:
+    host = _text(request.getHeader(b"host") or b"").partition(":")[0]
+    authorization = _text(request.getHeader(b"authorization") or b"")
+    key = authorization.removeprefix(TOKEN_SCHEME).strip()
+    deadline = _text(request.getHeader(b"deadline-ms") or b"")
+    timeout_ms = int(deadline) if deadline.isdecimal() else None
+    if timeout_ms is not None:
+        timeout_ms = min(timeout_ms, MAX_DEADLINE_MS)
+    return CallerCall(host, _text(request.path), key, timeout_ms)
+
+
+def _unfit_identifier(method: str) -> Answer:
+    if method == "POST":
+        return Answer(Outcome.MALFORMED, "a job's identifier has 16 hexadecimal digits")
+    return Answer(Outcome.NO_SUCH_JOB, "no such job")
+
+
+def _to_request(submission: wire.Submission) -> JobRequest:
+    return JobRequest(
+        submission.spec,
+        tuple(_to_step(step) for step in submission.steps),
+        submission.repeat_count,
+        submission.first_run_ms,
+        submission.interval_ms,
+    )
+
+
+def _to_step(step: wire.Step) -> StepRequest:
+    # Converted by msgspec, so that bounds are checked here as in the records of the store.
+    return msgspec.convert(
+        {
+            "tasks": step.count,
+            "needs": Resources(step.cpu, step.memory_mb, step.accelerators),
+            "expected_ms": step.expected_ms,
+            "after": tuple(step.after),
+            "is_gang": step.gang,
+            "prefers_one_rack": step.same_rack,
+            "data_rack": RackName(step.data_rack),
+            "required_label": step.required_label,
+            "tasks_per_worker": step.max_per_worker,
+            "saves_checkpoints": step.saves_checkpoints,
+            "may_run_copies": step.speculative,
+            "runs_until_cancelled": step.long_running,
+            "image": step.image,
+            "target_latency_ms": step.target_ms,
+            "is_filler": step.fills,
+            "may_be_absent": step.may_miss,
+        },
+        StepRequest,
+    )
+
+
+def _text(content: bytes) -> str:
+    return content.decode("utf-8", "replace")
--- /dev/null
+++ b/src/jujubehall/services/fleet/job_records.py
@@ -0,0 +1,90 @@
+"""Creates and reads records of jobs, and settles writes whose answer was lost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from result import Result
+
+from jujubehall.core.fleet.jobs import JobProgress
+from jujubehall.core.fleet.requests import AcceptedJob
+from jujubehall.core.jobs.job import JobState
+from jujubehall.entry_hosts.messages import StoreWriteSettled
+from jujubehall.platform.site_store import ABSENT
+from jujubehall.platform.site_store import Precondition
+from jujubehall.platform.site_store import Write
+from jujubehall.services.fleet.records import cancellation_key
+from jujubehall.services.fleet.records import decode_record
+from jujubehall.services.fleet.records import job_key
+from jujubehall.services.fleet.records import progress_key
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Clock
+    from jujubehall.errors import Failure
+    from jujubehall.identifiers import JobId
+    from jujubehall.platform.site_store import SiteStore
+
+ATTEMPT_TIMEOUT_MS = 700
+"""A store that is slow by a factor of 60 answers in 250 ms."""
+
+MIN_ATTEMPT_MS = 50
+
+
+class JobRecords:
+    """The store's records of jobs, as entry hosts that don't own the site use them."""
+
+    def __init__(self, clock: Clock, store: SiteStore) -> None:
+        self._clock = clock
+        self._store = store
+
+    async def create(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
+        """Creates a record unless it exists, in as many attempts as the time allows.
+
+        Repeating an attempt without an answer is safe: whichever takes effect, the record exists
+        once. An attempt may also take effect after this has returned.
+        """
+        give_up_ms = self._clock.now_ms + timeout_ms
+        may_take_effect = False
+        while (left_ms := give_up_ms - self._clock.now_ms) >= MIN_ATTEMPT_MS:
+            written = await self._store.commit(
+                [Precondition(key, ABSENT)],
+                [Write(key, value)],
+                [],
+                min(left_ms, ATTEMPT_TIMEOUT_MS),
+            )
+            if isinstance(written, Ok):
+                # A conflict shows that it exists already.
+                return StoreWriteSettled(True, False)
+            if not written.err_value.may_have_taken_effect:
+                return StoreWriteSettled(False, may_take_effect)
+            may_take_effect = True
+        return StoreWriteSettled(False, may_take_effect)
+
+    async def find(self, job: JobId) -> Result[AcceptedJob | None, Failure]:
+        """Reads an accepted job; None if there is none."""
+        found = await self._store.get(job_key(job))
+        if isinstance(found, Err):
+            return found
+        item = found.ok_value
+        return Ok(None if item is None else decode_record(item.key, item.value, AcceptedJob))
+
+    async def state(self, job: JobId) -> Result[tuple[AcceptedJob, JobState] | None, Failure]:
+        """Reads a job and the state that is kept of it."""
+        accepted = await self.find(job)
+        if isinstance(accepted, Err) or accepted.ok_value is None:
+            return accepted.map(lambda _: None)
+        kept = await self._store.get(progress_key(job))
+        if isinstance(kept, Err):
+            return kept
+        state = JobState.QUEUED
+        if kept.ok_value is not None:
+            progress = decode_record(kept.ok_value.key, kept.ok_value.value, JobProgress)
+            state = progress.state if progress is not None else state
+        if not state.is_final:
+            cancelled = await self._store.get(cancellation_key(job))
+            if isinstance(cancelled, Err):
+                return cancelled
+            state = JobState.CANCELLED if cancelled.ok_value is not None else state
+        return Ok((accepted.ok_value, state))
--- /dev/null
+++ b/src/jujubehall/services/fleet/orders.py
@@ -0,0 +1,180 @@
+"""Carries decisions out at the workers, until each order's outcome is known."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from result import Err
+
+from jujubehall.core.fleet.decisions import StartGroup
+from jujubehall.core.fleet.groups import Phase
+from jujubehall.errors import FailureKind
+from jujubehall.platform.site_store import RefusalReason
+from jujubehall.platform.site_store import StartOrder
+from jujubehall.platform.site_store import StartRefusal
+from jujubehall.services.timing import sleep
+from jujubehall.services.timing import start
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.decisions import Decision
+    from jujubehall.core.fleet.groups import Placement
+    from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.reconciliation import StrayRun
+    from jujubehall.core.fleet.workers import FleetWorker
+    from jujubehall.errors import Failure
+    from jujubehall.services.fleet.site_owner import SiteOwner
+
+STOP_RETRY_INTERVAL_MS = 300
+AVOID_UNHEALTHY_MS = 1_500
+AVOID_UNANSWERED_MS = 2_000
+AVOID_REFUSED_MS = 300
+"""How long nothing is started on a worker after an unhealthy answer, none, or another refusal."""
+
+log = structlog.get_logger()
+
+
+class Orders:
+    """Starts and stops runs; each order is sent once, or again until it is answered."""
+
+    def __init__(self, owner: SiteOwner, reactor: Reactor, clock: Clock) -> None:
+        self._owner = owner
+        self._reactor = reactor
+        self._clock = clock
+        self._stopping: set[Placement] = set()
+
+    def carry_out(self, decision: Decision) -> None:
+        """Sends the orders of a decision that the book has noted."""
+        group = decision.group
+        if isinstance(decision, StartGroup):
+            log.info(
+                "group starts",
+                job=group.job.id,
+                group=group.key,
+                run=group.run,
+                workers=[worker.name for worker in decision.workers.values()],
+                waited_ms=self._clock.now_ms - (group.ready_since_ms or 0),
+            )
+            for index, placement in list(group.placements.items()):
+                start(self._start(group, index, placement))
+        else:
+            log.info("group stops", job=group.job.id, group=group.key, reason=decision.reason)
+            self.stop_group(group)
+
+    def stop_group(self, group: TaskGroup) -> None:
+        """Sends the stops that are wanted and not under way."""
+        for index, placement in list(group.placements.items()):
+            if placement.phase is Phase.STOPPING and placement not in self._stopping:
+                self._stopping.add(placement)
+                start(self._stop(group, index, placement))
+
+    async def stop_stray(self, worker: FleetWorker, stray: StrayRun) -> None:
+        """Stops a run that has no place in the book; a later report shows it again if needed."""
+        log.warning(
+            "stray run stopped",
+            job=stray.task.job,
+            run=stray.run,
+            worker=worker.name,
+            reason=stray.reason,
+        )
+        await self._owner.workers_api.stop(worker.listed, self._owner.token, stray.task, stray.run)
+
+    async def _start(self, group: TaskGroup, index: int, placement: Placement) -> None:
+        worker = placement.worker
+        session = self._owner.session(worker)
+        until_ms = session.lease_until_ms() if session is not None else None
+        if until_ms is None or not self._owner.may_act:
+            self._not_started(group, index, placement, "the worker's clock is not known")
+            return
+        assert session is not None
+        session.note_lease_sent()
+        order = StartOrder(
+            group.task(index),
+            placement.run,
+            group.job.accepted.request.spec,
+            until_ms,
+            group.checkpoint,
+        )
+        sent_ms = self._clock.now_ms
+        outcome = await self._owner.workers_api.start(worker.listed, self._owner.token, order)
+        if group.placements.get(index) is not placement:
+            return
+        if not isinstance(outcome, Err):
+            placement.confirmed_ms = self._clock.now_ms
+            if placement.phase is Phase.STARTING:
+                placement.phase = Phase.RUNNING
+            self._owner.starts.observe(self._clock.now_ms - sent_ms)
+            session.wake()
+        elif isinstance(outcome.err_value, StartRefusal):
+            self._refused(group, index, placement, outcome.err_value)
+        else:
+            self._unanswered(group, index, placement, outcome.err_value)
+
+    def _refused(
+        self, group: TaskGroup, index: int, placement: Placement, refusal: StartRefusal
+    ) -> None:
+        worker = placement.worker
+        if refusal.reason is RefusalReason.FENCED:
+            self._owner.verify_ownership()
+        unhealthy = refusal.reason is RefusalReason.UNHEALTHY
+        avoid_ms = AVOID_UNHEALTHY_MS if unhealthy else AVOID_REFUSED_MS
+        if refusal.reason is not RefusalReason.OLD_RUN:
+            worker.avoid_until_ms = self._clock.now_ms + avoid_ms
+        self._not_started(group, index, placement, refusal.reason.value)
+
+    def _unanswered(
+        self, group: TaskGroup, index: int, placement: Placement, failure: Failure
+    ) -> None:
+        placement.worker.avoid_until_ms = self._clock.now_ms + AVOID_UNANSWERED_MS
+        placement.worker.is_in_touch = False
+        session = self._owner.session(placement.worker)
+        if session is not None:
+            session.wake()
+        if failure.kind is not FailureKind.NO_ANSWER:
+            self._not_started(group, index, placement, str(failure))
+            return
+        log.warning(
+            "start not answered",
+            job=group.job.id,
+            task=str(group.task(index)[1:]),
+            run=placement.run,
+            worker=placement.worker.name,
+            failure=str(failure),
+        )
+        self._owner.book.note_stop(group)
+        self.stop_group(group)
+
+    def _not_started(self, group: TaskGroup, index: int, placement: Placement, reason: str) -> None:
+        log.warning(
+            "start refused",
+            job=group.job.id,
+            task=str(group.task(index)[1:]),
+            run=placement.run,
+            worker=placement.worker.name,
+            reason=reason,
+        )
+        group.displace(index)
+        self._owner.book.note_stop(group)
+        self.stop_group(group)
+        self._owner.poke()
+
+    async def _stop(self, group: TaskGroup, index: int, placement: Placement) -> None:
+        worker = placement.worker
+        task = group.task(index)
+        while group.placements.get(index) is placement and not self._owner.is_closed:
+            if self._owner.may_act:
+                stopped = await self._owner.workers_api.stop(
+                    worker.listed, self._owner.token, task, placement.run
+                )
+                if not isinstance(stopped, Err):
+                    placement.stop_confirmed_ms = self._clock.now_ms
+                    session = self._owner.session(worker)
+                    if session is not None:
+                        session.wake()
+                    break
+                log.warning("stop not answered", worker=worker.name, failure=str(stopped.err_value))
+            await sleep(self._reactor, STOP_RETRY_INTERVAL_MS)
+        self._stopping.discard(placement)
--- /dev/null
+++ b/src/jujubehall/services/fleet/peers.py
@@ -0,0 +1,287 @@
+"""What entry hosts of a site tell and ask each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import structlog
+
+from result import Err
+
+from jujubehall.core.jobs.job import JobState
+from jujubehall.entry_hosts.messages import JobStateKnown
+from jujubehall.entry_hosts.messages import JobStateWanted
+from jujubehall.entry_hosts.messages import PendingKnown
+from jujubehall.entry_hosts.messages import PendingWanted
+from jujubehall.entry_hosts.messages import Refused
+from jujubehall.entry_hosts.messages import SiteConfigurationOffered
+from jujubehall.entry_hosts.messages import SiteConfigurationWanted
+from jujubehall.entry_hosts.messages import SiteHeartbeat
+from jujubehall.entry_hosts.messages import SiteHeartbeatAnswer
+from jujubehall.entry_hosts.messages import StoreWriteSettled
+from jujubehall.entry_hosts.messages import StoreWriteWanted
+from jujubehall.services.fleet.records import cancellation_key
+from jujubehall.services.fleet.records import job_key
+from jujubehall.services.fleet.records import progress_key
+from jujubehall.services.timing import sleep
+from jujubehall.services.timing import start
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.jobs import FleetJob
+    from jujubehall.core.ownership.record import Member
+    from jujubehall.entry_hosts.mesh import Mesh
+    from jujubehall.entry_hosts.messages import Message
+    from jujubehall.identifiers import EntryHostName
+    from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import QueueName
+    from jujubehall.platform.site_store import SiteStore
+    from jujubehall.services.fleet.configuration_follower import ConfigurationFollower
+    from jujubehall.services.fleet.job_records import JobRecords
+    from jujubehall.services.fleet.ownership import Ownership
+    from jujubehall.services.fleet.site_owner import SiteOwner
+
+HEARTBEAT_INTERVAL_MS = 500
+HEARTBEAT_TIMEOUT_MS = 800
+QUESTION_TIMEOUT_MS = 400
+"""Beyond this the store is asked instead of the owner."""
+
+OWNER_SILENT_MS = 1_600
+"""Three missed heartbeats."""
+
+SILENT_MEMBER_MS = 30_000
+"""A member that has not answered for this long is told nothing any more until it returns."""
+
+Answer = TypeVar("Answer")
+
+log = structlog.get_logger()
+
+
+def shown_state(job: FleetJob) -> JobState:
+    """The state that callers are shown: never later than what is kept."""
+    if job.kept_state.is_final:
+        return job.kept_state
+    if job.is_cancelled:
+        return JobState.CANCELLED
+    return JobState.RUNNING if job.has_started else JobState.QUEUED
+
+
+class Peers:
+    """The other entry hosts: heartbeats of the owner, questions to it, relayed writes."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        clock: Clock,
+        mesh: Mesh,
+        member: Member,
+        store: SiteStore,
+        configuration: ConfigurationFollower,
+        records: JobRecords,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._mesh = mesh
+        self._member = member
+        self._store = store
+        self._configuration = configuration
+        self._records = records
+        self._ownership: Ownership
+        self._owner: SiteOwner | None = None
+        self._owner_member: Member | None = None
+        self._heard_ms = -OWNER_SILENT_MS
+        self._members: dict[EntryHostName, Member] = {}
+        self._answered_ms: dict[EntryHostName, int] = {}
+        mesh.register(SiteHeartbeat, self._on_heartbeat)
+        mesh.register(SiteConfigurationWanted, self._on_configuration_wanted)
+        mesh.register(JobStateWanted, self._on_job_state_wanted)
+        mesh.register(PendingWanted, self._on_pending_wanted)
+        mesh.register(StoreWriteWanted, self._on_store_write_wanted)
+
+    @property
+    def owner(self) -> SiteOwner | None:
+        """The term of this entry host, if it owns the site."""
+        return self._owner
+
+    @property
+    def owner_member(self) -> Member | None:
+        """The owner that was heard of last, unless it has been silent for too long."""
+        if self._clock.now_ms - self._heard_ms > OWNER_SILENT_MS:
+            return None
+        return self._owner_member
+
+    @property
+    def others(self) -> list[Member]:
+        """The other entry hosts, those that answered last first."""
+        return sorted(self._members.values(), key=lambda each: -self._answered_ms.get(each.name, 0))
+
+    def attach(self, ownership: Ownership) -> None:
+        """Connects the ownership, which the heartbeats of others may end."""
+        self._ownership = ownership
+
+    def begin_term(self, owner: SiteOwner) -> None:
+        """Starts heartbeats to all others."""
+        self._owner = owner
+        self._owner_member = None
+        start(self._beat(owner))
+        self._configuration.on_change(lambda _: self._beat_now(owner))
+
+    def end_term(self) -> None:
+        """Ends the heartbeats."""
+        self._owner = None
+
+    def note_member(self, member: Member) -> None:
+        """Takes in an entry host that has announced itself."""
+        if member.name == self._member.name:
+            return
+        known = self._members.get(member.name)
+        if known is None or member.is_later_than(known):
+            self._members[member.name] = member
+            self._answered_ms[member.name] = self._clock.now_ms
+            self._mesh.connect(self._members.values())
+            if self._owner is not None:
+                start(self._beat_to(self._owner, member))
+
+    async def job_state(self, job: JobId) -> JobStateKnown | None:
+        """What the owner knows of a job; None if there is no answer."""
+        if self._owner is not None and self._owner.is_loaded:
+            return self._job_state_here(self._owner, job)
+        return await self._ask_owner(JobStateWanted(job), JobStateKnown)
+
+    async def pending(self, queue: QueueName) -> int | None:
+        """How many jobs of a queue wait; None if there is no answer."""
+        if self._owner is not None and self._owner.is_loaded:
+            return self._owner.book.pending(queue)
+        answer = await self._ask_owner(PendingWanted(queue), PendingKnown)
+        return None if answer is None else answer.count
+
+    async def write_through_others(
+        self, key: str, value: bytes, timeout_ms: int
+    ) -> StoreWriteSettled | None:
+        """Has another entry host create a record; None if none has tried."""
+        for member in self.others[:MAX_RELAYS]:
+            asked = await self._mesh.ask(
+                member, StoreWriteWanted(key, value, timeout_ms), timeout_ms
+            )
+            if isinstance(asked, Err):
+                if asked.err_value.may_have_taken_effect:
+                    return StoreWriteSettled(False, True)
+                continue
+            if isinstance(asked.ok_value, StoreWriteSettled):
+                settled = asked.ok_value
+                if settled.is_kept or settled.may_take_effect:
+                    return settled
+        return None
+
+    async def delete_job_records(self, job: JobId) -> None:
+        """Removes what is kept of a job that ended long ago."""
+        keys = [job_key(job), cancellation_key(job), progress_key(job)]
+        deleted = await self._store.commit([], [], keys, HEARTBEAT_TIMEOUT_MS)
+        if isinstance(deleted, Err):
+            log.warning("records not deleted", job=job, failure=str(deleted.err_value))
+
+    async def _ask_owner(self, message: Message, type_: type[Answer]) -> Answer | None:
+        member = self.owner_member
+        if member is None:
+            return None
+        asked = await self._mesh.ask(member, message, QUESTION_TIMEOUT_MS)
+        if isinstance(asked, Err) or not isinstance(asked.ok_value, type_):
+            return None
+        return asked.ok_value
+
+    async def _beat(self, owner: SiteOwner) -> None:
+        while not owner.is_closed:
+            if owner.may_act:
+                self._beat_now(owner)
+            await sleep(self._reactor, HEARTBEAT_INTERVAL_MS)
+
+    def _beat_now(self, owner: SiteOwner) -> None:
+        if owner.is_closed:
+            return
+        now_ms = self._clock.now_ms
+        for name, member in self._members.items():
+            if now_ms - self._answered_ms.get(name, 0) < SILENT_MEMBER_MS:
+                start(self._beat_to(owner, member))
+
+    async def _beat_to(self, owner: SiteOwner, member: Member) -> None:
+        age_ms = self._configuration.age_ms
+        heartbeat = SiteHeartbeat(
+            self._member,
+            owner.token,
+            self._configuration.version,
+            NEVER_MS if age_ms is None else age_ms,
+            tuple(self._members.values()),
+        )
+        answered = await self._mesh.ask(member, heartbeat, HEARTBEAT_TIMEOUT_MS)
+        if isinstance(answered, Err) or not isinstance(answered.ok_value, SiteHeartbeatAnswer):
+            return
+        self._answered_ms[member.name] = self._clock.now_ms
+        if answered.ok_value.token > owner.token:
+            owner.verify_ownership()
+
+    async def _on_heartbeat(self, sender: EntryHostName, beat: SiteHeartbeat) -> Message:
+        highest = self._ownership.highest_token
+        if beat.token >= highest:
+            self._ownership.heard_owner(beat.token)
+            if self._owner_member != beat.owner:
+                log.info("owner heard", owner=beat.owner.name, token=beat.token)
+            self._owner_member = beat.owner
+            self._heard_ms = self._clock.now_ms
+            self.note_member(beat.owner)
+            for member in beat.members:
+                self.note_member(member)
+            self._answered_ms[beat.owner.name] = self._clock.now_ms
+        if beat.configuration_version > self._configuration.version:
+            start(self._fetch_configuration(beat.owner))
+        else:
+            # Only a sender with the same version shows that there was no later one.
+            if beat.configuration_version == self._configuration.version:
+                self._configuration.confirm(beat.configuration_version, beat.configuration_age_ms)
+        return SiteHeartbeatAnswer(
+            max(highest, self._ownership.highest_token), self._configuration.version
+        )
+
+    async def _fetch_configuration(self, member: Member) -> None:
+        asked = await self._mesh.ask(member, SiteConfigurationWanted(), QUESTION_TIMEOUT_MS)
+        if not isinstance(asked, Err) and isinstance(asked.ok_value, SiteConfigurationOffered):
+            self._configuration.offer(asked.ok_value.content, asked.ok_value.age_ms)
+
+    async def _on_configuration_wanted(
+        self, sender: EntryHostName, wanted: SiteConfigurationWanted
+    ) -> Message:
+        age_ms = self._configuration.age_ms
+        if age_ms is None:
+            return Refused("no configuration here")
+        return SiteConfigurationOffered(
+            self._configuration.version, age_ms, self._configuration.content
+        )
+
+    async def _on_job_state_wanted(self, sender: EntryHostName, wanted: JobStateWanted) -> Message:
+        if self._owner is None or not self._owner.is_loaded:
+            return Refused("not the owner")
+        return self._job_state_here(self._owner, wanted.job)
+
+    async def _on_pending_wanted(self, sender: EntryHostName, wanted: PendingWanted) -> Message:
+        if self._owner is None or not self._owner.is_loaded:
+            return Refused("not the owner")
+        return PendingKnown(self._owner.book.pending(wanted.queue))
+
+    async def _on_store_write_wanted(
+        self, sender: EntryHostName, wanted: StoreWriteWanted
+    ) -> Message:
+        return await self._records.create(wanted.key, wanted.value, wanted.timeout_ms)
+
+    def _job_state_here(self, owner: SiteOwner, job_id: JobId) -> JobStateKnown:
+        job = owner.book.jobs.get(job_id)
+        if job is None:
+            return JobStateKnown(None)
+        return JobStateKnown(shown_state(job), job.accepted.queue)
+
+
+MAX_RELAYS = 2
+"""Other entry hosts that are asked to write, one after the other."""
+
+NEVER_MS = 10**9
+"""The age of a configuration that has never been known to be the latest."""
--- /dev/null
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -0,0 +1,273 @@
+"""The owner of the site during one term: decides, and has its decisions carried out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from result import Err
+
+from jujubehall.clock import to_seconds
+from jujubehall.clock import unix_time_ms
+from jujubehall.core.fleet.book import FleetBook
+from jujubehall.services.fleet.intake import Intake
+from jujubehall.services.fleet.latencies import Latencies
+from jujubehall.services.fleet.orders import Orders
+from jujubehall.services.fleet.ownership import OUTAGE_GRACE_MS
+from jujubehall.services.fleet.progress_writer import ProgressWriter
+from jujubehall.services.fleet.worker_session import CLOCK_DRIFT
+from jujubehall.services.fleet.worker_session import WorkerSession
+from jujubehall.services.timing import sleep
+from jujubehall.services.timing import start
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.configuration import SiteConfiguration
+    from jujubehall.core.fleet.jobs import JobProgress
+    from jujubehall.core.fleet.requests import AcceptedJob
+    from jujubehall.core.fleet.workers import FleetWorker
+    from jujubehall.identifiers import FencingToken
+    from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import WorkerName
+    from jujubehall.platform.site_store import SiteDirectory
+    from jujubehall.platform.site_store import SiteStore
+    from jujubehall.platform.site_store import SiteWorkers
+    from jujubehall.services.fleet.ownership import Ownership
+    from jujubehall.services.fleet.ownership import Term
+    from jujubehall.services.fleet.peers import Peers
+
+ROUND_DELAY_MS = 5
+"""Events that arrive together share a round."""
+
+ROUND_INTERVAL_MS = 200
+"""Rounds without an event, for what waits for time to pass."""
+
+WORKERS_INTERVAL_MS = 700
+"""A draining worker must get no new work 2 s after it said so."""
+
+LOAD_RETRY_INTERVAL_MS = 200
+FORGET_INTERVAL_MS = 10_000
+
+log = structlog.get_logger()
+
+
+class SiteOwner:
+    """Holds the book of a term. A new term starts from the store and the workers' reports."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        clock: Clock,
+        store: SiteStore,
+        directory: SiteDirectory,
+        workers: SiteWorkers,
+        ownership: Ownership,
+        peers: Peers,
+        term: Term,
+        bounds: OwnerBounds,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._store = store
+        self._directory = directory
+        self._ownership = ownership
+        self._term = term
+        self._bounds = bounds
+        self._sessions: dict[WorkerName, WorkerSession] = {}
+        self._is_round_due = False
+        self._elected_ms = clock.now_ms
+        self._intake = Intake(self, reactor, store)
+        self.peers = peers
+        self.workers_api = workers
+        self.book = FleetBook(term.number)
+        self.orders = Orders(self, reactor, clock)
+        self.starts = Latencies()
+        self.is_closed = False
+        self.is_loaded = False
+        self.writer: ProgressWriter
+
+    @property
+    def token(self) -> FencingToken:
+        """The fencing token of the term."""
+        return self._term.token
+
+    @property
+    def may_act(self) -> bool:
+        """Whether orders may be given now."""
+        return not self.is_closed and self._ownership.may_act
+
+    def session(self, worker: FleetWorker) -> WorkerSession | None:
+        """The session of a worker."""
+        return self._sessions.get(worker.name)
+
+    def configure(self, configuration: SiteConfiguration) -> None:
+        """Puts a newer configuration in force."""
+        self.book.configure(configuration)
+        self.poke()
+
+    def close(self) -> None:
+        """Ends the term: nothing is decided, ordered or kept any more."""
+        self.is_closed = True
+        if self.is_loaded:
+            self.writer.close()
+        for session in self._sessions.values():
+            session.close()
+
+    async def run(self) -> None:
+        """Takes over: loads what is kept, fences all workers, then decides."""
+        while not self.is_closed:
+            loaded = await self._intake.load()
+            if not isinstance(loaded, Err):
+                break
+            log.warning("take-over delayed", failure=str(loaded.err_value))
+            await sleep(self._reactor, LOAD_RETRY_INTERVAL_MS)
+        if self.is_closed:
+            return
+        assert not isinstance(loaded, Err)
+        self.writer = ProgressWriter(
+            self._reactor,
+            self._store,
+            self.book,
+            self._term.owner_revision,
+            loaded.ok_value,
+            self.verify_ownership,
+        )
+        self.is_loaded = True
+        self._exclude_earlier_runs()
+        log.info("took over", jobs=len(self.book.jobs), token=self.token)
+        start(self._intake.run())
+        start(self._follow_workers())
+        start(self._tick())
+
+    def accept(self, accepted: AcceptedJob, kept: JobProgress | None) -> None:
+        """Takes in an accepted job."""
+        if accepted.id not in self.book.jobs:
+            log.info("job known", job=accepted.id, queue=accepted.queue, team=accepted.team)
+        self.book.accept(accepted, kept, self._clock.now_ms, unix_time_ms())
+        self.poke()
+
+    def cancel(self, job: JobId) -> None:
+        """Cancels a job and has its tasks stopped."""
+        for group in self.book.cancel(job, self._clock.now_ms):
+            self.orders.stop_group(group)
+        self.poke()
+
+    def after_report(self) -> None:
+        """Sends the stops that a report made necessary, and decides anew."""
+        for job in list(self.book.changed):
+            for group in job.all_groups():
+                if group.placements:
+                    self.orders.stop_group(group)
+        self._release_exclusions()
+        self.poke()
+
+    def poke(self) -> None:
+        """Has a round run soon, and changes kept."""
+        if not self.is_loaded or self.is_closed:
+            return
+        self.writer.poke()
+        if not self._is_round_due:
+            self._is_round_due = True
+            self._reactor.callLater(to_seconds(ROUND_DELAY_MS), self._round)
+
+    def verify_ownership(self) -> None:
+        """Gives the term up after a peer has shown that there is a later owner."""
+        if not self.is_closed:
+            self._ownership.give_up("a peer has seen a later owner")
+
+    def drop_lapsed(self, session: WorkerSession) -> None:
+        """Takes what ran on a worker out of reach for ended once its leases are over."""
+        worker = session.worker
+        if not worker.placements or self._clock.now_ms < session.leases_end_ms:
+            return
+        log.warning("leases lapsed", worker=worker.name, runs=len(worker.placements))
+        for group, index in list(worker.placements):
+            group.displace(index)
+            self.book.note_stop(group)
+            self.orders.stop_group(group)
+        self.poke()
+
+    def _round(self) -> None:
+        self._is_round_due = False
+        if not self.may_act:
+            return
+        for decision in self.book.decide(self._clock.now_ms):
+            self.orders.carry_out(decision)
+
+    async def _tick(self) -> None:
+        forgotten_ms = self._clock.now_ms
+        while not self.is_closed:
+            self.book.make_due(self._clock.now_ms, unix_time_ms())
+            self.poke()
+            if self._clock.now_ms - forgotten_ms >= FORGET_INTERVAL_MS:
+                forgotten_ms = self._clock.now_ms
+                await self._forget_ended()
+            await sleep(self._reactor, ROUND_INTERVAL_MS)
+
+    async def _follow_workers(self) -> None:
+        while not self.is_closed:
+            listed = await self._directory.workers()
+            if self.is_closed:
+                return
+            if not isinstance(listed, Err):
+                for worker in self.book.sync_workers(listed.ok_value):
+                    self._follow(worker)
+                self._drop_gone()
+                self._release_exclusions()
+                self.poke()
+            await sleep(self._reactor, WORKERS_INTERVAL_MS)
+
+    def _follow(self, worker: FleetWorker) -> None:
+        known = self._sessions.get(worker.name)
+        if known is not None:
+            known.wake()
+            return
+        session = WorkerSession(
+            self, self._reactor, self._clock, worker, self._bounds.longest_lease_ms
+        )
+        # Until its first report, an earlier owner's leases may run there.
+        session.leases_end_ms = self._earlier_leases_end_ms()
+        self._sessions[worker.name] = session
+        log.info("worker listed", worker=worker.name, rack=worker.listed.rack)
+        start(session.run())
+
+    def _drop_gone(self) -> None:
+        for name in list(self._sessions):
+            if name not in self.book.workers:
+                log.info("worker gone", worker=name)
+                self._sessions.pop(name).close()
+
+    def _earlier_leases_end_ms(self) -> int:
+        return self._elected_ms + OUTAGE_GRACE_MS + int(self._bounds.longest_lease_ms * CLOCK_DRIFT)
+
+    def _exclude_earlier_runs(self) -> None:
+        """Keeps known work from being started while it may still run out of sight."""
+        until_ms = self._earlier_leases_end_ms()
+        for job in self.book.jobs.values():
+            for group in job.all_groups():
+                group.is_excluded_until_ms = until_ms
+
+    def _release_exclusions(self) -> None:
+        """Once every listed worker has reported under this token, nothing runs out of sight."""
+        workers = self.book.workers.values()
+        if not workers or not all(each.has_reported for each in workers if each.is_listed):
+            return
+        for job in self.book.jobs.values():
+            for group in job.all_groups():
+                group.is_excluded_until_ms = 0
+
+    async def _forget_ended(self) -> None:
+        before_ms = self._clock.now_ms - self._bounds.keep_ended_ms
+        for job in self.book.forget_ended(before_ms):
+            log.info("job forgotten", job=job.id)
+            await self.peers.delete_job_records(job.accepted.id)
+
+
+class OwnerBounds:
+    """Bounds of the site: the longest lease of a worker, and how long ended jobs are shown."""
+
+    def __init__(self, longest_lease_ms: int, keep_ended_ms: int) -> None:
+        self.longest_lease_ms = longest_lease_ms
+        self.keep_ended_ms = keep_ended_ms
--- /dev/null
+++ b/tests/core/fleet/fleet_book.py
@@ -0,0 +1,148 @@
+"""A small site for tests of the book and of its rounds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from jujubehall.core.fleet.book import FleetBook
+from jujubehall.core.fleet.configuration import Queue
+from jujubehall.core.fleet.configuration import SiteConfiguration
+from jujubehall.core.fleet.configuration import Team
+from jujubehall.core.fleet.decisions import StartGroup
+from jujubehall.core.fleet.reconciliation import Reconciled
+from jujubehall.core.fleet.reconciliation import Reconciliation
+from jujubehall.core.fleet.reports import EndedTask
+from jujubehall.core.fleet.reports import EndKind
+from jujubehall.core.fleet.reports import RunningTask
+from jujubehall.core.fleet.reports import WorkerReport
+from jujubehall.core.fleet.requests import AcceptedJob
+from jujubehall.core.fleet.requests import JobRequest
+from jujubehall.core.fleet.requests import StepRequest
+from jujubehall.core.fleet.resources import Resources
+from jujubehall.core.fleet.workers import ListedWorker
+from jujubehall.identifiers import JobId
+from jujubehall.identifiers import PoolName
+from jujubehall.identifiers import QueueName
+from jujubehall.identifiers import RackName
+from jujubehall.identifiers import TeamName
+from jujubehall.identifiers import WorkerName
+from jujubehall.identifiers import ZoneName
+
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.decisions import Decision
+    from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.jobs import FleetJob
+    from jujubehall.core.fleet.workers import FleetWorker
+
+POOL = PoolName("render")
+TEAM = TeamName("studio")
+URGENT = QueueName("urgent")
+NORMAL = QueueName("normal")
+OVERNIGHT = QueueName("overnight")
+CAPACITY = Resources(64_000, 262_144, 8)
+ONE_GPU = Resources(1_000, 1_000, 1)
+EIGHT_GPUS = Resources(1_000, 1_000, 8)
+
+CONFIGURATION = SiteConfiguration(
+    1,
+    tuple(
+        Queue(
+            name,
+            "site.example",
+            f"/{name}/",
+            POOL,
+            priority=priority,
+            max_failures=2,
+            stretch=stretch,
+            objective_ms=objective_ms,
+        )
+        for priority, (name, stretch, objective_ms) in enumerate(
+            ((URGENT, 1.5, 250), (NORMAL, 3.0, 1_000), (OVERNIGHT, 3.0, 3_000))
+        )
+    ),
+    (Team(TEAM, frozenset({"key"}), 16),),
+)
+
+
+def step(tasks: int = 1, needs: Resources = ONE_GPU, **more: Any) -> StepRequest:
+    """A step of equal tasks."""
+    return StepRequest(tasks, needs, **more)
+
+
+class SmallSite:
+    """A book with workers ``w0``, ``w1``, … of 8 accelerators, ``rack_size`` to a rack."""
+
+    def __init__(self, workers: int = 4, rack_size: int = 2, term: int = 0) -> None:
+        self.book = FleetBook(term)
+        self.book.configure(CONFIGURATION)
+        self.now_ms = 1_000_000
+        self.listed = [
+            ListedWorker(
+                WorkerName(f"w{number}"),
+                f"10.0.0.{number}:80",
+                POOL,
+                ZoneName("lagos-island"),
+                RackName(f"r{number // rack_size}"),
+                frozenset({"a", f"r{number // rack_size}"}),
+                CAPACITY,
+                life=1,
+            )
+            for number in range(workers)
+        ]
+        for worker in self.book.sync_workers(self.listed):
+            worker.is_in_touch = True
+            worker.has_reported = True
+        self._ends: dict[str, int] = {}
+
+    def worker(self, number: int) -> FleetWorker:
+        """A worker of the book."""
+        return self.book.workers[WorkerName(f"w{number}")]
+
+    def submit(
+        self, name: str, *steps: StepRequest, queue: QueueName = NORMAL, **more: Any
+    ) -> FleetJob:
+        """Accepts a job."""
+        request = JobRequest(f"spec of {name}", steps, **more)
+        accepted = AcceptedJob(JobId(name), queue, TEAM, request, 0)
+        return self.book.accept(accepted, None, self.now_ms, self.now_ms)
+
+    def decide(self, after_ms: int = 10) -> list[Decision]:
+        """Runs a round some time later."""
+        self.now_ms += after_ms
+        return self.book.decide(self.now_ms)
+
+    def started(self, after_ms: int = 10) -> list[TaskGroup]:
+        """Runs a round; the groups that it starts, confirmed as running."""
+        groups = [each.group for each in self.decide(after_ms) if isinstance(each, StartGroup)]
+        for group in groups:
+            for placement in group.placements.values():
+                placement.confirmed_ms = self.now_ms
+        return groups
+
+    def report(
+        self,
+        number: int,
+        running: tuple[RunningTask, ...] = (),
+        ended: tuple[EndedTask, ...] = (),
+        life: int = 1,
+    ) -> Reconciled:
+        """Takes in a report that the worker was asked for just now."""
+        self.now_ms += 10
+        report = WorkerReport(life, self.now_ms, running, ended)
+        return Reconciliation(
+            self.book, self.worker(number), report, self.now_ms - 5, self.now_ms
+        ).apply()
+
+    def end(self, group: TaskGroup, kind: EndKind, checkpoint: str = "") -> None:
+        """Has all tasks of a group end on their workers."""
+        for index, placement in list(group.placements.items()):
+            worker = placement.worker
+            number = self._ends[worker.name] = self._ends.get(worker.name, 0) + 1
+            ended = EndedTask(number, group.task(index), placement.run, kind, checkpoint)
+            others = tuple(
+                RunningTask(other.task(position), placed.run)
+                for (other, position), placed in worker.placements.items()
+                if other is not group or position != index
+            )
+            self.report(int(worker.name[1:]), others, (ended,))
--- /dev/null
+++ b/tests/core/fleet/test_reconciliation.py
@@ -0,0 +1,132 @@
+"""How reports of workers change the book."""
+
+from __future__ import annotations
+
+from jujubehall.core.fleet.groups import Phase
+from jujubehall.core.fleet.jobs import JobProgress
+from jujubehall.core.fleet.reports import EndedTask
+from jujubehall.core.fleet.reports import EndKind
+from jujubehall.core.fleet.reports import RunningTask
+from jujubehall.core.fleet.reports import TaskName
+from jujubehall.core.jobs.job import JobState
+from jujubehall.identifiers import JobId
+from tests.core.fleet.fleet_book import EIGHT_GPUS
+from tests.core.fleet.fleet_book import SmallSite
+from tests.core.fleet.fleet_book import step
+
+
+def test_a_task_that_fails_too_often_fails_the_job() -> None:
+    site = SmallSite()
+    job = site.submit("poison", step())
+    for _ in range(2):
+        (group,) = site.started(after_ms=1_000)
+        site.end(group, EndKind.FAILED)
+    assert job.state is JobState.FAILED
+    assert site.started(after_ms=1_000) == []
+
+
+def test_the_members_of_a_gang_fail_once_together() -> None:
+    site = SmallSite()
+    job = site.submit("gang", step(tasks=3, is_gang=True))
+    (group,) = site.started()
+    site.end(group, EndKind.FAILED)
+    assert group.failures == 1
+    assert job.state is JobState.QUEUED
+
+
+def test_a_stopped_task_goes_on_from_its_checkpoint_under_a_higher_run() -> None:
+    site = SmallSite()
+    site.submit("job", step(saves_checkpoints=True))
+    (group,) = site.started()
+    site.end(group, EndKind.STOPPED, checkpoint="c1")
+    (again,) = site.started()
+    assert again is group
+    assert again.run == 2
+    assert again.checkpoint == "c1"
+
+
+def test_a_run_that_is_gone_without_an_end_is_started_again() -> None:
+    site = SmallSite()
+    site.submit("job", step())
+    (group,) = site.started()
+    site.report(int(next(iter(group.placements.values())).worker.name[1:]))
+    assert site.started() == [group]
+
+
+def test_what_was_ordered_after_the_question_is_not_taken_for_gone() -> None:
+    site = SmallSite()
+    site.submit("job", step())
+    (group,) = site.started()
+    placement = group.placements[0]
+    placement.confirmed_ms = site.now_ms + 100
+    site.report(int(placement.worker.name[1:]))
+    assert group.placements == {0: placement}
+
+
+def test_a_new_life_of_a_worker_runs_nothing_of_the_earlier() -> None:
+    site = SmallSite(workers=1)
+    site.submit("job", step())
+    (group,) = site.started()
+    site.report(0, life=2)
+    assert group.placements == {}
+
+
+def test_a_new_owner_adopts_what_runs() -> None:
+    site = SmallSite(term=1)
+    job = site.submit("job", step(tasks=2))
+    site.report(0, (RunningTask(TaskName(job.id, 0, 0, 1), 1, "c7"),))
+    (started,) = site.started()
+    assert started.indexes == range(1)
+    assert started.run == 10_001
+    adopted = job.find_group(0, 0, 1)
+    assert adopted is not None
+    assert adopted.placements[1].phase is Phase.RUNNING
+
+
+def test_a_run_of_an_unknown_job_and_a_second_run_are_strays() -> None:
+    site = SmallSite()
+    job = site.submit("job", step())
+    (group,) = site.started()
+    other = 3 if group.placements[0].worker.name != "w3" else 2
+    unknown = TaskName(JobId("nobody"), 0, 0, 0)
+    result = site.report(
+        other, (RunningTask(unknown, 1), RunningTask(TaskName(job.id, 0, 0, 0), 1))
+    )
+    assert len(result.strays) == 2
+    assert group.placements[0].worker.name != f"w{other}"
+
+
+def test_progress_survives_a_change_of_owner() -> None:
+    site = SmallSite()
+    job = site.submit("job", step(tasks=2), step(after=(0,)))
+    first, _ = site.started()
+    site.end(first, EndKind.DONE)
+    kept = job.progress()
+    successor = SmallSite(term=1)
+    restored = successor.book.accept(job.accepted, kept, successor.now_ms, successor.now_ms)
+    assert isinstance(kept, JobProgress)
+    assert [group.is_done for group in restored.groups[0, 0]] == [True, False]
+    assert len(successor.started()) == 1
+
+
+def test_an_end_that_is_listed_again_changes_nothing() -> None:
+    site = SmallSite()
+    job = site.submit("job", step())
+    (group,) = site.started()
+    placement = group.placements[0]
+    ended = EndedTask(1, TaskName(job.id, 0, 0, 0), placement.run, EndKind.FAILED)
+    number = int(placement.worker.name[1:])
+    site.report(number, ended=(ended,))
+    site.report(number, ended=(ended,))
+    assert group.failures == 1
+
+
+def test_a_cancelled_job_is_stopped_and_not_started_again() -> None:
+    site = SmallSite(workers=2)
+    job = site.submit("gang", step(tasks=2, needs=EIGHT_GPUS, is_gang=True))
+    (group,) = site.started()
+    assert site.book.cancel(job.id, site.now_ms) == [group]
+    assert group.is_stopping
+    site.end(group, EndKind.STOPPED)
+    assert site.started() == []
+    assert job.state is JobState.CANCELLED
--- /dev/null
+++ b/tests/core/fleet/test_rounds.py
@@ -0,0 +1,105 @@
+"""Which groups a round starts, where, and what it stops for them."""
+
+from __future__ import annotations
+
+from jujubehall.core.fleet.decisions import StopGroup
+from jujubehall.core.fleet.reports import EndKind
+from tests.core.fleet.fleet_book import EIGHT_GPUS
+from tests.core.fleet.fleet_book import OVERNIGHT
+from tests.core.fleet.fleet_book import URGENT
+from tests.core.fleet.fleet_book import SmallSite
+from tests.core.fleet.fleet_book import step
+
+
+def test_a_gang_is_started_whole_in_one_rack() -> None:
+    site = SmallSite()
+    site.submit("small", step())
+    site.started()
+    site.submit("gang", step(tasks=2, needs=EIGHT_GPUS, is_gang=True, prefers_one_rack=True))
+    (group,) = site.started()
+    racks = {placement.worker.listed.rack for placement in group.placements.values()}
+    assert len(group.placements) == 2
+    assert racks == {"r1"}
+
+
+def test_no_worker_is_given_more_than_its_capacity() -> None:
+    site = SmallSite(workers=2)
+    site.submit("wide", step(tasks=30))
+    assert len(site.started()) == 16
+    assert all(worker.free.accelerators == 0 for worker in site.book.workers.values())
+    assert site.started() == []
+
+
+def test_tasks_per_worker_are_bounded() -> None:
+    site = SmallSite(workers=2)
+    site.submit("apart", step(tasks=5, tasks_per_worker=2))
+    assert len(site.started()) == 4
+
+
+def test_a_later_step_waits_for_all_tasks_of_the_earlier() -> None:
+    site = SmallSite()
+    job = site.submit("chain", step(tasks=2), step(after=(0,)))
+    first, second = site.started()
+    site.end(first, EndKind.DONE)
+    assert site.started() == []
+    site.end(second, EndKind.DONE)
+    (last,) = site.started()
+    assert last.step == 1
+    site.end(last, EndKind.DONE)
+    assert job.state.value == "succeeded"
+
+
+def test_urgent_work_takes_the_room_of_less_urgent_work_once_that_has_ended() -> None:
+    site = SmallSite(workers=1)
+    site.submit("batch", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
+    (batch,) = site.started()
+    site.submit("now", step(needs=EIGHT_GPUS), queue=URGENT)
+    (stop,) = site.decide()
+    assert isinstance(stop, StopGroup)
+    assert stop.group is batch
+    assert site.decide() == []
+    site.end(batch, EndKind.STOPPED)
+    assert [group.job.id for group in site.started()] == ["now"]
+
+
+def test_work_that_loses_least_is_preempted() -> None:
+    site = SmallSite(workers=2)
+    site.submit("unsaved", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
+    site.submit("saved", step(needs=EIGHT_GPUS, saves_checkpoints=True), queue=OVERNIGHT)
+    site.started()
+    site.now_ms += 5_000
+    site.submit("now", step(needs=EIGHT_GPUS), queue=URGENT)
+    (stop,) = site.decide()
+    assert stop.group.job.id == "saved"
+
+
+def test_less_urgent_work_preempts_nothing() -> None:
+    site = SmallSite(workers=1)
+    site.submit("now", step(needs=EIGHT_GPUS), queue=URGENT)
+    site.started()
+    site.submit("batch", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
+    assert site.decide() == []
+
+
+def test_nothing_is_started_on_a_draining_worker() -> None:
+    site = SmallSite(workers=1)
+    site.worker(0).listed = type(site.worker(0).listed)(
+        **{
+            name: getattr(site.worker(0).listed, name)
+            for name in site.worker(0).listed.__struct_fields__
+            if name != "is_draining"
+        },
+        is_draining=True,
+    )
+    site.submit("job", step())
+    assert site.decide() == []
+
+
+def test_an_occurrence_does_not_start_before_it_is_due() -> None:
+    site = SmallSite()
+    due_ms = site.now_ms + 5_000
+    site.submit("timed", step(), occurrences=2, first_due_unix_ms=due_ms, interval_ms=1_000)
+    assert site.started() == []
+    site.book.make_due(site.now_ms, due_ms)
+    (first,) = site.started()
+    assert first.occurrence == 0
