Adopt every run that a take-over finds, and recall the workers of earlier owners

Also possible by the code: a worker cut off from the store loses its entry, and a successor did not wait for its leases. Runs found are now always placed in the book, as running or as being stopped; the owner keeps a register of its workers, and nothing is started on one outside it.

--- a/src/jujubehall/core/fleet/book.py
+++ b/src/jujubehall/core/fleet/book.py
@@ -39,6 +39,9 @@
         self.changed: set[FleetJob] = set()
         """Jobs whose progress has still to be kept in the store."""
 
+        self.stops_wanted: set[TaskGroup] = set()
+        """Groups with tasks to be stopped for which no stop has been sent."""
+
         self._first_run = term * RUNS_PER_TERM
 
     def configure(self, configuration: SiteConfiguration) -> None:
@@ -63,24 +66,20 @@
             self.changed.add(job)
         return job
 
-    def cancel(self, job_id: JobId, now_ms: int) -> list[TaskGroup]:
-        """Cancels a job; returns its groups that have to be stopped."""
+    def cancel(self, job_id: JobId, now_ms: int) -> None:
+        """Cancels a job, unless it has ended."""
         job = self.jobs.get(job_id)
         if job is None or job.state.is_final:
-            return []
+            return
         job.cancel(now_ms)
         self.changed.add(job)
-        return self.drop_groups(job)
+        self.drop_groups(job)
 
-    def drop_groups(self, job: FleetJob) -> list[TaskGroup]:
-        """Takes an ended job's groups out of the queue; returns those that have to be stopped."""
-        stopped = []
+    def drop_groups(self, job: FleetJob) -> None:
+        """Has everything of an ended job stopped."""
         for group in job.all_groups():
             group.release_reservation()
-            if group.placements:
-                self.note_stop(group)
-                stopped.append(group)
-        return stopped
+            self.note_stop(group)
 
     def make_due(self, now_ms: int, unix_ms: int) -> None:
         """Lets occurrences start whose time has come."""
@@ -118,11 +117,9 @@
             elif entry.life == known.listed.life:
                 known.listed = entry
             known.is_listed = True
-        for name, worker in list(self.workers.items()):
+        for name, worker in self.workers.items():
             if name not in seen:
                 worker.is_listed = False
-                if not worker.placements and not worker.is_in_touch:
-                    del self.workers[name]
         return fresh
 
     def find_group(self, task: TaskName) -> TaskGroup | None:
@@ -158,7 +155,7 @@
         for placement in group.placements.values():
             if placement.phase is not Phase.STOPPING:
                 placement.phase = Phase.STOPPING
-                placement.is_stop_wanted = True
+                self.stops_wanted.add(group)
 
     def pending(self, queue: QueueName) -> int:
         """How many accepted jobs of a queue have had no task started."""
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -49,9 +49,6 @@
         """When the worker last answered an order about this run, or reported it."""
 
         self.stop_confirmed_ms: int | None = None
-        self.is_stop_wanted = False
-        """Whether a stop is still to be sent or confirmed."""
-
         self.percent = 100
         self.load = 0
 
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -142,23 +142,35 @@
             if placement.run == running.run:
                 self._confirm(placement, running)
                 return None
-        elif placement is None and self._may_adopt(group, running):
-            adopted = Placement(self._worker, running.run, self._now_ms)
-            adopted.life = self._report.life
-            self._confirm(adopted, running)
-            group.run = running.run
-            group.place(index, adopted)
+        elif placement is None:
+            self._adopt(group, running)
             return None
         group.run = max(group.run, running.run)
-        self._strays.append(StrayRun(running.task, running.run, "it is not the current run"))
+        self._strays.append(StrayRun(running.task, running.run, "it runs elsewhere, too"))
         return group
 
-    def _may_adopt(self, group: TaskGroup, running: RunningTask) -> bool:
-        if group.is_done or group.job.is_final or group.ready_since_ms is None:
-            return False
-        if any(each.run != running.run for each in group.placements.values()):
-            return False
-        return running.run >= group.run
+    def _adopt(self, group: TaskGroup, running: RunningTask) -> None:
+        """Takes over a run of an earlier owner, or sees to it that it ends.
+
+        Either way the group is not started elsewhere until this run's end is known. That the
+        steps before it are done may not be known yet here; the earlier owner knew.
+        """
+        wanted = (
+            not group.is_done
+            and not group.job.is_final
+            and running.run >= group.run
+            and all(each.run == running.run for each in group.placements.values())
+        )
+        adopted = Placement(self._worker, running.run, self._now_ms)
+        adopted.life = self._report.life
+        self._confirm(adopted, running)
+        group.run = max(group.run, running.run)
+        group.place(running.task.position, adopted)
+        if wanted:
+            if group.ready_since_ms is None:
+                group.ready_since_ms = self._now_ms
+        else:
+            self._book.note_stop(group)
 
     def _confirm(self, placement: Placement, running: RunningTask) -> None:
         placement.confirmed_ms = self._now_ms
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -46,6 +46,9 @@
         self.is_in_touch = False
         """Whether its last report is recent; nothing is started on a worker out of touch."""
 
+        self.is_registered = False
+        """Whether a later owner would know of this worker."""
+
         self.avoid_until_ms = 0
         self.unknown_use: Resources = NOTHING
         """What tasks take that it runs and the scheduler does not know."""
@@ -80,6 +83,7 @@
         """Whether new tasks may be started here."""
         return (
             self.is_listed
+            and self.is_registered
             and self.is_in_touch
             and not self.listed.is_draining
             and self.avoid_until_ms <= now_ms
--- a/src/jujubehall/services/fleet/orders.py
+++ b/src/jujubehall/services/fleet/orders.py
@@ -62,10 +62,14 @@
                 start(self._start(group, index, placement))
         else:
             log.info("group stops", job=group.job.id, group=group.key, reason=decision.reason)
-            self.stop_group(group)
 
-    def stop_group(self, group: TaskGroup) -> None:
-        """Sends the stops that are wanted and not under way."""
+    def send_stops(self) -> None:
+        """Sends all stops that the book has noted as wanted."""
+        wanted, self._owner.book.stops_wanted = self._owner.book.stops_wanted, set()
+        for group in wanted:
+            self._stop_group(group)
+
+    def _stop_group(self, group: TaskGroup) -> None:
         for index, placement in list(group.placements.items()):
             if placement.phase is Phase.STOPPING and placement not in self._stopping:
                 self._stopping.add(placement)
@@ -145,7 +149,7 @@
             failure=str(failure),
         )
         self._owner.book.note_stop(group)
-        self.stop_group(group)
+        self.send_stops()
 
     def _not_started(self, group: TaskGroup, index: int, placement: Placement, reason: str) -> None:
         log.warning(
@@ -158,7 +162,7 @@
         )
         group.displace(index)
         self._owner.book.note_stop(group)
-        self.stop_group(group)
+        self.send_stops()
         self._owner.poke()
 
     async def _stop(self, group: TaskGroup, index: int, placement: Placement) -> None:
--- a/src/jujubehall/services/fleet/records.py
+++ b/src/jujubehall/services/fleet/records.py
@@ -22,6 +22,7 @@
 JOB_PREFIX = INTAKE_PREFIX + "job/"
 CANCELLATION_PREFIX = INTAKE_PREFIX + "cancellation/"
 HOST_PREFIX = INTAKE_PREFIX + "host/"
+WORKERS_KEY = "jujubehall/workers"
 PROGRESS_PREFIX = "jujubehall/progress/"
 
 log = structlog.get_logger()
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -16,6 +16,7 @@
 from jujubehall.services.fleet.orders import Orders
 from jujubehall.services.fleet.ownership import OUTAGE_GRACE_MS
 from jujubehall.services.fleet.progress_writer import ProgressWriter
+from jujubehall.services.fleet.worker_register import WorkerRegister
 from jujubehall.services.fleet.worker_session import CLOCK_DRIFT
 from jujubehall.services.fleet.worker_session import WorkerSession
 from jujubehall.services.timing import sleep
@@ -28,6 +29,7 @@
     from jujubehall.core.fleet.jobs import JobProgress
     from jujubehall.core.fleet.requests import AcceptedJob
     from jujubehall.core.fleet.workers import FleetWorker
+    from jujubehall.core.fleet.workers import ListedWorker
     from jujubehall.identifiers import FencingToken
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import WorkerName
@@ -79,6 +81,8 @@
         self._is_round_due = False
         self._elected_ms = clock.now_ms
         self._intake = Intake(self, reactor, store)
+        self._register = WorkerRegister(reactor, store, term.owner_revision)
+        self._has_listed = False
         self.peers = peers
         self.workers_api = workers
         self.book = FleetBook(term.number)
@@ -136,6 +140,7 @@
         )
         self.is_loaded = True
         self._exclude_earlier_runs()
+        await self._recall_workers()
         log.info("took over", jobs=len(self.book.jobs), token=self.token)
         start(self._intake.run())
         start(self._follow_workers())
@@ -150,16 +155,13 @@
 
     def cancel(self, job: JobId) -> None:
         """Cancels a job and has its tasks stopped."""
-        for group in self.book.cancel(job, self._clock.now_ms):
-            self.orders.stop_group(group)
+        self.book.cancel(job, self._clock.now_ms)
+        self.orders.send_stops()
         self.poke()
 
     def after_report(self) -> None:
         """Sends the stops that a report made necessary, and decides anew."""
-        for job in list(self.book.changed):
-            for group in job.all_groups():
-                if group.placements:
-                    self.orders.stop_group(group)
+        self.orders.send_stops()
         self._release_exclusions()
         self.poke()
 
@@ -186,7 +188,7 @@
         for group, index in list(worker.placements):
             group.displace(index)
             self.book.note_stop(group)
-            self.orders.stop_group(group)
+        self.orders.send_stops()
         self.poke()
 
     def _round(self) -> None:
@@ -195,6 +197,7 @@
             return
         for decision in self.book.decide(self._clock.now_ms):
             self.orders.carry_out(decision)
+        self.orders.send_stops()
 
     async def _tick(self) -> None:
         forgotten_ms = self._clock.now_ms
@@ -212,9 +215,8 @@
             if self.is_closed:
                 return
             if not isinstance(listed, Err):
-                for worker in self.book.sync_workers(listed.ok_value):
-                    self._follow(worker)
-                self._drop_gone()
+                await self._take_in_workers(listed.ok_value)
+                self._has_listed = True
                 self._release_exclusions()
                 self.poke()
             await sleep(self._reactor, WORKERS_INTERVAL_MS)
@@ -233,11 +235,44 @@
         log.info("worker listed", worker=worker.name, rack=worker.listed.rack)
         start(session.run())
 
-    def _drop_gone(self) -> None:
-        for name in list(self._sessions):
-            if name not in self.book.workers:
-                log.info("worker gone", worker=name)
-                self._sessions.pop(name).close()
+    async def _recall_workers(self) -> None:
+        """Follows the workers that an earlier owner has used, also those not listed any more.
+
+        A worker that is cut off from the store loses its entry and runs on until its leases end.
+        """
+        recalled = await self._register.load()
+        for worker in self.book.sync_workers(recalled):
+            worker.is_listed = False
+            worker.is_registered = True
+            self._follow(worker)
+
+    async def _take_in_workers(self, listed: list[ListedWorker]) -> None:
+        fresh = self.book.sync_workers(listed)
+        for worker in fresh:
+            self._follow(worker)
+        gone = self._drop_gone()
+        if fresh or gone:
+            # Nothing is started on a worker that a successor would not know of.
+            kept = await self._register.keep(
+                [each.listed for each in self.book.workers.values()], lambda: self.is_closed
+            )
+            for worker in fresh if kept else ():
+                worker.is_registered = True
+
+    def _drop_gone(self) -> bool:
+        now_ms = self._clock.now_ms
+        gone = [
+            worker
+            for worker in self.book.workers.values()
+            if not worker.is_listed
+            and not worker.placements
+            and self._sessions[worker.name].leases_end_ms <= now_ms
+        ]
+        for worker in gone:
+            log.info("worker gone", worker=worker.name)
+            self._sessions.pop(worker.name).close()
+            del self.book.workers[worker.name]
+        return bool(gone)
 
     def _earlier_leases_end_ms(self) -> int:
         return self._elected_ms + OUTAGE_GRACE_MS + int(self._bounds.longest_lease_ms * CLOCK_DRIFT)
@@ -250,9 +285,10 @@
                 group.is_excluded_until_ms = until_ms
 
     def _release_exclusions(self) -> None:
-        """Once every listed worker has reported under this token, nothing runs out of sight."""
-        workers = self.book.workers.values()
-        if not workers or not all(each.has_reported for each in workers if each.is_listed):
+        """Once every worker has reported under this token, nothing runs out of sight."""
+        if not self._has_listed or not all(
+            each.has_reported for each in self.book.workers.values()
+        ):
             return
         for job in self.book.jobs.values():
             for group in job.all_groups():
--- /dev/null
+++ b/src/jujubehall/services/fleet/worker_register.py
@@ -0,0 +1,79 @@
+"""Keeps in the store which workers the owner uses, for its successors."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from result import Err
+
+from jujubehall.core.fleet.workers import ListedWorker
+from jujubehall.platform.site_store import ABSENT
+from jujubehall.platform.site_store import Conflict
+from jujubehall.platform.site_store import Precondition
+from jujubehall.platform.site_store import Write
+from jujubehall.services.fleet.records import OWNER_KEY
+from jujubehall.services.fleet.records import WORKERS_KEY
+from jujubehall.services.fleet.records import decode_record
+from jujubehall.services.timing import sleep
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jujubehall.clock import Reactor
+    from jujubehall.platform.site_store import Revision
+    from jujubehall.platform.site_store import SiteStore
+
+RETRY_INTERVAL_MS = 200
+COMMIT_TIMEOUT_MS = 1_000
+
+log = structlog.get_logger()
+
+
+class WorkerRegister:
+    """One record, written under the fence of the owner's."""
+
+    def __init__(self, reactor: Reactor, store: SiteStore, owner_revision: Revision) -> None:
+        self._reactor = reactor
+        self._store = store
+        self._owner_revision = owner_revision
+        self._revision: Revision = ABSENT
+
+    async def load(self) -> list[ListedWorker]:
+        """The workers that the last owner kept; repeated until the store answers."""
+        while isinstance(found := await self._store.get(WORKERS_KEY), Err):
+            log.warning("workers not recalled yet", failure=str(found.err_value))
+            await sleep(self._reactor, RETRY_INTERVAL_MS)
+        item = found.ok_value
+        if item is None:
+            return []
+        self._revision = item.revision
+        return decode_record(item.key, item.value, list[ListedWorker]) or []
+
+    async def keep(self, workers: list[ListedWorker], is_closed: Callable[[], bool]) -> bool:
+        """Writes the record; False if the term ends before."""
+        content = msgspec.json.encode(workers)
+        while not is_closed():
+            outcome = await self._store.commit(
+                [
+                    Precondition(OWNER_KEY, self._owner_revision),
+                    Precondition(WORKERS_KEY, self._revision),
+                ],
+                [Write(WORKERS_KEY, content)],
+                [],
+                COMMIT_TIMEOUT_MS,
+            )
+            if isinstance(outcome, Err):
+                log.warning("workers not kept yet", failure=str(outcome.err_value))
+                await sleep(self._reactor, RETRY_INTERVAL_MS)
+            elif isinstance(outcome.ok_value, Conflict):
+                revisions = {item.key: item.revision for item in outcome.ok_value.items}
+                if revisions.get(OWNER_KEY) != self._owner_revision:
+                    return False
+                self._revision = revisions.get(WORKERS_KEY, ABSENT)
+            else:
+                self._revision = outcome.ok_value
+                return True
+        return False
--- a/tests/core/fleet/fleet_book.py
+++ b/tests/core/fleet/fleet_book.py
@@ -92,6 +92,7 @@
         ]
         for worker in self.book.sync_workers(self.listed):
             worker.is_in_touch = True
+            worker.is_registered = True
             worker.has_reported = True
         self._ends: dict[str, int] = {}
 
