--- a/src/jujubehall/clock.py
+++ b/src/jujubehall/clock.py
@@ -76,6 +76,11 @@
     return Clock(lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS)
 
 
+def wall_clock() -> Clock:
+    """Makes a clock of Unix time; it may jump, and differs from host to host."""
+    return Clock(unix_time_ms)
+
+
 def to_seconds(duration_ms: int) -> float:
     """Converts milliseconds to the seconds that libraries expect."""
     return duration_ms / MS_PER_SECOND
--- /dev/null
+++ b/src/jujubehall/daemon/site_host.py
@@ -0,0 +1,170 @@
+"""The services of one entry host on a site, wired over the interfaces of its peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import msgspec
+import structlog
+
+from result import Err
+
+from jujubehall.platform.site_store import Write
+from jujubehall.services.fleet.admission import Admission
+from jujubehall.services.fleet.configuration_follower import ConfigurationFollower
+from jujubehall.services.fleet.job_records import JobRecords
+from jujubehall.services.fleet.latencies import Latencies
+from jujubehall.services.fleet.ownership import Ownership
+from jujubehall.services.fleet.peers import Peers
+from jujubehall.services.fleet.records import host_key
+from jujubehall.services.fleet.site_owner import SiteOwner
+from jujubehall.services.timing import sleep
+from jujubehall.services.timing import start
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.configuration import SiteConfiguration
+    from jujubehall.core.ownership.record import Member
+    from jujubehall.entry_hosts.mesh import Mesh
+    from jujubehall.platform.site_store import SiteDirectory
+    from jujubehall.platform.site_store import SiteStore
+    from jujubehall.platform.site_store import SiteWorkers
+    from jujubehall.services.fleet.ownership import Term
+
+ANNOUNCE_RETRY_MS = 300
+ANNOUNCE_TIMEOUT_MS = 1_000
+
+log = structlog.get_logger()
+
+
+class SitePeers(NamedTuple):
+    """What an entry host talks to."""
+
+    store: SiteStore
+    directory: SiteDirectory
+    workers: SiteWorkers
+    mesh: Mesh
+
+
+class SiteBounds(NamedTuple):
+    """The site's promises and limits, in milliseconds."""
+
+    longest_lease_ms: int
+    """The longest lease that a worker grants what it runs."""
+
+    keep_ended_ms: int
+    """How long the state of an ended job is shown."""
+
+    longest_key_age_ms: int | None
+    """Calls are refused once the configuration has not been known to be current for this long;
+    None if an entry host may serve on what it last knew."""
+
+
+class SiteHost:
+    """Accepts jobs, and owns the site while it is elected."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        clock: Clock,
+        wall_clock: Clock,
+        member: Member,
+        peers: SitePeers,
+        bounds: SiteBounds,
+        random: Random,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._member = member
+        self._store = peers.store
+        self._directory = peers.directory
+        self._workers = peers.workers
+        self._bounds = bounds
+        self._owner: SiteOwner | None = None
+        self._is_stopping = False
+        self.configuration = ConfigurationFollower(reactor, clock, peers.directory)
+        records = JobRecords(clock, peers.store)
+        self.peers = Peers(
+            reactor, clock, peers.mesh, member, peers.store, self.configuration, records
+        )
+        self.ownership = Ownership(reactor, clock, peers.store, member, random)
+        self.ownership.on_change(self._begin_term, self._end_term)
+        self.peers.attach(self.ownership)
+        self.configuration.read_store_while(lambda: self._owner is not None)
+        self.configuration.on_change(self._configure)
+        self.submissions = Latencies()
+        self.admission = Admission(
+            clock,
+            wall_clock,
+            self.configuration,
+            records,
+            self.peers,
+            self.submissions,
+            bounds.longest_key_age_ms,
+        )
+
+    @property
+    def owner(self) -> SiteOwner | None:
+        """The present term, if this entry host owns the site."""
+        return self._owner
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return not self._is_stopping and self.admission.is_ready
+
+    def start(self) -> None:
+        """Starts the services."""
+        start(self.configuration.run())
+        start(self.ownership.run())
+        start(self._announce())
+
+    async def stop(self) -> None:
+        """Hands the ownership over; calls are still answered."""
+        self._is_stopping = True
+        await self.ownership.stop()
+
+    def _begin_term(self, term: Term) -> None:
+        owner = SiteOwner(
+            self._reactor,
+            self._clock,
+            self._wall_clock,
+            self._store,
+            self._directory,
+            self._workers,
+            self.ownership,
+            self.peers,
+            term,
+            self._bounds.longest_lease_ms,
+            self._bounds.keep_ended_ms,
+        )
+        self._owner = owner
+        if self.configuration.current is not None:
+            owner.configure(self.configuration.current)
+        self.peers.begin_term(owner)
+        start(owner.run())
+
+    def _end_term(self, reason: str) -> None:
+        if self._owner is not None:
+            self._owner.close()
+            self._owner = None
+        self.peers.end_term()
+
+    def _configure(self, configuration: SiteConfiguration) -> None:
+        if self._owner is not None:
+            self._owner.configure(configuration)
+
+    async def _announce(self) -> None:
+        """Writes this entry host to the store, where the owner finds it."""
+        announced = Write(host_key(self._member.name), msgspec.json.encode(self._member))
+        while not self._is_stopping:
+            written = await self._store.commit([], [announced], [], ANNOUNCE_TIMEOUT_MS)
+            if not isinstance(written, Err):
+                return
+            log.info("not announced yet", failure=str(written.err_value))
+            await sleep(self._reactor, ANNOUNCE_RETRY_MS)
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -11,7 +11,6 @@
 
 from result import Err
 
-from jujubehall.clock import unix_time_ms
 from jujubehall.core.fleet.requests import AcceptedJob
 from jujubehall.core.fleet.requests import find_request_fault
 from jujubehall.identifiers import TeamName
@@ -93,6 +92,7 @@
     def __init__(
         self,
         clock: Clock,
+        wall_clock: Clock,
         configuration: ConfigurationFollower,
         records: JobRecords,
         peers: Peers,
@@ -100,6 +100,7 @@
         longest_age_ms: int | None,
     ) -> None:
         self._clock = clock
+        self._wall_clock = wall_clock
         self._configuration = configuration
         self._records = records
         self._peers = peers
@@ -143,7 +144,9 @@
         if fault is not None:
             return Answer(Outcome.MALFORMED, fault)
         began_ms = self._clock.now_ms
-        accepted = AcceptedJob(job, admitted.queue.name, admitted.team, request, unix_time_ms())
+        accepted = AcceptedJob(
+            job, admitted.queue.name, admitted.team, request, self._wall_clock.now_ms
+        )
         settled = await self._write(
             job_key(job), msgspec.json.encode(accepted), admitted.timeout_ms
         )
--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -10,6 +10,7 @@
 
 from result import Err
 
+from jujubehall.clock import to_seconds
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import FencingToken
 from jujubehall.platform.site_store import ABSENT
@@ -148,7 +149,7 @@
             log.warning("process stood still", gap_ms=now_ms - self._ticked_ms)
             self._must_verify = True
         self._ticked_ms = now_ms
-        self._reactor.callLater(TICK_MS / 1000, self._tick)
+        self._reactor.callLater(to_seconds(TICK_MS), self._tick)
 
     async def _renew(self) -> None:
         lease = self._lease
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -9,7 +9,6 @@
 from result import Err
 
 from jujubehall.clock import to_seconds
-from jujubehall.clock import unix_time_ms
 from jujubehall.core.fleet.book import FleetBook
 from jujubehall.services.fleet.intake import Intake
 from jujubehall.services.fleet.latencies import Latencies
@@ -62,21 +61,25 @@
         self,
         reactor: Reactor,
         clock: Clock,
+        wall_clock: Clock,
         store: SiteStore,
         directory: SiteDirectory,
         workers: SiteWorkers,
         ownership: Ownership,
         peers: Peers,
         term: Term,
-        bounds: OwnerBounds,
+        longest_lease_ms: int,
+        keep_ended_ms: int,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
+        self._wall_clock = wall_clock
         self._store = store
         self._directory = directory
         self._ownership = ownership
         self._term = term
-        self._bounds = bounds
+        self._longest_lease_ms = longest_lease_ms
+        self._keep_ended_ms = keep_ended_ms
         self._sessions: dict[WorkerName, WorkerSession] = {}
         self._is_round_due = False
         self._elected_ms = clock.now_ms
@@ -150,7 +153,7 @@
         """Takes in an accepted job."""
         if accepted.id not in self.book.jobs:
             log.info("job known", job=accepted.id, queue=accepted.queue, team=accepted.team)
-        self.book.accept(accepted, kept, self._clock.now_ms, unix_time_ms())
+        self.book.accept(accepted, kept, self._clock.now_ms, self._wall_clock.now_ms)
         self.poke()
 
     def cancel(self, job: JobId) -> None:
@@ -202,7 +205,7 @@
     async def _tick(self) -> None:
         forgotten_ms = self._clock.now_ms
         while not self.is_closed:
-            self.book.make_due(self._clock.now_ms, unix_time_ms())
+            self.book.make_due(self._clock.now_ms, self._wall_clock.now_ms)
             self.poke()
             if self._clock.now_ms - forgotten_ms >= FORGET_INTERVAL_MS:
                 forgotten_ms = self._clock.now_ms
@@ -226,9 +229,7 @@
         if known is not None:
             known.wake()
             return
-        session = WorkerSession(
-            self, self._reactor, self._clock, worker, self._bounds.longest_lease_ms
-        )
+        session = WorkerSession(self, self._reactor, self._clock, worker, self._longest_lease_ms)
         # Until its first report, an earlier owner's leases may run there.
         session.leases_end_ms = self._earlier_leases_end_ms()
         self._sessions[worker.name] = session
@@ -275,7 +276,7 @@
         return bool(gone)
 
     def _earlier_leases_end_ms(self) -> int:
-        return self._elected_ms + OUTAGE_GRACE_MS + int(self._bounds.longest_lease_ms * CLOCK_DRIFT)
+        return self._elected_ms + OUTAGE_GRACE_MS + int(self._longest_lease_ms * CLOCK_DRIFT)
 
     def _exclude_earlier_runs(self) -> None:
         """Keeps known work from being started while it may still run out of sight."""
@@ -295,15 +296,7 @@
                 group.is_excluded_until_ms = 0
 
     async def _forget_ended(self) -> None:
-        before_ms = self._clock.now_ms - self._bounds.keep_ended_ms
+        before_ms = self._clock.now_ms - self._keep_ended_ms
         for job in self.book.forget_ended(before_ms):
             log.info("job forgotten", job=job.id)
             await self.peers.delete_job_records(job.accepted.id)
-
-
-class OwnerBounds:
-    """Bounds of the site: the longest lease of a worker, and how long ended jobs are shown."""
-
-    def __init__(self, longest_lease_ms: int, keep_ended_ms: int) -> None:
-        self.longest_lease_ms = longest_lease_ms
-        self.keep_ended_ms = keep_ended_ms
--- /dev/null
+++ b/tests/services/fleet/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- /dev/null
+++ b/tests/services/fleet/conftest.py
@@ -0,0 +1,18 @@
+"""A small virtual site."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubehall.testing.virtual.fleet.site import VirtualFleet
+from tests.core.fleet.fleet_book import CONFIGURATION
+from tests.core.fleet.fleet_book import SmallSite
+
+
+@pytest.fixture
+def site() -> VirtualFleet:
+    """Three entry hosts and four workers, with an owner."""
+    fleet = VirtualFleet(CONFIGURATION, SmallSite().listed)
+    assert fleet.run_until(lambda: fleet.owner is not None, 5.0)
+    fleet.run(1.0)
+    return fleet
