--- a/src/jujubehall/core/fleet/preempting.py
+++ b/src/jujubehall/core/fleet/preempting.py
@@ -35,13 +35,15 @@
     return lost_ms * group.millicore_ms_per_ms
 
 
-def find_room(
-    group: TaskGroup, workers: list[FleetWorker], now_ms: int, may_go_far: bool
-) -> Room | None:
+def find_room(group: TaskGroup, workers: list[FleetWorker], now_ms: int) -> Room | None:
     """Chooses workers for the group, counting in the room of less urgent work.
 
-    Work that is being stopped already costs nothing and is waited for.
+    Work that is being stopped already costs nothing and is waited for. A group that prefers one
+    rack, or the rack of its data, is only given room there.
     """
+    if group.request.data_rack:
+        near = [worker for worker in workers if worker.listed.rack == group.request.data_rack]
+        return _room_in(group, near, now_ms)
     racks: dict[RackName, list[FleetWorker]] = {}
     for worker in workers:
         racks.setdefault(worker.listed.rack, []).append(worker)
@@ -49,7 +51,7 @@
     found = min(
         (room for room in rooms if room is not None), key=lambda room: room.cost, default=None
     )
-    if found is None and (may_go_far or not group.request.prefers_one_rack):
+    if found is None and not group.request.prefers_one_rack:
         found = _room_in(group, workers, now_ms)
     return found
 
@@ -86,17 +88,22 @@
     if group.request.tasks_per_worker and present >= task_bound(group, worker):
         return None
     wanted = group.counted_needs.times(present + 1)
-    room = worker.free_for(group)
+    staying = worker.unknown_use
+    for owner, amount in worker.reserved.items():
+        if owner is not group:
+            staying = staying + amount
     candidates = []
     for (other, _), placement in worker.placements.items():
         if placement.phase is Phase.STOPPING or other in victims:
-            room = room + other.counted_needs
-        elif other.job.priority > group.job.priority and not other.request.runs_until_cancelled:
+            continue
+        staying = staying + other.counted_needs
+        if other.job.priority > group.job.priority and not other.request.runs_until_cancelled:
             candidates.append(other)
+    capacity = worker.listed.capacity
     extra: set[TaskGroup] = set()
     cost = 0
     for other in sorted(set(candidates), key=lambda each: loss_by_stopping(each, now_ms)):
-        if wanted.fits_in(room):
+        if wanted.fits_in(capacity.minus(staying)):
             break
         extra.add(other)
         cost += loss_by_stopping(other, now_ms)
@@ -104,5 +111,5 @@
         for victim, _ in worker.placements:
             if victim is other:
                 freed = freed + victim.counted_needs
-        room = room + freed
-    return (cost, extra) if wanted.fits_in(room) else None
+        staying = staying.minus(freed)
+    return (cost, extra) if wanted.fits_in(capacity.minus(staying)) else None
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -52,12 +52,16 @@
         workers = self._eligible_workers(group)
         if group.reserved_on and not self._continue_reservation(group, workers):
             return
-        may_go_far = self._may_go_far(group)
-        chosen = place(group, workers, may_go_far)
+        chosen = place(group, workers, may_go_far=False)
         if chosen is not None:
             self._start(group, chosen)
-        elif group.job.priority == MOST_URGENT and not group.reserved_on:
-            self._preempt(group, workers, may_go_far)
+            return
+        if group.job.priority == MOST_URGENT and not group.reserved_on:
+            self._preempt(group, workers)
+        if not group.reserved_on and self._may_go_far(group):
+            chosen = place(group, workers, may_go_far=True)
+            if chosen is not None:
+                self._start(group, chosen)
 
     def _eligible_workers(self, group: TaskGroup) -> list[FleetWorker]:
         request = group.request
@@ -93,8 +97,8 @@
         self._book.note_start(group, chosen, self._now_ms)
         self._decisions.append(StartGroup(group, dict(chosen)))
 
-    def _preempt(self, group: TaskGroup, workers: list[FleetWorker], may_go_far: bool) -> None:
-        room = find_room(group, workers, self._now_ms, may_go_far)
+    def _preempt(self, group: TaskGroup, workers: list[FleetWorker]) -> None:
+        room = find_room(group, workers, self._now_ms)
         if room is None:
             return
         group.reserve(room.workers, self._now_ms + RESERVATION_MS)
--- a/tests/core/fleet/test_rounds.py
+++ b/tests/core/fleet/test_rounds.py
@@ -73,6 +73,36 @@
     assert stop.group.job.id == "saved"
 
 
+def test_the_same_room_is_not_promised_to_two_urgent_groups() -> None:
+    site = SmallSite(workers=2)
+    site.submit("a", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
+    site.submit("b", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
+    site.started()
+    site.submit("first", step(needs=EIGHT_GPUS), queue=URGENT)
+    site.submit("second", step(needs=EIGHT_GPUS), queue=URGENT)
+    stops = site.decide()
+    assert {stop.group.job.id for stop in stops} == {"a", "b"}
+
+
+def test_an_urgent_gang_preempts_in_one_rack_rather_than_run_across_racks() -> None:
+    site = SmallSite(workers=4)
+    site.submit("batch", step(tasks=2, needs=EIGHT_GPUS), queue=OVERNIGHT)
+    batch = site.started()
+    for group in batch[1:]:
+        index = group.indexes.start
+        placement = group.placements[index]
+        group.displace(index)
+        placement.worker = site.worker(2)
+        group.place(index, placement)
+    gang = step(tasks=2, needs=EIGHT_GPUS, is_gang=True, prefers_one_rack=True)
+    site.submit("now", gang, queue=URGENT)
+    (stop,) = site.decide()
+    assert isinstance(stop, StopGroup)
+    site.end(stop.group, EndKind.STOPPED)
+    (now,) = site.started()
+    assert len({placement.worker.listed.rack for placement in now.placements.values()}) == 1
+
+
 def test_less_urgent_work_preempts_nothing() -> None:
     site = SmallSite(workers=1)
     site.submit("now", step(needs=EIGHT_GPUS), queue=URGENT)
