Avoid workers that fail what they start, and try failed tasks elsewhere

A worker is now avoided for longer with each job that fails there in a row; a job that has failed elsewhere, too, doesn't count.

--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -99,6 +99,7 @@
         if ended.checkpoint and (is_current or not group.placements):
             group.checkpoint = ended.checkpoint
         if ended.kind is EndKind.DONE:
+            self._worker.record.note_done()
             self._finish(group)
         elif ended.kind is EndKind.FAILED:
             self._count_failure(group, ended)
@@ -124,6 +125,8 @@
             return
         group.failed_runs.add(ended.run)
         group.failures += 1
+        failed_before = group.failed_on - {self._worker.name}
+        self._worker.record.note_failure(group.job.id, bool(failed_before), self._now_ms)
         group.failed_on.add(self._worker.name)
         group.not_before_ms = self._now_ms + RETRY_AFTER_FAILURE_MS
         job = group.job
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -64,6 +64,13 @@
                 self._start(group, chosen)
 
     def _eligible_workers(self, group: TaskGroup) -> list[FleetWorker]:
+        """The workers for the group; those on which it has failed only if there are no others."""
+        workers = self._accepting_workers(group)
+        if not group.failed_on:
+            return workers
+        return [each for each in workers if each.name not in group.failed_on] or workers
+
+    def _accepting_workers(self, group: TaskGroup) -> list[FleetWorker]:
         request = group.request
         pool = group.job.queue.pool if group.job.queue is not None else None
         key = (pool, request.required_label, request.needs)
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -8,6 +8,7 @@
 
 from jujubehall.core.fleet.resources import NOTHING
 from jujubehall.core.fleet.resources import Resources
+from jujubehall.core.fleet.worker_record import WorkerRecord
 from jujubehall.identifiers import PoolName
 from jujubehall.identifiers import RackName
 from jujubehall.identifiers import WorkerName
@@ -53,6 +54,7 @@
         self.unknown_use: Resources = NOTHING
         """What tasks take that it runs and the scheduler does not know."""
 
+        self.record = WorkerRecord()
         self.has_reported = False
         self.used: Resources = NOTHING
         self.slowness = 1.0
@@ -87,6 +89,7 @@
             and self.is_in_touch
             and not self.listed.is_draining
             and self.avoid_until_ms <= now_ms
+            and self.record.avoid_until_ms <= now_ms
         )
 
     def add(self, group: TaskGroup, index: int, placement: Placement) -> None:
--- a/tests/core/fleet/test_rounds.py
+++ b/tests/core/fleet/test_rounds.py
@@ -99,7 +99,7 @@
     (stop,) = site.decide()
     assert isinstance(stop, StopGroup)
     site.end(stop.group, EndKind.STOPPED)
-    (now,) = site.started()
+    (now,) = [group for group in site.started() if group.job.id == "now"]
     assert len({placement.worker.listed.rack for placement in now.placements.values()}) == 1
 
 
@@ -133,3 +133,34 @@
     site.book.make_due(site.now_ms, due_ms)
     (first,) = site.started()
     assert first.occurrence == 0
+
+
+def test_a_worker_that_fails_everything_does_not_use_up_the_attempts_of_jobs() -> None:
+    site = SmallSite(workers=3, rack_size=3)
+    jobs = [site.submit(f"job{number}", step(expected_ms=1_000)) for number in range(10)]
+    for _ in range(40):
+        for group in site.started(after_ms=100):
+            (placement,) = group.placements.values()
+            is_sick = placement.worker.name == "w0"
+            site.end(group, EndKind.FAILED if is_sick else EndKind.DONE)
+    assert {job.state.value for job in jobs} == {"succeeded"}
+
+
+def test_a_job_that_fails_everywhere_leaves_the_workers_in_use() -> None:
+    site = SmallSite(workers=4)
+    site.submit("poison", step(needs=EIGHT_GPUS))
+    for _ in range(2):
+        for group in site.started(after_ms=1_000):
+            site.end(group, EndKind.FAILED)
+    site.submit("job", step(tasks=24))
+    assert len(site.started(after_ms=100)) == 24
+
+
+def test_a_failed_task_is_tried_on_another_worker() -> None:
+    site = SmallSite(workers=2)
+    site.submit("job", step())
+    (group,) = site.started()
+    failed_on = group.placements[0].worker
+    site.end(group, EndKind.FAILED)
+    site.started(after_ms=5_000)
+    assert group.placements[0].worker is not failed_on
