--- a/src/jujubehall/core/fleet/book.py
+++ b/src/jujubehall/core/fleet/book.py
@@ -25,14 +25,11 @@
     from jujubehall.identifiers import QueueName
     from jujubehall.identifiers import WorkerName
 
-RUNS_PER_TERM = 10_000
-"""Each owner numbers runs in a range of its own, so that no two owners use the same number."""
-
 
 class FleetBook:
     """The state on which the owner of a site decides; pure, with the time passed in."""
 
-    def __init__(self, term: int = 0) -> None:
+    def __init__(self) -> None:
         self.workers: dict[WorkerName, FleetWorker] = {}
         self.jobs: dict[JobId, FleetJob] = {}
         self.configuration = SiteConfiguration(0)
@@ -42,8 +39,6 @@
         self.stops_wanted: set[TaskGroup] = set()
         """Groups with tasks to be stopped for which no stop has been sent."""
 
-        self._first_run = term * RUNS_PER_TERM
-
     def configure(self, configuration: SiteConfiguration) -> None:
         """Puts a newer configuration in force; jobs keep a queue that is no longer there."""
         self.configuration = configuration
@@ -136,19 +131,33 @@
                 if (
                     group.is_waiting
                     and group.not_before_ms <= now_ms
-                    and group.is_excluded_until_ms <= now_ms
+                    and not self._may_run_unseen(group, now_ms)
                 ):
                     yield group
 
+    def _may_run_unseen(self, group: TaskGroup, now_ms: int) -> bool:
+        """Whether a worker that has not reported yet may run it for an earlier owner."""
+        if not group.kept_workers:
+            return False
+        for name in group.kept_workers:
+            worker = self.workers.get(name)
+            if worker is None or worker.has_reported:
+                continue
+            if now_ms < worker.earlier_leases_end_ms:
+                return True
+        group.kept_workers = ()
+        return False
+
     def decide(self, now_ms: int) -> list[Decision]:
         """Runs a round of scheduling."""
         return Round(self, now_ms).run()
 
     def note_start(self, group: TaskGroup, workers: dict[int, FleetWorker], now_ms: int) -> None:
         """Notes that the group's tasks are being started under a new number of a run."""
-        group.run = max(group.run, self._first_run) + 1
+        group.run += 1
         for index, worker in workers.items():
             group.place(index, Placement(worker, group.run, now_ms))
+        self.changed.add(group.job)
 
     def note_stop(self, group: TaskGroup) -> None:
         """Notes that all tasks of the group are to be stopped."""
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -9,6 +9,7 @@
 
 from jujubehall.core.fleet.reports import TaskName
 from jujubehall.core.fleet.resources import Resources
+from jujubehall.identifiers import WorkerName
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.jobs import FleetJob
@@ -34,6 +35,8 @@
     failures: int = 0
     checkpoint: str = ""
     run: int = 0
+    workers: tuple[WorkerName, ...] = ()
+    """Where the run may be; kept before the run is started."""
 
 
 class Placement:
@@ -80,8 +83,8 @@
         self.failed_runs: set[int] = set()
         """Runs whose failure is counted: the members of a gang fail together."""
 
-        self.is_excluded_until_ms = 0
-        """Until then, an unreachable worker may run it under an earlier owner's orders."""
+        self.kept_workers: tuple[WorkerName, ...] = ()
+        """Where an earlier owner's run may still be, as far as they have not reported."""
 
     @property
     def key(self) -> str:
@@ -149,7 +152,14 @@
 
     def progress(self) -> GroupProgress:
         """What is to be kept of it."""
-        return GroupProgress(self.is_done, self.failures, self.checkpoint, self.run)
+        workers = {placement.worker.name for placement in self.placements.values()}
+        return GroupProgress(
+            self.is_done,
+            self.failures,
+            self.checkpoint,
+            self.run,
+            tuple(sorted(workers | set(self.kept_workers))) if not self.is_done else (),
+        )
 
     def restore(self, kept: GroupProgress) -> None:
         """Takes over what an earlier owner kept."""
@@ -157,4 +167,5 @@
         self.failures = kept.failures
         self.checkpoint = kept.checkpoint
         self.run = max(self.run, kept.run)
+        self.kept_workers = kept.workers
         self.has_started = True
--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -92,11 +92,7 @@
 
     def progress(self) -> JobProgress:
         """What is to be kept of its progress now."""
-        groups = {
-            group.key: group.progress()
-            for group in self.all_groups()
-            if group.is_done or group.failures or group.checkpoint
-        }
+        groups = {group.key: group.progress() for group in self.all_groups() if group.run}
         return JobProgress(self.state, self._kept.groups | groups)
 
     def due_unix_ms(self, occurrence: int) -> int:
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -56,6 +56,9 @@
 
         self.record = WorkerRecord()
         self.has_reported = False
+        self.earlier_leases_end_ms = 0
+        """Until its first report, runs of an earlier owner may go on here up to this time."""
+
         self.used: Resources = NOTHING
         self.slowness = 1.0
         """How many times as long tasks take here, learned from how they end."""
--- a/src/jujubehall/services/fleet/orders.py
+++ b/src/jujubehall/services/fleet/orders.py
@@ -8,7 +8,6 @@
 
 from result import Err
 
-from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.errors import FailureKind
 from jujubehall.platform.site_store import RefusalReason
@@ -20,7 +19,7 @@
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
-    from jujubehall.core.fleet.decisions import Decision
+    from jujubehall.core.fleet.decisions import StopGroup
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.reconciliation import StrayRun
@@ -46,22 +45,32 @@
         self._clock = clock
         self._stopping: set[Placement] = set()
 
-    def carry_out(self, decision: Decision) -> None:
-        """Sends the orders of a decision that the book has noted."""
+    def log_stop(self, decision: StopGroup) -> None:
+        """Logs why a group is stopped."""
         group = decision.group
-        if isinstance(decision, StartGroup):
-            log.info(
-                "group starts",
-                job=group.job.id,
-                group=group.key,
-                run=group.run,
-                workers=[worker.name for worker in decision.workers.values()],
-                waited_ms=self._clock.now_ms - (group.ready_since_ms or 0),
-            )
-            for index, placement in list(group.placements.items()):
-                start(self._start(group, index, placement))
-        else:
-            log.info("group stops", job=group.job.id, group=group.key, reason=decision.reason)
+        log.info("group stops", job=group.job.id, group=group.key, reason=decision.reason)
+
+    def send_starts(self, group: TaskGroup) -> None:
+        """Starts a group whose placement is kept, unless it has been stopped meanwhile."""
+        if not all(each.phase is Phase.STARTING for each in group.placements.values()):
+            self.withdraw(group)
+            return
+        log.info(
+            "group starts",
+            job=group.job.id,
+            group=group.key,
+            run=group.run,
+            workers=[each.worker.name for each in group.placements.values()],
+            waited_ms=self._clock.now_ms - (group.ready_since_ms or 0),
+        )
+        for index, placement in list(group.placements.items()):
+            start(self._start(group, index, placement))
+
+    def withdraw(self, group: TaskGroup) -> None:
+        """Takes back a placement whose starts have not been sent."""
+        for index in list(group.placements):
+            group.displace(index)
+        self._owner.poke()
 
     def send_stops(self) -> None:
         """Sends all stops that the book has noted as wanted."""
--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -18,9 +18,7 @@
 from jujubehall.platform.site_store import Precondition
 from jujubehall.platform.site_store import Write
 from jujubehall.services.fleet.records import OWNER_KEY
-from jujubehall.services.fleet.records import TERM_KEY
 from jujubehall.services.fleet.records import OwnerRecord
-from jujubehall.services.fleet.records import TermRecord
 from jujubehall.services.fleet.records import decode_record
 from jujubehall.services.timing import sleep
 
@@ -62,7 +60,6 @@
     """One period of ownership. The token is the revision of the election in the store."""
 
     token: FencingToken
-    number: int
     owner_revision: Revision
 
 
@@ -185,46 +182,29 @@
             return
         if record.member.incarnation == self._member.incarnation and self._lease is not None:
             # An election whose answer was lost.
-            self._win(Term(FencingToken(revision), record.term, revision))
+            self._win(Term(FencingToken(revision), revision))
         else:
             self.highest_token = max(self.highest_token, FencingToken(revision))
 
     async def _stand_for_election(self) -> bool:
-        counted = await self._store.get(TERM_KEY)
-        if isinstance(counted, Err):
-            return False
-        item = counted.ok_value
-        number = 0
-        if item is not None:
-            record: TermRecord | None = decode_record(TERM_KEY, item.value, TermRecord)
-            number = record.term + 1 if record is not None else item.revision
         granted = await self._store.grant_lease(LEASE_MS)
         if isinstance(granted, Err):
             return False
         self._lease = granted.ok_value
         self._renewed_ms = self._clock.now_ms
         won = await self._store.commit(
-            [
-                Precondition(OWNER_KEY, ABSENT),
-                Precondition(TERM_KEY, item.revision if item is not None else ABSENT),
-            ],
-            [
-                Write(
-                    OWNER_KEY, msgspec.json.encode(OwnerRecord(self._member, number)), self._lease
-                ),
-                Write(TERM_KEY, msgspec.json.encode(TermRecord(number))),
-            ],
+            [Precondition(OWNER_KEY, ABSENT)],
+            [Write(OWNER_KEY, msgspec.json.encode(OwnerRecord(self._member)), self._lease)],
             [],
             COMMIT_TIMEOUT_MS,
         )
         if isinstance(won, Err):
             return False
-        revision = won.ok_value
-        if isinstance(revision, Conflict):
+        if isinstance(won.ok_value, Conflict):
             await self._store.end_lease(self._lease)
             self._lease = None
             return False
-        self._win(Term(FencingToken(revision), number, revision))
+        self._win(Term(FencingToken(won.ok_value), won.ok_value))
         return True
 
     def _win(self, term: Term) -> None:
@@ -233,7 +213,7 @@
         self.term = term
         self.highest_token = max(self.highest_token, term.token)
         self._must_verify = False
-        log.info("elected owner", token=term.token, term=term.number)
+        log.info("elected owner", token=term.token)
         self._on_elected(term)
 
     def _lose(self, reason: str) -> None:
--- a/src/jujubehall/services/fleet/progress_writer.py
+++ b/src/jujubehall/services/fleet/progress_writer.py
@@ -35,8 +35,8 @@
 JOBS_PER_COMMIT = (MAX_COMMIT_ROWS - 1) // 2
 """Each job takes a precondition and a write; one row is the owner's."""
 
-GATHER_MS = 20
-"""Ends arrive in bursts; gathering them for a moment saves commits."""
+GATHER_MS = 5
+"""Ends arrive in bursts; gathering them for a moment saves commits. Starts wait for it, too."""
 
 RETRY_INTERVAL_MS = 250
 COMMIT_TIMEOUT_MS = 1_000
--- a/src/jujubehall/services/fleet/records.py
+++ b/src/jujubehall/services/fleet/records.py
@@ -15,7 +15,6 @@
     from jujubehall.identifiers import JobId
 
 OWNER_KEY = "jujubehall/owner"
-TERM_KEY = "jujubehall/term"
 INTAKE_PREFIX = "jujubehall/intake/"
 """Watched as a whole by the owner: what entry hosts write and the owner acts on."""
 
@@ -32,13 +31,6 @@
     """Who owns the site; its key lives as long as the owner's lease."""
 
     member: Member
-    term: int
-
-
-class TermRecord(msgspec.Struct, frozen=True):
-    """Counts the owners; written together with each owner record."""
-
-    term: int
 
 
 def job_key(job: JobId) -> str:
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -10,6 +10,8 @@
 
 from jujubehall.clock import to_seconds
 from jujubehall.core.fleet.book import FleetBook
+from jujubehall.core.fleet.decisions import StartGroup
+from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.services.fleet.intake import Intake
 from jujubehall.services.fleet.latencies import Latencies
 from jujubehall.services.fleet.orders import Orders
@@ -85,10 +87,9 @@
         self._elected_ms = clock.now_ms
         self._intake = Intake(self, reactor, store)
         self._register = WorkerRegister(reactor, store, term.owner_revision)
-        self._has_listed = False
         self.peers = peers
         self.workers_api = workers
-        self.book = FleetBook(term.number)
+        self.book = FleetBook()
         self.orders = Orders(self, reactor, clock)
         self.starts = Latencies()
         self.is_closed = False
@@ -142,7 +143,6 @@
             self.verify_ownership,
         )
         self.is_loaded = True
-        self._exclude_earlier_runs()
         await self._recall_workers()
         log.info("took over", jobs=len(self.book.jobs), token=self.token)
         start(self._intake.run())
@@ -165,7 +165,6 @@
     def after_report(self) -> None:
         """Sends the stops that a report made necessary, and decides anew."""
         self.orders.send_stops()
-        self._release_exclusions()
         self.poke()
 
     def poke(self) -> None:
@@ -198,9 +197,22 @@
         self._is_round_due = False
         if not self.may_act:
             return
-        for decision in self.book.decide(self._clock.now_ms):
-            self.orders.carry_out(decision)
+        decisions = self.book.decide(self._clock.now_ms)
+        starts = [each for each in decisions if isinstance(each, StartGroup)]
+        for decision in decisions:
+            if isinstance(decision, StopGroup):
+                self.orders.log_stop(decision)
         self.orders.send_stops()
+        if starts:
+            # A successor must know where a run may be, so that is kept before the run is started.
+            self.writer.flushed().addCallback(lambda _: self._send_starts(starts))
+
+    def _send_starts(self, starts: list[StartGroup]) -> None:
+        for each in starts:
+            if self.may_act:
+                self.orders.send_starts(each.group)
+            else:
+                self.orders.withdraw(each.group)
 
     async def _tick(self) -> None:
         forgotten_ms = self._clock.now_ms
@@ -219,8 +231,6 @@
                 return
             if not isinstance(listed, Err):
                 await self._take_in_workers(listed.ok_value)
-                self._has_listed = True
-                self._release_exclusions()
                 self.poke()
             await sleep(self._reactor, WORKERS_INTERVAL_MS)
 
@@ -230,8 +240,7 @@
             known.wake()
             return
         session = WorkerSession(self, self._reactor, self._clock, worker, self._longest_lease_ms)
-        # Until its first report, an earlier owner's leases may run there.
-        session.leases_end_ms = self._earlier_leases_end_ms()
+        worker.earlier_leases_end_ms = session.leases_end_ms = self._earlier_leases_end_ms()
         self._sessions[worker.name] = session
         log.info("worker listed", worker=worker.name, rack=worker.listed.rack)
         start(session.run())
@@ -278,23 +287,6 @@
     def _earlier_leases_end_ms(self) -> int:
         return self._elected_ms + OUTAGE_GRACE_MS + int(self._longest_lease_ms * CLOCK_DRIFT)
 
-    def _exclude_earlier_runs(self) -> None:
-        """Keeps known work from being started while it may still run out of sight."""
-        until_ms = self._earlier_leases_end_ms()
-        for job in self.book.jobs.values():
-            for group in job.all_groups():
-                group.is_excluded_until_ms = until_ms
-
-    def _release_exclusions(self) -> None:
-        """Once every worker has reported under this token, nothing runs out of sight."""
-        if not self._has_listed or not all(
-            each.has_reported for each in self.book.workers.values()
-        ):
-            return
-        for job in self.book.jobs.values():
-            for group in job.all_groups():
-                group.is_excluded_until_ms = 0
-
     async def _forget_ended(self) -> None:
         before_ms = self._clock.now_ms - self._keep_ended_ms
         for job in self.book.forget_ended(before_ms):
--- a/tests/core/fleet/fleet_book.py
+++ b/tests/core/fleet/fleet_book.py
@@ -73,8 +73,8 @@
 class SmallSite:
     """A book with workers ``w0``, ``w1``, … of 8 accelerators, ``rack_size`` to a rack."""
 
-    def __init__(self, workers: int = 4, rack_size: int = 2, term: int = 0) -> None:
-        self.book = FleetBook(term)
+    def __init__(self, workers: int = 4, rack_size: int = 2) -> None:
+        self.book = FleetBook()
         self.book.configure(CONFIGURATION)
         self.now_ms = 1_000_000
         self.listed = [
--- a/tests/core/fleet/test_reconciliation.py
+++ b/tests/core/fleet/test_reconciliation.py
@@ -72,12 +72,12 @@
 
 
 def test_a_new_owner_adopts_what_runs() -> None:
-    site = SmallSite(term=1)
+    site = SmallSite()
     job = site.submit("job", step(tasks=2))
     site.report(0, (RunningTask(TaskName(job.id, 0, 0, 1), 1, "c7"),))
     (started,) = site.started()
     assert started.indexes == range(1)
-    assert started.run == 10_001
+    assert started.run == 1
     adopted = job.find_group(0, 0, 1)
     assert adopted is not None
     assert adopted.placements[1].phase is Phase.RUNNING
@@ -85,7 +85,7 @@
 
 def test_a_run_whose_earlier_steps_are_not_known_to_be_done_is_adopted() -> None:
     # The end of the earlier step may be listed by a worker that has not reported yet.
-    site = SmallSite(term=1)
+    site = SmallSite()
     job = site.submit("job", step(), step(after=(0,)))
     site.report(0, (RunningTask(TaskName(job.id, 0, 1, 0), 1),))
     site.report(1, ended=(EndedTask(1, TaskName(job.id, 0, 0, 0), 1, EndKind.DONE),))
@@ -96,7 +96,7 @@
 
 
 def test_an_older_run_is_stopped_before_the_next_is_started() -> None:
-    site = SmallSite(term=1)
+    site = SmallSite()
     job = site.submit("job", step())
     site.report(0, ended=(EndedTask(1, TaskName(job.id, 0, 0, 0), 2, EndKind.LEASE_LAPSED),))
     site.report(1, (RunningTask(TaskName(job.id, 0, 0, 0), 1),))
@@ -126,7 +126,7 @@
     first, _ = site.started()
     site.end(first, EndKind.DONE)
     kept = job.progress()
-    successor = SmallSite(term=1)
+    successor = SmallSite()
     restored = successor.book.accept(job.accepted, kept, successor.now_ms, successor.now_ms)
     assert isinstance(kept, JobProgress)
     assert [group.is_done for group in restored.groups[0, 0]] == [True, False]
