Replace silent, cut-off and leaving owners in about a second

Silent owners are now replaced by compare-and-swap when no other entry host hears them either; an owner resigns when others reach the store and it does not; a resignation is announced.

--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -133,6 +133,30 @@
     configuration_version: int
     configuration_age_ms: int
     members: tuple[Member, ...] = ()
+    is_resigning: bool = False
+    """The owner gives the site up; whoever hears this may take over at once."""
+
+
+class OwnerContactWanted(msgspec.Struct, frozen=True, tag="owner-contact-wanted"):
+    """Asks how long ago the receiver heard of the owner with this or a higher token."""
+
+    token: FencingToken
+
+
+class OwnerContactKnown(msgspec.Struct, frozen=True, tag="owner-contact-known"):
+    """Answers ``OwnerContactWanted``."""
+
+    heard_ms_ago: int
+
+
+class StoreContactWanted(msgspec.Struct, frozen=True, tag="store-contact-wanted"):
+    """Asks the receiver to try whether it reaches the store."""
+
+
+class StoreContactKnown(msgspec.Struct, frozen=True, tag="store-contact-known"):
+    """Answers ``StoreContactWanted``."""
+
+    is_reachable: bool
 
 
 class SiteHeartbeatAnswer(msgspec.Struct, frozen=True, tag="site-heartbeat-answer"):
@@ -196,6 +220,10 @@
 
 Message = (
     SiteHeartbeat
+    | OwnerContactWanted
+    | OwnerContactKnown
+    | StoreContactWanted
+    | StoreContactKnown
     | SiteHeartbeatAnswer
     | SiteConfigurationWanted
     | SiteConfigurationOffered
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import TypeVar
 
 import structlog
 
 from result import Err
+from twisted.internet.defer import TimeoutError
 
+from jujubehall.clock import to_seconds
 from jujubehall.core.jobs.job import JobState
 from jujubehall.entry_hosts.messages import JobStateKnown
 from jujubehall.entry_hosts.messages import JobStateWanted
+from jujubehall.entry_hosts.messages import OwnerContactKnown
+from jujubehall.entry_hosts.messages import OwnerContactWanted
 from jujubehall.entry_hosts.messages import PendingKnown
 from jujubehall.entry_hosts.messages import PendingWanted
 from jujubehall.entry_hosts.messages import Refused
@@ -19,11 +24,15 @@
 from jujubehall.entry_hosts.messages import SiteConfigurationWanted
 from jujubehall.entry_hosts.messages import SiteHeartbeat
 from jujubehall.entry_hosts.messages import SiteHeartbeatAnswer
+from jujubehall.entry_hosts.messages import StoreContactKnown
+from jujubehall.entry_hosts.messages import StoreContactWanted
 from jujubehall.entry_hosts.messages import StoreWriteSettled
 from jujubehall.entry_hosts.messages import StoreWriteWanted
+from jujubehall.services.fleet.records import OWNER_KEY
 from jujubehall.services.fleet.records import cancellation_key
 from jujubehall.services.fleet.records import job_key
 from jujubehall.services.fleet.records import progress_key
+from jujubehall.services.timing import gather
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 
@@ -35,6 +44,8 @@
     from jujubehall.entry_hosts.mesh import Mesh
     from jujubehall.entry_hosts.messages import Message
     from jujubehall.identifiers import EntryHostName
+    from jujubehall.identifiers import FencingToken
+    from jujubehall.identifiers import Incarnation
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import QueueName
     from jujubehall.platform.site_store import SiteStore
@@ -43,13 +54,17 @@
     from jujubehall.services.fleet.ownership import Ownership
     from jujubehall.services.fleet.site_owner import SiteOwner
 
-HEARTBEAT_INTERVAL_MS = 500
+HEARTBEAT_INTERVAL_MS = 300
 HEARTBEAT_TIMEOUT_MS = 800
 QUESTION_TIMEOUT_MS = 400
 """Beyond this the store is asked instead of the owner."""
 
-OWNER_SILENT_MS = 1_600
-"""Three missed heartbeats."""
+OWNER_SILENT_MS = 1_000
+"""Three missed heartbeats; then the store is asked at once."""
+
+CONTACT_TIMEOUT_MS = 300
+WITNESSES = 3
+"""Other entry hosts that are asked before an owner is replaced or gives up."""
 
 SILENT_MEMBER_MS = 30_000
 """A member that has not answered for this long is told nothing any more until it returns."""
@@ -81,7 +96,7 @@
         configuration: ConfigurationFollower,
         records: JobRecords,
     ) -> None:
-        self._reactor = reactor
+        self._reactor: Any = reactor
         self._clock = clock
         self._mesh = mesh
         self._member = member
@@ -94,11 +109,14 @@
         self._heard_ms = -OWNER_SILENT_MS
         self._members: dict[EntryHostName, Member] = {}
         self._answered_ms: dict[EntryHostName, int] = {}
+        self._told: dict[Incarnation, frozenset[Incarnation]] = {}
         mesh.register(SiteHeartbeat, self._on_heartbeat)
         mesh.register(SiteConfigurationWanted, self._on_configuration_wanted)
         mesh.register(JobStateWanted, self._on_job_state_wanted)
         mesh.register(PendingWanted, self._on_pending_wanted)
         mesh.register(StoreWriteWanted, self._on_store_write_wanted)
+        mesh.register(OwnerContactWanted, self._on_owner_contact_wanted)
+        mesh.register(StoreContactWanted, self._on_store_contact_wanted)
 
     @property
     def owner(self) -> SiteOwner | None:
@@ -120,6 +138,31 @@
     def attach(self, ownership: Ownership) -> None:
         """Connects the ownership, which the heartbeats of others may end."""
         self._ownership = ownership
+        ownership.ask(self)
+
+    async def heard_owner_ms_ago(self, token: FencingToken) -> int | None:
+        """The least time since any witness that answers heard of the owner; None if none does."""
+        asked = [
+            self._mesh.ask(member, OwnerContactWanted(token), CONTACT_TIMEOUT_MS)
+            for member in self.others[:WITNESSES]
+        ]
+        answers = [each.ok_value for each in await gather(asked) if not isinstance(each, Err)]
+        known = [each.heard_ms_ago for each in answers if isinstance(each, OwnerContactKnown)]
+        return min(known, default=None)
+
+    async def reach_store(self) -> bool:
+        """Whether any witness reaches the store now."""
+        asked = [
+            self._mesh.ask(member, StoreContactWanted(), CONTACT_TIMEOUT_MS)
+            for member in self.others[:WITNESSES]
+        ]
+        answers = [each.ok_value for each in await gather(asked) if not isinstance(each, Err)]
+        return any(isinstance(each, StoreContactKnown) and each.is_reachable for each in answers)
+
+    def announce_resignation(self) -> None:
+        """Tells all others that this entry host gives the site up."""
+        if self._owner is not None:
+            self._beat_now(self._owner, is_resigning=True)
 
     def begin_term(self, owner: SiteOwner) -> None:
         """Starts heartbeats to all others."""
@@ -197,33 +240,41 @@
                 self._beat_now(owner)
             await sleep(self._reactor, HEARTBEAT_INTERVAL_MS)
 
-    def _beat_now(self, owner: SiteOwner) -> None:
+    def _beat_now(self, owner: SiteOwner, is_resigning: bool = False) -> None:
         if owner.is_closed:
             return
         now_ms = self._clock.now_ms
         for name, member in self._members.items():
             if now_ms - self._answered_ms.get(name, 0) < SILENT_MEMBER_MS:
-                start(self._beat_to(owner, member))
+                start(self._beat_to(owner, member, is_resigning))
 
-    async def _beat_to(self, owner: SiteOwner, member: Member) -> None:
+    async def _beat_to(self, owner: SiteOwner, member: Member, is_resigning: bool = False) -> None:
         age_ms = self._configuration.age_ms
+        told = frozenset(each.incarnation for each in self._members.values())
+        is_told = self._told.get(member.incarnation) == told
         heartbeat = SiteHeartbeat(
             self._member,
             owner.token,
             self._configuration.version,
             NEVER_MS if age_ms is None else age_ms,
-            tuple(self._members.values()),
+            () if is_told else tuple(self._members.values()),
+            is_resigning,
         )
         answered = await self._mesh.ask(member, heartbeat, HEARTBEAT_TIMEOUT_MS)
         if isinstance(answered, Err) or not isinstance(answered.ok_value, SiteHeartbeatAnswer):
             return
         self._answered_ms[member.name] = self._clock.now_ms
+        self._told[member.incarnation] = told
         if answered.ok_value.token > owner.token:
             owner.verify_ownership()
 
     async def _on_heartbeat(self, sender: EntryHostName, beat: SiteHeartbeat) -> Message:
         highest = self._ownership.highest_token
-        if beat.token >= highest:
+        if beat.is_resigning:
+            log.info("owner resigns", owner=beat.owner.name, token=beat.token)
+            self._ownership.heard_resignation(beat.token)
+            self._heard_ms = -OWNER_SILENT_MS
+        elif beat.token >= highest:
             self._ownership.heard_owner(beat.token)
             if self._owner_member != beat.owner:
                 log.info("owner heard", owner=beat.owner.name, token=beat.token)
@@ -268,6 +319,25 @@
             return Refused("not the owner")
         return PendingKnown(self._owner.book.pending(wanted.queue))
 
+    async def _on_owner_contact_wanted(
+        self, sender: EntryHostName, wanted: OwnerContactWanted
+    ) -> Message:
+        if self._ownership.term is not None:
+            return OwnerContactKnown(0)
+        if self._ownership.highest_token < wanted.token:
+            return OwnerContactKnown(NEVER_MS)
+        return OwnerContactKnown(self._ownership.heard_ms_ago)
+
+    async def _on_store_contact_wanted(
+        self, sender: EntryHostName, wanted: StoreContactWanted
+    ) -> Message:
+        read = start(self._store.get(OWNER_KEY))
+        read.addTimeout(to_seconds(CONTACT_TIMEOUT_MS), self._reactor)
+        try:
+            return StoreContactKnown(not isinstance(await read, Err))
+        except TimeoutError:
+            return StoreContactKnown(False)
+
     async def _on_store_write_wanted(
         self, sender: EntryHostName, wanted: StoreWriteWanted
     ) -> Message:
--- a/src/jujubehall/services/fleet/records.py
+++ b/src/jujubehall/services/fleet/records.py
@@ -31,6 +31,8 @@
     """Who owns the site; its key lives as long as the owner's lease."""
 
     member: Member
+    lease: int
+    """The lease that the key lives by; a successor that replaces the record ends it."""
 
 
 def job_key(job: JobId) -> str:
--- a/src/jujubehall/services/timing.py
+++ b/src/jujubehall/services/timing.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from collections.abc import Iterable
     from random import Random
 
     from jujubehall.clock import Reactor
@@ -31,6 +32,11 @@
     return Deferred.fromCoroutine(coroutine)
 
 
+async def gather(coroutines: Iterable[Coroutine[Any, Any, Any]]) -> list[Any]:
+    """Runs coroutines side by side and returns their results in order."""
+    return [await each for each in [start(coroutine) for coroutine in coroutines]]
+
+
 class BackOff:
     """Exponential back-off with full jitter, so that the end of an outage is no stampede."""
 
