Write through other entry hosts in turn, and refuse at once what surely can't be kept

Attempts now alternate between the own path and other entry hosts, the owner first, with pauses; four attempts that surely had no effect end in a refusal.

--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -88,7 +88,7 @@
         self._owner: SiteOwner | None = None
         self._is_stopping = False
         self.configuration = ConfigurationFollower(reactor, clock, peers.directory)
-        records = JobRecords(clock, peers.store)
+        records = JobRecords(peers.store)
         self.peers = Peers(
             reactor, clock, peers.mesh, member, peers.store, self.configuration, records
         )
@@ -99,6 +99,7 @@
         self.configuration.on_change(self._configure)
         self.submissions = Latencies()
         self.admission = Admission(
+            reactor,
             clock,
             wall_clock,
             self.configuration,
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -13,26 +13,36 @@
 
 from jujubehall.core.fleet.requests import AcceptedJob
 from jujubehall.core.fleet.requests import find_request_fault
+from jujubehall.entry_hosts.messages import StoreWriteSettled
 from jujubehall.identifiers import TeamName
 from jujubehall.services.fleet.records import cancellation_key
 from jujubehall.services.fleet.records import job_key
+from jujubehall.services.timing import sleep
 
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
     from jujubehall.core.fleet.configuration import Queue
     from jujubehall.core.fleet.configuration import SiteConfiguration
     from jujubehall.core.fleet.requests import JobRequest
     from jujubehall.core.jobs.job import JobState
-    from jujubehall.entry_hosts.messages import StoreWriteSettled
     from jujubehall.identifiers import JobId
     from jujubehall.services.fleet.configuration_follower import ConfigurationFollower
     from jujubehall.services.fleet.job_records import JobRecords
     from jujubehall.services.fleet.latencies import Latencies
     from jujubehall.services.fleet.peers import Peers
 
-ANSWER_MARGIN_MS = 250
+ANSWER_MARGIN_MS = 80
 """Kept from a caller's deadline for the way back."""
 
+ATTEMPT_TIMEOUT_MS = 600
+"""A store that is slow by a factor of 60 answers in 250 ms."""
+
+MIN_ATTEMPT_MS = 20
+RETRY_INTERVAL_MS = 100
+ATTEMPTS_BEFORE_REFUSAL = 4
+"""Attempts that surely had no effect, here and elsewhere, before a call is refused."""
+
 DEFAULT_TIMEOUT_MS = 3_000
 RETRY_AFTER_MS = 1_000
 """The store's and the owner's troubles last seconds; the balancer may find another entry host."""
@@ -91,6 +101,7 @@
 
     def __init__(
         self,
+        reactor: Reactor,
         clock: Clock,
         wall_clock: Clock,
         configuration: ConfigurationFollower,
@@ -99,6 +110,7 @@
         submissions: Latencies,
         longest_age_ms: int | None,
     ) -> None:
+        self._reactor = reactor
         self._clock = clock
         self._wall_clock = wall_clock
         self._configuration = configuration
@@ -203,17 +215,32 @@
         return Answer(Outcome.SHOWN, pending=count)
 
     async def _write(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
-        """Creates a record, through another entry host if the store can't be reached from here."""
-        began_ms = self._clock.now_ms
-        settled = await self._records.create(key, value, timeout_ms)
-        if settled.is_kept:
-            return settled
-        left_ms = timeout_ms - (self._clock.now_ms - began_ms)
-        if left_ms > 0:
-            relayed = await self._peers.write_through_others(key, value, left_ms)
-            if relayed is not None and (relayed.is_kept or not settled.may_take_effect):
-                return relayed
-        return settled
+        """Creates a record, from here and through other entry hosts in turn.
+
+        While the store has just failed to answer here, the others are asked first.
+        """
+        give_up_ms = self._clock.now_ms + timeout_ms
+        may_take_effect = False
+        is_relayed = not self._records.is_store_sound
+        attempts = 0
+        while (left_ms := give_up_ms - self._clock.now_ms) >= MIN_ATTEMPT_MS:
+            attempt_ms = min(left_ms, ATTEMPT_TIMEOUT_MS)
+            settled = await (
+                self._peers.write_through_other(key, value, attempts // 2, attempt_ms)
+                if is_relayed
+                else self._records.create(key, value, attempt_ms)
+            )
+            if settled is not None:
+                if settled.is_kept:
+                    return settled
+                may_take_effect = may_take_effect or settled.may_take_effect
+            attempts += 1
+            is_relayed = not is_relayed
+            if not may_take_effect and attempts >= ATTEMPTS_BEFORE_REFUSAL:
+                break
+            if attempts % 2 == 0:
+                await sleep(self._reactor, RETRY_INTERVAL_MS)
+        return StoreWriteSettled(False, may_take_effect)
 
     def _usable_configuration(self) -> SiteConfiguration | None:
         age_ms = self._configuration.age_ms
--- a/src/jujubehall/services/fleet/job_records.py
+++ b/src/jujubehall/services/fleet/job_records.py
@@ -21,46 +21,37 @@
 from jujubehall.services.fleet.records import progress_key
 
 if TYPE_CHECKING:
-    from jujubehall.clock import Clock
     from jujubehall.errors import Failure
     from jujubehall.identifiers import JobId
     from jujubehall.platform.site_store import SiteStore
 
-ATTEMPT_TIMEOUT_MS = 700
-"""A store that is slow by a factor of 60 answers in 250 ms."""
-
-MIN_ATTEMPT_MS = 50
-
 
 class JobRecords:
     """The store's records of jobs, as entry hosts that don't own the site use them."""
 
-    def __init__(self, clock: Clock, store: SiteStore) -> None:
-        self._clock = clock
+    def __init__(self, store: SiteStore) -> None:
         self._store = store
+        self._is_store_sound = True
+
+    @property
+    def is_store_sound(self) -> bool:
+        """Whether the last write that was tried here was answered."""
+        return self._is_store_sound
 
     async def create(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
-        """Creates a record unless it exists, in as many attempts as the time allows.
+        """Creates a record unless it exists, in one attempt.
 
-        Repeating an attempt without an answer is safe: whichever takes effect, the record exists
-        once. An attempt may also take effect after this has returned.
+        Repeating an attempt without an answer is safe, here or at another entry host: whichever
+        takes effect, the record exists once. It may also take effect after this has returned.
         """
-        give_up_ms = self._clock.now_ms + timeout_ms
-        may_take_effect = False
-        while (left_ms := give_up_ms - self._clock.now_ms) >= MIN_ATTEMPT_MS:
-            written = await self._store.commit(
-                [Precondition(key, ABSENT)],
-                [Write(key, value)],
-                [],
-                min(left_ms, ATTEMPT_TIMEOUT_MS),
-            )
-            if isinstance(written, Ok):
-                # A conflict shows that it exists already.
-                return StoreWriteSettled(True, False)
-            if not written.err_value.may_have_taken_effect:
-                return StoreWriteSettled(False, may_take_effect)
-            may_take_effect = True
-        return StoreWriteSettled(False, may_take_effect)
+        written = await self._store.commit(
+            [Precondition(key, ABSENT)], [Write(key, value)], [], timeout_ms
+        )
+        self._is_store_sound = isinstance(written, Ok)
+        if isinstance(written, Err):
+            return StoreWriteSettled(False, written.err_value.may_have_taken_effect)
+        # A conflict shows that it exists already.
+        return StoreWriteSettled(True, False)
 
     async def find(self, job: JobId) -> Result[AcceptedJob | None, Failure]:
         """Reads an accepted job; None if there is none."""
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -200,23 +200,22 @@
         answer = await self._ask_owner(PendingWanted(queue), PendingKnown)
         return None if answer is None else answer.count
 
-    async def write_through_others(
-        self, key: str, value: bytes, timeout_ms: int
+    async def write_through_other(
+        self, key: str, value: bytes, attempt: int, timeout_ms: int
     ) -> StoreWriteSettled | None:
-        """Has another entry host create a record; None if none has tried."""
-        for member in self.others[:MAX_RELAYS]:
-            asked = await self._mesh.ask(
-                member, StoreWriteWanted(key, value, timeout_ms), timeout_ms
-            )
-            if isinstance(asked, Err):
-                if asked.err_value.may_have_taken_effect:
-                    return StoreWriteSettled(False, True)
-                continue
-            if isinstance(asked.ok_value, StoreWriteSettled):
-                settled = asked.ok_value
-                if settled.is_kept or settled.may_take_effect:
-                    return settled
-        return None
+        """Has another entry host create a record, the owner first; None if there is none."""
+        owner = self.owner_member
+        others = [each for each in self.others if owner is None or each.name != owner.name]
+        relays = ([owner] if owner is not None else []) + others
+        if not relays:
+            return None
+        relay = relays[attempt % len(relays)]
+        asked = await self._mesh.ask(relay, StoreWriteWanted(key, value, timeout_ms), timeout_ms)
+        if isinstance(asked, Err):
+            return StoreWriteSettled(False, asked.err_value.may_have_taken_effect)
+        if isinstance(asked.ok_value, StoreWriteSettled):
+            return asked.ok_value
+        return StoreWriteSettled(False, False)
 
     async def delete_job_records(self, job: JobId) -> None:
         """Removes what is kept of a job that ended long ago."""
@@ -350,8 +349,5 @@
         return JobStateKnown(shown_state(job), job.accepted.queue)
 
 
-MAX_RELAYS = 2
-"""Other entry hosts that are asked to write, one after the other."""
-
 NEVER_MS = 10**9
 """The age of a configuration that has never been known to be the latest."""
--- /dev/null
+++ b/tests/services/fleet/test_admission.py
@@ -0,0 +1,68 @@
+"""What callers are answered while an entry host or the whole site can't reach the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from jujubehall.core.fleet.requests import JobRequest
+from jujubehall.core.jobs.job import JobState
+from jujubehall.identifiers import JobId
+from jujubehall.services.fleet.admission import Outcome
+from jujubehall.testing.virtual.fleet.store import Path
+from tests.core.fleet.fleet_book import step
+
+if TYPE_CHECKING:
+    from jujubehall.testing.virtual.fleet.site import VirtualFleet
+
+JOB = JobId("00000000000000b1")
+SHORT = JobRequest("spec", (step(expected_ms=300),))
+
+
+def host_without_ownership(site: VirtualFleet) -> int:
+    return next(number for number, host in enumerate(site.hosts) if host is not site.owner)
+
+
+@pytest.mark.parametrize("path", [Path.SILENT, Path.REFUSED, Path.BUSY])
+def test_a_job_is_accepted_through_another_entry_host(site: VirtualFleet, path: Path) -> None:
+    number = host_without_ownership(site)
+    site.hosts[number].store.path = path
+    began = site.time.seconds()
+    assert site.submit(JOB, SHORT, host=number).outcome is Outcome.ACCEPTED
+    assert site.time.seconds() - began < 1.0
+    site.run(1.0)
+    assert site.show(JOB, host=number).state is JobState.SUCCEEDED
+
+
+def test_a_broken_path_to_the_store_is_not_tried_first_again(site: VirtualFleet) -> None:
+    number = host_without_ownership(site)
+    site.hosts[number].store.path = Path.SILENT
+    site.submit(JOB, SHORT, host=number)
+    began = site.time.seconds()
+    assert site.submit(JobId("00000000000000b2"), SHORT, host=number).outcome is Outcome.ACCEPTED
+    assert site.time.seconds() - began < 0.1
+
+
+def test_without_a_store_a_job_is_refused_at_once_and_never_runs(site: VirtualFleet) -> None:
+    site.set_store_path(Path.REFUSED)
+    began = site.time.seconds()
+    answer = site.submit(JOB, SHORT)
+    assert answer.outcome is Outcome.NOT_RUN
+    assert answer.retry_after_ms > 0
+    assert site.time.seconds() - began < 0.5
+    site.set_store_path(Path.SOUND)
+    site.run(3.0)
+    assert site.ledger.starts == {}
+
+
+def test_an_unanswered_write_is_never_called_not_run(site: VirtualFleet) -> None:
+    site.set_store_path(Path.SILENT)
+    assert site.submit(JOB, SHORT).outcome is Outcome.UNKNOWN
+
+
+def test_calls_are_refused_while_revoked_keys_might_still_be_known(site: VirtualFleet) -> None:
+    site.set_store_path(Path.SILENT)
+    site.run(5.0)
+    assert site.submit(JOB, SHORT).outcome is Outcome.NOT_RUN
+    assert not any(host.host.is_ready for host in site.hosts)
