Move urgent and checkpointed groups off workers that stand still or turn slow

Workers report the progress of each run; compared with its peers, its own earlier speed and the caller's guess, that shows slow and standing workers. Groups leave them if they would end sooner elsewhere and there is room; judgements end after 4 s without renewal.

--- a/src/jujubehall/core/fleet/book.py
+++ b/src/jujubehall/core/fleet/book.py
@@ -156,7 +156,8 @@
         """Notes that the group's tasks are being started under a new number of a run."""
         group.run += 1
         for index, worker in workers.items():
-            group.place(index, Placement(worker, group.run, now_ms))
+            placement = Placement(worker, group.run, now_ms, not group.checkpoint)
+            group.place(index, placement)
         self.changed.add(group.job)
 
     def note_stop(self, group: TaskGroup) -> None:
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jujubehall.core.fleet.progress import RunProgress
 from jujubehall.core.fleet.reports import TaskName
 from jujubehall.core.fleet.resources import Resources
 from jujubehall.identifiers import WorkerName
@@ -42,7 +43,9 @@
 class Placement:
     """One run of one task on one worker."""
 
-    def __init__(self, worker: FleetWorker, run: int, started_ms: int) -> None:
+    def __init__(
+        self, worker: FleetWorker, run: int, started_ms: int, is_from_scratch: bool = True
+    ) -> None:
         self.worker = worker
         self.life = worker.listed.life
         self.run = run
@@ -52,6 +55,7 @@
         """When the worker last answered an order about this run, or reported it."""
 
         self.stop_confirmed_ms: int | None = None
+        self.progress = RunProgress(started_ms, is_from_scratch)
         self.percent = 100
         self.load = 0
 
@@ -79,6 +83,10 @@
         self.has_started = False
         self.reserved_until_ms = 0
         self.reserved_on: dict[int, FleetWorker] = {}
+        self.done_in_ms: int | None = None
+        """How long the run took that was done."""
+
+        self.rescues = 0
         self.failed_on: set[str] = set()
         self.failed_runs: set[int] = set()
         """Runs whose failure is counted: the members of a gang fail together."""
--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -8,6 +8,7 @@
 
 from jujubehall.core.fleet.groups import GroupProgress
 from jujubehall.core.fleet.groups import TaskGroup
+from jujubehall.core.fleet.priorities import LOWEST_PRIORITY
 from jujubehall.core.jobs.job import JobState
 
 if TYPE_CHECKING:
@@ -182,7 +183,3 @@
             if kept is not None:
                 group.restore(kept)
         return groups
-
-
-LOWEST_PRIORITY = 100
-"""Given to jobs whose queue the configuration no longer has."""
--- a/src/jujubehall/core/fleet/placing.py
+++ b/src/jujubehall/core/fleet/placing.py
@@ -12,6 +12,10 @@
     from jujubehall.identifiers import RackName
 
 
+SLOWNESS_STEPS = 2
+"""Workers are told apart by slowness in steps of a half; smaller differences are noise."""
+
+
 def eligible_workers(
     group: TaskGroup, workers: Iterable[FleetWorker], now_ms: int
 ) -> list[FleetWorker]:
@@ -45,7 +49,7 @@
 
 
 def place(
-    group: TaskGroup, workers: list[FleetWorker], may_go_far: bool
+    group: TaskGroup, workers: list[FleetWorker], now_ms: int, may_go_far: bool
 ) -> dict[int, FleetWorker] | None:
     """Chooses a worker with free room for each task of the group, or returns None.
 
@@ -58,29 +62,31 @@
     for worker in workers:
         racks.setdefault(worker.listed.rack, []).append(worker)
     if request.data_rack:
-        near = _fill(group, racks.get(request.data_rack, []))
+        near = _fill(group, racks.get(request.data_rack, []), now_ms)
         if near is not None or not may_go_far:
             return near
     if len(group.indexes) == 1 or request.prefers_one_rack:
         candidates = [
             (_free_accelerators(rack), name, chosen)
             for name, rack in racks.items()
-            if (chosen := _fill(group, rack)) is not None
+            if (chosen := _fill(group, rack, now_ms)) is not None
         ]
         if candidates:
             if len(group.indexes) == 1:
-                return _fill(group, workers)
+                return _fill(group, workers, now_ms)
             return min(candidates, key=lambda each: each[:2])[2]
         if request.prefers_one_rack and not may_go_far:
             return None
-    return _fill(group, workers)
+    return _fill(group, workers, now_ms)
 
 
 def _free_accelerators(rack: list[FleetWorker]) -> int:
     return sum(worker.free.accelerators for worker in rack)
 
 
-def _fill(group: TaskGroup, workers: list[FleetWorker]) -> dict[int, FleetWorker] | None:
+def _fill(
+    group: TaskGroup, workers: list[FleetWorker], now_ms: int
+) -> dict[int, FleetWorker] | None:
     """Packs the tasks on the workers where the least room is left over afterwards."""
     needs = group.counted_needs
     rooms = []
@@ -88,7 +94,15 @@
         free = worker.free_for(group)
         copies = min(needs.copies_in(free), task_bound(group, worker))
         if copies > 0:
-            rooms.append((worker.slowness, free.accelerators, free.millicores, copies, worker))
+            rooms.append(
+                (
+                    round(worker.slowness(now_ms) * SLOWNESS_STEPS),
+                    free.accelerators,
+                    free.millicores,
+                    copies,
+                    worker,
+                )
+            )
     if sum(room[3] for room in rooms) < len(group.indexes):
         return None
     rooms.sort(key=lambda room: (room[:3], room[4].name))
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -10,6 +10,7 @@
 from jujubehall.core.fleet.reports import EndKind
 from jujubehall.core.fleet.reports import TaskName
 from jujubehall.core.fleet.resources import NOTHING
+from jujubehall.core.fleet.slowness import judge_worker
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.book import FleetBook
@@ -73,6 +74,7 @@
                 unknown = unknown + stray_group.counted_needs
         self._worker.unknown_use = unknown
         self._drop_missing(listed)
+        judge_worker(self._worker, self._now_ms)
         self._worker.has_reported = True
         return Reconciled(self._strays, self._ends)
 
@@ -100,6 +102,8 @@
             group.checkpoint = ended.checkpoint
         if ended.kind is EndKind.DONE:
             self._worker.record.note_done()
+            if is_current and placement is not None and placement.progress.is_from_scratch:
+                group.done_in_ms = self._now_ms - placement.started_ms
             self._finish(group)
         elif ended.kind is EndKind.FAILED:
             self._count_failure(group, ended)
@@ -164,7 +168,7 @@
             and running.run >= group.run
             and all(each.run == running.run for each in group.placements.values())
         )
-        adopted = Placement(self._worker, running.run, self._now_ms)
+        adopted = Placement(self._worker, running.run, self._now_ms, is_from_scratch=False)
         adopted.life = self._report.life
         self._confirm(adopted, running)
         group.run = max(group.run, running.run)
@@ -177,6 +181,7 @@
 
     def _confirm(self, placement: Placement, running: RunningTask) -> None:
         placement.confirmed_ms = self._now_ms
+        placement.progress.note(running.percent, self._now_ms)
         placement.percent = running.percent
         placement.load = running.load
         if placement.phase is Phase.STARTING:
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -10,13 +10,14 @@
 from jujubehall.core.fleet.placing import eligible_workers
 from jujubehall.core.fleet.placing import place
 from jujubehall.core.fleet.preempting import find_room
+from jujubehall.core.fleet.priorities import MOST_URGENT
+from jujubehall.core.fleet.rescue import is_worth_moving
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.book import FleetBook
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.workers import FleetWorker
 
-MOST_URGENT = 0
 RESERVATION_MS = 1_500
 """How long room is kept for a group while what runs there stops: the site's bound on a stop
 (400 ms) and two looks at a worker."""
@@ -27,6 +28,9 @@
 
 MIN_NEAR_WAIT_MS = 1_000
 
+SOUND_WAIT_MS = 1_000
+"""After this time a group takes a worker that is slow or on which it has failed."""
+
 
 class Round:
     """Decides for one moment; the decisions are noted in the book by whoever carries them out."""
@@ -40,35 +44,62 @@
 
     def run(self) -> list[Decision]:
         """The decisions, in the order in which they are to be carried out."""
+        self._rescue()
         for group in sorted(self._book.waiting_groups(self._now_ms), key=self._urgency):
             self._decide(group)
         return self._decisions
 
+    def _rescue(self) -> None:
+        """Stops groups that would end sooner on other workers, if there is room for them."""
+        troubled = {
+            group
+            for worker in self._book.workers.values()
+            if worker.is_troubled(self._now_ms)
+            for group, _ in worker.placements
+        }
+        for group in sorted(troubled, key=self._urgency):
+            if not is_worth_moving(group, self._now_ms):
+                continue
+            workers = self._sound_workers(group)
+            if place(group, workers, self._now_ms, may_go_far=False) is None:
+                continue
+            group.rescues += 1
+            self._book.note_stop(group)
+            self._decisions.append(StopGroup(group, "it goes on too slowly"))
+
     def _urgency(self, group: TaskGroup) -> tuple[int, int, str, str]:
         job = group.job
         return (job.priority, group.ready_since_ms or 0, job.id, group.key)
 
     def _decide(self, group: TaskGroup) -> None:
-        workers = self._eligible_workers(group)
-        if group.reserved_on and not self._continue_reservation(group, workers):
+        sound = self._sound_workers(group)
+        if group.reserved_on and not self._continue_reservation(group, sound):
             return
-        chosen = place(group, workers, may_go_far=False)
-        if chosen is not None:
-            self._start(group, chosen)
+        if self._place(group, sound, may_go_far=False):
             return
         if group.job.priority == MOST_URGENT and not group.reserved_on:
-            self._preempt(group, workers)
-        if not group.reserved_on and self._may_go_far(group):
-            chosen = place(group, workers, may_go_far=True)
-            if chosen is not None:
-                self._start(group, chosen)
-
-    def _eligible_workers(self, group: TaskGroup) -> list[FleetWorker]:
-        """The workers for the group; those on which it has failed only if there are no others."""
-        workers = self._accepting_workers(group)
-        if not group.failed_on:
-            return workers
-        return [each for each in workers if each.name not in group.failed_on] or workers
+            self._preempt(group, sound)
+        if group.reserved_on:
+            return
+        if self._may_go_far(group) and self._place(group, sound, may_go_far=True):
+            return
+        if self._waited_ms(group) >= SOUND_WAIT_MS:
+            self._place(group, self._accepting_workers(group), may_go_far=False)
+
+    def _place(self, group: TaskGroup, workers: list[FleetWorker], may_go_far: bool) -> bool:
+        chosen = place(group, workers, self._now_ms, may_go_far)
+        if chosen is None:
+            return False
+        self._start(group, chosen)
+        return True
+
+    def _sound_workers(self, group: TaskGroup) -> list[FleetWorker]:
+        """The workers for the group, without those that are slow or on which it has failed."""
+        return [
+            each
+            for each in self._accepting_workers(group)
+            if each.name not in group.failed_on and not each.is_troubled(self._now_ms)
+        ]
 
     def _accepting_workers(self, group: TaskGroup) -> list[FleetWorker]:
         request = group.request
@@ -81,9 +112,11 @@
     def _may_go_far(self, group: TaskGroup) -> bool:
         if group.job.priority == MOST_URGENT:
             return True
-        waited_ms = self._now_ms - (group.ready_since_ms or self._now_ms)
         patience_ms = max(MIN_NEAR_WAIT_MS, NEAR_WAIT_SHARE * group.request.expected_ms)
-        return waited_ms >= patience_ms
+        return self._waited_ms(group) >= patience_ms
+
+    def _waited_ms(self, group: TaskGroup) -> int:
+        return self._now_ms - (group.ready_since_ms or self._now_ms)
 
     def _continue_reservation(self, group: TaskGroup, workers: list[FleetWorker]) -> bool:
         """Starts a group whose reserved room has become free; True if it must look anew."""
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -19,6 +19,10 @@
     from jujubehall.core.fleet.groups import TaskGroup
 
 
+SLOW = 2.0
+"""From this factor on a worker counts as slow; sound workers differ by a third."""
+
+
 class ListedWorker(msgspec.Struct, frozen=True):
     """A worker as it lists itself."""
 
@@ -60,14 +64,33 @@
         """Until its first report, runs of an earlier owner may go on here up to this time."""
 
         self.used: Resources = NOTHING
-        self.slowness = 1.0
-        """How many times as long tasks take here, learned from how they end."""
+        self._slowness = 1.0
+        self._is_standing = False
+        self._judged_until_ms = 0
 
     @property
     def name(self) -> WorkerName:
         """The worker's identifier."""
         return self.listed.name
 
+    def slowness(self, now_ms: int) -> float:
+        """How many times as long tasks take here as elsewhere."""
+        return self._slowness if now_ms < self._judged_until_ms else 1.0
+
+    def is_standing(self, now_ms: int) -> bool:
+        """Whether no task here makes any progress."""
+        return self._is_standing and now_ms < self._judged_until_ms
+
+    def is_troubled(self, now_ms: int) -> bool:
+        """Whether tasks had better run elsewhere."""
+        return self.is_standing(now_ms) or self.slowness(now_ms) >= SLOW
+
+    def judge(self, slowness: float, is_standing: bool, until_ms: int) -> None:
+        """Notes how tasks go on here."""
+        self._slowness = max(1.0, slowness)
+        self._is_standing = is_standing
+        self._judged_until_ms = until_ms
+
     @property
     def free(self) -> Resources:
         """What is neither in use nor reserved."""
--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -151,7 +151,16 @@
         if not self._worker.is_in_touch:
             log.info("worker in touch", worker=self._worker.name, running=len(report.running))
         self._worker.is_in_touch = True
+        was_troubled = self._worker.is_troubled(now_ms)
         result = Reconciliation(self._owner.book, self._worker, report, asked_ms, now_ms).apply()
+        if self._worker.is_troubled(now_ms) != was_troubled:
+            log.info(
+                "worker judged",
+                worker=self._worker.name,
+                slowness=round(self._worker.slowness(now_ms), 1),
+                standing=self._worker.is_standing(now_ms),
+                running=len(report.running),
+            )
         for stray in result.strays:
             start(self._owner.orders.stop_stray(self._worker, stray))
         for ended in result.ends:
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -186,7 +186,7 @@
                 self.listed.life,
                 self.now_ms,
                 tuple(
-                    RunningTask(run.task, run.run, self._progress(run))
+                    RunningTask(run.task, run.run, self._progress(run), self._percent(run))
                     for run in self._runs.values()
                 ),
                 tuple(self._ended),
@@ -224,6 +224,10 @@
             return ""
         return str(int(run.checkpoint or 0) + self.now_ms - run.started_ms)
 
+    def _percent(self, run: _Run) -> int:
+        duration_ms = max(1, run.done_ms - run.started_ms)
+        return min(100, 100 * (self.now_ms - run.started_ms) // duration_ms)
+
     def _end(self, run: _Run, kind: EndKind) -> None:
         del self._runs[run.task]
         self._ledger.end(run.task, self.listed.name)
