Keep room for urgent work that is likely to come, from work that can't be interrupted cheaply

Work of the lowest priority without checkpoints now leaves the accelerators that urgent work lately used at its peak, less the longer it has waited.

--- a/src/jujubehall/core/fleet/book.py
+++ b/src/jujubehall/core/fleet/book.py
@@ -7,6 +7,7 @@
 from jujubehall.core.fleet.configuration import SiteConfiguration
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.groups import Placement
+from jujubehall.core.fleet.headroom import UrgentDemand
 from jujubehall.core.fleet.jobs import FleetJob
 from jujubehall.core.fleet.jobs import JobProgress
 from jujubehall.core.fleet.rounds import Round
@@ -36,6 +37,7 @@
         self.changed: set[FleetJob] = set()
         """Jobs whose progress has still to be kept in the store."""
 
+        self.urgent_demand = UrgentDemand()
         self.stops_wanted: set[TaskGroup] = set()
         """Groups with tasks to be stopped for which no stop has been sent."""
 
--- a/src/jujubehall/core/fleet/priorities.py
+++ b/src/jujubehall/core/fleet/priorities.py
@@ -7,3 +7,6 @@
 
 LOWEST_PRIORITY = 100
 """Given to jobs whose queue the configuration no longer has."""
+
+DEFERRABLE = 2
+"""From this priority on, work leaves room for urgent work that is likely to come."""
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -10,6 +10,7 @@
 from jujubehall.core.fleet.placing import eligible_workers
 from jujubehall.core.fleet.placing import place
 from jujubehall.core.fleet.preempting import find_room
+from jujubehall.core.fleet.priorities import DEFERRABLE
 from jujubehall.core.fleet.priorities import MOST_URGENT
 from jujubehall.core.fleet.rescue import is_worth_moving
 
@@ -40,12 +41,17 @@
         self._now_ms = now_ms
         self._decisions: list[Decision] = []
         self._stopped: set[TaskGroup] = set()
+        self._headroom = 0
+        """Accelerators to be kept free, less those that urgent groups of this round have taken."""
+
         self._eligible: dict[tuple[object, ...], list[FleetWorker]] = {}
 
     def run(self) -> list[Decision]:
         """The decisions, in the order in which they are to be carried out."""
         self._rescue()
-        for group in sorted(self._book.waiting_groups(self._now_ms), key=self._urgency):
+        waiting = sorted(self._book.waiting_groups(self._now_ms), key=self._urgency)
+        self._headroom = self._find_headroom(waiting)
+        for group in waiting:
             self._decide(group)
         return self._decisions
 
@@ -75,6 +81,8 @@
         sound = self._sound_workers(group)
         if group.reserved_on and not self._continue_reservation(group, sound):
             return
+        if not self._leaves_headroom(group, sound):
+            return
         if self._place(group, sound, may_go_far=False):
             return
         if group.job.priority == MOST_URGENT and not group.reserved_on:
@@ -86,6 +94,34 @@
         if self._waited_ms(group) >= SOUND_WAIT_MS:
             self._place(group, self._accepting_workers(group), may_go_far=False)
 
+    def _find_headroom(self, waiting: list[TaskGroup]) -> int:
+        in_use = sum(
+            group.request.needs.accelerators
+            for worker in self._book.workers.values()
+            for group, _ in worker.placements
+            if group.job.priority == MOST_URGENT
+        )
+        wanted = sum(
+            group.request.needs.accelerators * len(group.indexes)
+            for group in waiting
+            if group.job.priority == MOST_URGENT
+        )
+        self._book.urgent_demand.note(in_use + wanted, self._now_ms)
+        return self._book.urgent_demand.headroom(in_use, self._now_ms)
+
+    def _leaves_headroom(self, group: TaskGroup, workers: list[FleetWorker]) -> bool:
+        """Whether the group may start without taking what urgent work is likely to need.
+
+        The longer it has waited, the less it leaves: work must not starve.
+        """
+        if group.job.priority < DEFERRABLE or group.request.saves_checkpoints:
+            return True
+        patience_ms = max(1, group.request.expected_ms)
+        share = max(0.0, 1 - self._waited_ms(group) / patience_ms)
+        wanted = group.counted_needs.accelerators * len(group.indexes)
+        free = sum(worker.free.accelerators for worker in workers)
+        return free - wanted >= self._headroom * share
+
     def _place(self, group: TaskGroup, workers: list[FleetWorker], may_go_far: bool) -> bool:
         chosen = place(group, workers, self._now_ms, may_go_far)
         if chosen is None:
--- a/tests/core/fleet/test_rounds.py
+++ b/tests/core/fleet/test_rounds.py
@@ -164,3 +164,30 @@
     site.end(group, EndKind.FAILED)
     site.started(after_ms=5_000)
     assert group.placements[0].worker is not failed_on
+
+
+def urgent_burst(site: SmallSite) -> None:
+    """Has urgent work use eight accelerators and end."""
+    site.submit("burst", step(needs=EIGHT_GPUS), queue=URGENT)
+    (burst,) = site.started()
+    site.end(burst, EndKind.DONE)
+
+
+def test_batch_work_leaves_room_for_urgent_work_that_came_lately() -> None:
+    site = SmallSite(workers=2)
+    urgent_burst(site)
+    site.submit("batch", step(tasks=16, expected_ms=10_000), queue=OVERNIGHT)
+    assert len(site.started()) == 9
+    site.submit("now", step(tasks=7), queue=URGENT)
+    assert len(site.started()) == 7
+
+
+def test_work_with_checkpoints_and_work_that_has_waited_takes_that_room() -> None:
+    site = SmallSite(workers=2)
+    urgent_burst(site)
+    site.submit("saving", step(tasks=8, saves_checkpoints=True), queue=OVERNIGHT)
+    assert len(site.started()) == 8
+    site.submit("batch", step(tasks=8, expected_ms=1_000), queue=OVERNIGHT)
+    assert len(site.started()) < 8
+    assert sum(len(site.started(after_ms=600)) for _ in range(2)) > 0
+    assert all(worker.free.accelerators == 0 for worker in site.book.workers.values())
