--- a/src/jujubehall/core/fleet/book.py
+++ b/src/jujubehall/core/fleet/book.py
@@ -97,7 +97,7 @@
             del self.jobs[job.accepted.id]
         return gone
 
-    def sync_workers(self, listed: Iterable[ListedWorker]) -> list[FleetWorker]:
+    def sync_workers(self, listed: Iterable[ListedWorker], now_ms: int = 0) -> list[FleetWorker]:
         """Takes in the list of workers; returns those that are new or have started anew."""
         fresh = []
         seen = set()
@@ -110,10 +110,13 @@
             elif entry.life > known.listed.life:
                 fresh.append(known)
                 known.is_in_touch = False
+                known.leaves_ms = None
                 known.listed = entry
             elif entry.life == known.listed.life:
                 known.listed = entry
             known.is_listed = True
+            if entry.leaves_in_ms is not None and known.leaves_ms is None:
+                known.leaves_ms = now_ms + entry.leaves_in_ms
         for name, worker in self.workers.items():
             if name not in seen:
                 worker.is_listed = False
@@ -147,7 +150,6 @@
                 continue
             if now_ms < worker.earlier_leases_end_ms:
                 return True
-        group.kept_workers = ()
         return False
 
     def decide(self, now_ms: int) -> list[Decision]:
--- a/src/jujubehall/core/fleet/decisions.py
+++ b/src/jujubehall/core/fleet/decisions.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.workers import FleetWorker
+    from jujubehall.identifiers import JobId
 
 
 class StartGroup(NamedTuple):
@@ -17,11 +19,21 @@
     workers: dict[int, FleetWorker]
 
 
+class StopReason(Enum):
+    """Why a group is stopped that could go on."""
+
+    PREEMPTED = "preempted"
+    WORKER_LEAVES = "worker-leaves"
+    TOO_SLOW = "too-slow"
+    """It would end sooner if it were started again elsewhere."""
+
+
 class StopGroup(NamedTuple):
-    """Stop all tasks of a group, for the given reason."""
+    """Stop all tasks of a group; ``by`` is the job that gets its room."""
 
     group: TaskGroup
-    reason: str
+    reason: StopReason
+    by: JobId | None = None
 
 
 Decision = StartGroup | StopGroup
--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -9,6 +9,7 @@
 from jujubehall.core.fleet.groups import GroupProgress
 from jujubehall.core.fleet.groups import TaskGroup
 from jujubehall.core.fleet.priorities import LOWEST_PRIORITY
+from jujubehall.core.fleet.tickets import StepTickets
 from jujubehall.core.jobs.job import JobState
 
 if TYPE_CHECKING:
@@ -32,7 +33,8 @@
 
     def __init__(self, accepted: AcceptedJob, queue: Queue | None, now_ms: int) -> None:
         self.accepted = accepted
-        self.queue = queue
+        # A job outlives its queue: it is served as the queue was when it was accepted.
+        self.queue = queue or accepted.accepted_under
         self.accepted_ms = now_ms
         """When the owner learned of it, on its own clock."""
 
@@ -45,6 +47,7 @@
         self.groups: dict[tuple[int, int], list[TaskGroup]] = {}
         """By occurrence and step; made once the occurrence is due."""
 
+        self._tickets: dict[tuple[int, int], StepTickets] = {}
         self._kept = JobProgress()
         self._unfinished_steps: set[tuple[int, int]] = set()
         self._next_occurrence = 0
@@ -79,6 +82,15 @@
         """How many times its steps run."""
         return max(1, self.accepted.request.occurrences)
 
+    @property
+    def unfinished_steps(self) -> list[tuple[int, int]]:
+        """Occurrences and numbers of the steps that are not done, in order."""
+        return sorted(self._unfinished_steps)
+
+    def tickets(self, occurrence: int, step: int) -> StepTickets:
+        """The tickets of a step."""
+        return self._tickets.setdefault((occurrence, step), StepTickets())
+
     def all_groups(self) -> Iterator[TaskGroup]:
         """The groups of all due occurrences."""
         for groups in self.groups.values():
--- a/src/jujubehall/core/fleet/placing.py
+++ b/src/jujubehall/core/fleet/placing.py
@@ -30,9 +30,26 @@
         and (not label or label in worker.listed.labels)
         and group.request.needs.fits_in(worker.listed.capacity)
         and worker.accepts_work(now_ms)
+        and not _would_disturb(group, worker)
+        and (not queue.asks_for_advice or _has_ticket(group, worker, now_ms))
     ]
 
 
+def _would_disturb(group: TaskGroup, worker: FleetWorker) -> bool:
+    """Whether a filler and a task that serves users within a target would share the worker."""
+    request = group.request
+    if request.is_filler:
+        return any(other.request.target_latency_ms for other, _ in worker.placements)
+    if request.target_latency_ms:
+        return any(other.request.is_filler for other, _ in worker.placements)
+    return False
+
+
+def _has_ticket(group: TaskGroup, worker: FleetWorker, now_ms: int) -> bool:
+    tickets = group.job.tickets(group.occurrence, group.step)
+    return tickets.find(worker.name, worker.listed.life, now_ms) is not None
+
+
 def task_bound(group: TaskGroup, worker: FleetWorker) -> int:
     """How many more tasks of the group's step the worker may run."""
     bound = group.request.tasks_per_worker
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -81,7 +81,16 @@
     def _drop_earlier_life(self) -> None:
         for group, index in list(self._worker.placements):
             placement = group.placements.get(index)
-            if placement is not None and placement.life != self._report.life:
+            if placement is None or placement.life == self._report.life:
+                continue
+            if placement.confirmed_ms is None:
+                # An unanswered start may still arrive, now at the new life: it must be stopped
+                # there, too, before the task is started elsewhere.
+                placement.life = self._report.life
+                placement.stop_confirmed_ms = None
+                self._book.note_stop(group)
+                self._book.stops_wanted.add(group)
+            else:
                 self._displace(group, index)
 
     def _apply_end(self, ended: EndedTask) -> None:
@@ -104,7 +113,10 @@
             self._worker.record.note_done()
             if is_current and placement is not None and placement.progress.is_from_scratch:
                 group.done_in_ms = self._now_ms - placement.started_ms
-            self._finish(group)
+            if is_current or not group.placements:
+                # An end from before the worker's leases lapsed no longer counts once the task
+                # has been started again.
+                self._finish(group)
         elif ended.kind is EndKind.FAILED:
             self._count_failure(group, ended)
         if is_current:
--- a/src/jujubehall/core/fleet/requests.py
+++ b/src/jujubehall/core/fleet/requests.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from jujubehall.core.fleet.configuration import Queue
 from jujubehall.core.fleet.resources import Resources
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import QueueName
@@ -70,6 +71,8 @@
     team: TeamName
     request: JobRequest
     accepted_unix_ms: int
+    accepted_under: Queue | None = None
+    """The queue as it was then, for a job whose queue the configuration no longer has."""
 
 
 def find_request_fault(request: JobRequest) -> str | None:
--- a/src/jujubehall/core/fleet/rescue.py
+++ b/src/jujubehall/core/fleet/rescue.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.workers import FleetWorker
 
 STOP_MS = 500
 """A stop, a look at the worker and a new start."""
@@ -21,6 +22,9 @@
 STANDSTILL_MS = 4_000
 """How much longer a standstill is assumed to last."""
 
+LAST_CHECKPOINT_MS = 1_200
+"""A stop, its checkpoint and a report of it, twice."""
+
 LEAST_GAIN_MS = 500
 MOST_RESCUES = 2
 """How often a group may be moved; a job that is slow by itself must not wander."""
@@ -44,6 +48,23 @@
     return remaining_ms > again_ms + STOP_MS + LEAST_GAIN_MS
 
 
+def should_leave(group: TaskGroup, worker: FleetWorker, now_ms: int) -> bool:
+    """Whether the group should be stopped now because ``worker`` is draining and leaves soon.
+
+    What ends in time stays. Checkpointed work stays until shortly before the end, other work goes
+    at once, since all that it does until then is lost.
+    """
+    if worker.leaves_ms is None or not worker.listed.is_draining or group.is_stopping:
+        return False
+    left_ms = worker.leaves_ms - now_ms
+    if group.request.runs_until_cancelled:
+        return True
+    normal_ms = normal_duration_ms(group)
+    if max(_remaining_ms(each, normal_ms, now_ms) for each in group.placements.values()) < left_ms:
+        return False
+    return not group.request.saves_checkpoints or left_ms < LAST_CHECKPOINT_MS
+
+
 def _remaining_ms(placement: Placement, normal_ms: float, now_ms: int) -> float:
     left = 1 - placement.progress.percent / 100
     if placement.worker.is_standing(now_ms):
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -7,12 +7,14 @@
 from jujubehall.core.fleet.decisions import Decision
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
+from jujubehall.core.fleet.decisions import StopReason
 from jujubehall.core.fleet.placing import eligible_workers
 from jujubehall.core.fleet.placing import place
 from jujubehall.core.fleet.preempting import find_room
 from jujubehall.core.fleet.priorities import DEFERRABLE
 from jujubehall.core.fleet.priorities import MOST_URGENT
 from jujubehall.core.fleet.rescue import is_worth_moving
+from jujubehall.core.fleet.rescue import should_leave
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.book import FleetBook
@@ -48,6 +50,7 @@
 
     def run(self) -> list[Decision]:
         """The decisions, in the order in which they are to be carried out."""
+        self._evacuate()
         self._rescue()
         waiting = sorted(self._book.waiting_groups(self._now_ms), key=self._urgency)
         self._headroom = self._find_headroom(waiting)
@@ -55,6 +58,26 @@
             self._decide(group)
         return self._decisions
 
+    def _evacuate(self) -> None:
+        """Stops groups on draining workers that can go on elsewhere."""
+        leaving = {
+            group: worker
+            for worker in self._book.workers.values()
+            if worker.leaves_ms is not None
+            for group, _ in worker.placements
+        }
+        for group, worker in sorted(leaving.items(), key=lambda each: self._urgency(each[0])):
+            if not should_leave(group, worker, self._now_ms):
+                continue
+            saves = group.request.saves_checkpoints
+            room = place(group, self._sound_workers(group), self._now_ms, may_go_far=True)
+            if saves or room is not None:
+                self._stop(group, StopReason.WORKER_LEAVES)
+
+    def _stop(self, group: TaskGroup, reason: StopReason) -> None:
+        self._book.note_stop(group)
+        self._decisions.append(StopGroup(group, reason))
+
     def _rescue(self) -> None:
         """Stops groups that would end sooner on other workers, if there is room for them."""
         troubled = {
@@ -70,8 +93,7 @@
             if place(group, workers, self._now_ms, may_go_far=False) is None:
                 continue
             group.rescues += 1
-            self._book.note_stop(group)
-            self._decisions.append(StopGroup(group, "it goes on too slowly"))
+            self._stop(group, StopReason.TOO_SLOW)
 
     def _urgency(self, group: TaskGroup) -> tuple[int, int, str, str]:
         job = group.job
@@ -140,7 +162,12 @@
     def _accepting_workers(self, group: TaskGroup) -> list[FleetWorker]:
         request = group.request
         pool = group.job.queue.pool if group.job.queue is not None else None
-        key = (pool, request.required_label, request.needs)
+        key: tuple[object, ...] = (pool, request.required_label, request.needs)
+        if request.is_filler or request.target_latency_ms:
+            # What is started in this round may make a worker unfit for the next.
+            return eligible_workers(group, self._book.workers.values(), self._now_ms)
+        if group.job.queue is not None and group.job.queue.asks_for_advice:
+            key += (group.job.id, group.occurrence, group.step)
         if key not in self._eligible:
             self._eligible[key] = eligible_workers(group, self._book.workers.values(), self._now_ms)
         return self._eligible[key]
@@ -182,4 +209,4 @@
             if victim not in self._stopped:
                 self._stopped.add(victim)
                 self._book.note_stop(victim)
-                self._decisions.append(StopGroup(victim, f"preempted by {group.job.id}"))
+                self._decisions.append(StopGroup(victim, StopReason.PREEMPTED, group.job.id))
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -51,6 +51,9 @@
         self.is_in_touch = False
         """Whether its last report is recent; nothing is started on a worker out of touch."""
 
+        self.leaves_ms: int | None = None
+        """When a draining worker leaves at the earliest, on the scheduler's clock."""
+
         self.is_registered = False
         """Whether a later owner would know of this worker."""
 
--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -15,6 +15,7 @@
 from jujubehall.services.fleet.configuration_follower import ConfigurationFollower
 from jujubehall.services.fleet.job_records import JobRecords
 from jujubehall.services.fleet.latencies import Latencies
+from jujubehall.services.fleet.observed_store import ObservedStore
 from jujubehall.services.fleet.ownership import Ownership
 from jujubehall.services.fleet.peers import Peers
 from jujubehall.services.fleet.records import host_key
@@ -23,6 +24,7 @@
 from jujubehall.services.timing import start
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from jujubehall.clock import Clock
@@ -30,6 +32,7 @@
     from jujubehall.core.fleet.configuration import SiteConfiguration
     from jujubehall.core.ownership.record import Member
     from jujubehall.entry_hosts.mesh import Mesh
+    from jujubehall.platform.site_store import SiteAdvice
     from jujubehall.platform.site_store import SiteDirectory
     from jujubehall.platform.site_store import SiteStore
     from jujubehall.platform.site_store import SiteWorkers
@@ -45,9 +48,10 @@
     """What an entry host talks to."""
 
     store: SiteStore
-    directory: SiteDirectory
+    make_directory: Callable[[SiteStore], SiteDirectory]
     workers: SiteWorkers
     mesh: Mesh
+    advice: SiteAdvice | None = None
 
 
 class SiteBounds(NamedTuple):
@@ -81,18 +85,19 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._member = member
-        self._store = peers.store
-        self._directory = peers.directory
+        self.store = ObservedStore(peers.store, clock)
+        self._directory = peers.make_directory(self.store)
         self._workers = peers.workers
+        self._advice = peers.advice
         self._bounds = bounds
         self._owner: SiteOwner | None = None
         self._is_stopping = False
-        self.configuration = ConfigurationFollower(reactor, clock, peers.directory)
-        records = JobRecords(peers.store)
+        self.configuration = ConfigurationFollower(reactor, clock, self._directory)
+        records = JobRecords(self.store)
         self.peers = Peers(
-            reactor, clock, peers.mesh, member, peers.store, self.configuration, records
+            reactor, clock, peers.mesh, member, self.store, self.configuration, records
         )
-        self.ownership = Ownership(reactor, clock, peers.store, member, random)
+        self.ownership = Ownership(reactor, clock, self.store, member, random)
         self.ownership.on_change(self._begin_term, self._end_term)
         self.peers.attach(self.ownership)
         self.configuration.read_store_while(lambda: self._owner is not None)
@@ -135,9 +140,10 @@
             self._reactor,
             self._clock,
             self._wall_clock,
-            self._store,
+            self.store,
             self._directory,
             self._workers,
+            self._advice,
             self.ownership,
             self.peers,
             term,
@@ -164,7 +170,7 @@
         """Writes this entry host to the store, where the owner finds it."""
         announced = Write(host_key(self._member.name), msgspec.json.encode(self._member))
         while not self._is_stopping:
-            written = await self._store.commit([], [announced], [], ANNOUNCE_TIMEOUT_MS)
+            written = await self.store.commit([], [announced], [], ANNOUNCE_TIMEOUT_MS)
             if not isinstance(written, Err):
                 return
             log.info("not announced yet", failure=str(written.err_value))
--- /dev/null
+++ b/src/jujubehall/daemon/site_metrics.py
@@ -0,0 +1,64 @@
+"""The metrics page of an entry host on a site."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aioprometheus import render
+from twisted.web.resource import Resource
+
+from jujubehall import metrics
+from jujubehall.core.jobs.job import JobState
+from jujubehall.services.fleet.peers import shown_state
+
+if TYPE_CHECKING:
+    from jujubehall.daemon.site_host import SiteHost
+    from jujubehall.services.fleet.latencies import Latencies
+
+
+class MetricsResource(Resource):
+    """Renders counters, gauges and latencies in the Prometheus text format."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, host: SiteHost) -> None:
+        super().__init__()
+        self._host = host
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802
+        """Called by twisted."""
+        self._collect()
+        content, headers = render(metrics.REGISTRY, [])
+        for name, value in headers.items():
+            request.setHeader(name, value)
+        return bytes(content)
+
+    def _collect(self) -> None:
+        host = self._host
+        metrics.READY.set({}, int(host.is_ready))
+        metrics.PLATFORM_CONNECTED.set({}, int(not host.store.is_lost))
+        metrics.CONFIGURATION_NUMBER.set({}, host.configuration.version)
+        metrics.CONFIGURATION_AGE.set({}, host.configuration.age_ms or 0)
+        metrics.OWNER_TOKEN.set({}, host.ownership.highest_token)
+        metrics.OWNS_SITE.set({}, int(host.owner is not None))
+        self._set_latencies("submission", host.submissions)
+        self._set_latencies("commit", host.store.commits)
+        owner = host.owner
+        if owner is None:
+            return
+        self._set_latencies("start", owner.starts)
+        states = Counter(shown_state(job) for job in owner.book.jobs.values())
+        for state in JobState:
+            metrics.JOBS.set({"state": state.value}, states[state])
+        workers: Counter[str] = Counter(
+            owner.worker_state(worker) for worker in owner.book.workers.values()
+        )
+        for name in owner.WORKER_STATES:
+            metrics.WORKERS.set({"state": name}, workers[name])
+
+    def _set_latencies(self, step: str, latencies: Latencies) -> None:
+        metrics.LATENCY_COUNT.set({"step": step}, latencies.count)
+        for share, value_ms in latencies.percentiles().items():
+            metrics.LATENCY.set({"step": step, "percentile": str(share)}, value_ms)
--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -21,10 +21,12 @@
 from jujubehall.daemon.site_host import SiteHost
 from jujubehall.daemon.site_host import SitePeers
 from jujubehall.daemon.site_logs import configure_site_logs
+from jujubehall.daemon.site_metrics import MetricsResource
 from jujubehall.entry_hosts.zmq_mesh import ZmqMesh
 from jujubehall.http.limits import HttpLimits
 from jujubehall.http.site import LimitedSite
 from jujubehall.identifiers import Incarnation
+from jujubehall.platform.adapter.advice import AdviceClient
 from jujubehall.platform.adapter.directory import StoreDirectory
 from jujubehall.platform.adapter.front import FrontResource
 from jujubehall.platform.adapter.front import ReadinessResource
@@ -74,6 +76,7 @@
         self._listen(self._settings.listen.front, self._site)
         readiness = Site(ReadinessResource(lambda: self._host.is_ready))
         self._listen(self._settings.listen.readiness, readiness)
+        self._listen(f"{self._settings.ip}:{METRICS_PORT}", Site(MetricsResource(self._host)))
 
     def run(self) -> None:
         """Serves until the planned stop is complete."""
@@ -117,6 +120,9 @@
         reactor.stop()
 
 
+METRICS_PORT = 9464
+"""Named in deploy/system.toml, too; outside the range of ports that change from day to day."""
+
 MAX_CLIENT_CONNECTIONS = 2_000
 """Half of the descriptors that the smallest entry hosts may open."""
 
@@ -144,7 +150,13 @@
         suspend_aware_clock(),
         wall_clock(),
         member,
-        SitePeers(store, StoreDirectory(store), WorkerOrders(reactor), mesh),
+        SitePeers(
+            store,
+            StoreDirectory,
+            WorkerOrders(reactor),
+            mesh,
+            AdviceClient(reactor, settings.advice) if settings.advice else None,
+        ),
         _to_bounds(settings),
         random,
     )
--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -159,6 +159,20 @@
     is_reachable: bool
 
 
+class IntakeKept(msgspec.Struct, frozen=True, tag="intake-kept"):
+    """Tells the owner of a job or cancellation that has just been kept in the store.
+
+    The owner finds it there by itself, but a watch may lag.
+    """
+
+    key: str
+    value: bytes
+
+
+class IntakeNoted(msgspec.Struct, frozen=True, tag="intake-noted"):
+    """Answers ``IntakeKept``."""
+
+
 class SiteHeartbeatAnswer(msgspec.Struct, frozen=True, tag="site-heartbeat-answer"):
     """Answers with the highest fencing token of an owner that the entry host has heard of."""
 
@@ -216,10 +230,14 @@
 
     is_kept: bool
     may_take_effect: bool
+    is_new: bool = False
+    """Whether this write has created the record, so that its content is what was written."""
 
 
 Message = (
     SiteHeartbeat
+    | IntakeKept
+    | IntakeNoted
     | OwnerContactWanted
     | OwnerContactKnown
     | StoreContactWanted
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -40,6 +40,20 @@
 HTTP_REFUSALS = _counter("http_refusals_total", "Connections refused before a route, by status.")
 HTTP_EVICTIONS = _counter("http_evictions_total", "Unused connections closed to make room.")
 
+SUBMISSIONS = _counter("submissions_total", "Calls to submit a job, by outcome.")
+RUN_STARTS = _counter("run_starts_total", "Starts of runs at workers, by result.")
+RUN_ENDS = _counter("run_ends_total", "Runs that ended, by how.")
+GROUP_STOPS = _counter("group_stops_total", "Groups stopped by a decision, by reason.")
+OWNER_CHANGES = _counter("owner_changes_total", "Terms of ownership begun or ended here.")
+
+CONFIGURATION_AGE = _gauge(
+    "configuration_age_ms", "How long ago the configuration was known to be the latest."
+)
+OWNER_TOKEN = _gauge("owner_token", "Highest fencing token of an owner heard of here.")
+OWNS_SITE = _gauge("owns_site", "1 if this entry host owns the site.")
+WORKERS = _gauge("workers", "Workers known to the owner, by state.")
+LATENCY = _gauge("latency_ms", "Latency of a step in milliseconds, by percentile.")
+LATENCY_COUNT = _gauge("latency_count", "How many latencies of a step have been counted.")
 REQUESTS_IN_PROGRESS = _gauge("requests_in_progress", "Requests being run from here.")
 JOBS = _gauge("jobs", "Known jobs, by state.")
 OWNERSHIP_EPOCH = _gauge("ownership_epoch", "Epoch of the ownership record in force here.")
--- a/src/jujubehall/platform/adapter/directory.py
+++ b/src/jujubehall/platform/adapter/directory.py
@@ -28,8 +28,8 @@
 from jujubehall.platform.site_store import ConfigurationRead
 
 if TYPE_CHECKING:
-    from jujubehall.platform.adapter.store import StoreClient
     from jujubehall.platform.site_store import Revision
+    from jujubehall.platform.site_store import SiteStore
     from jujubehall.platform.site_store import StoredItem
 
 CONFIGURATION_KEY = "op/config"
@@ -43,7 +43,7 @@
 class StoreDirectory:
     """Implements ``SiteDirectory`` over the store."""
 
-    def __init__(self, store: StoreClient) -> None:
+    def __init__(self, store: SiteStore) -> None:
         self._store = store
         self._unreadable: set[str] = set()
 
--- a/src/jujubehall/platform/adapter/store.py
+++ b/src/jujubehall/platform/adapter/store.py
@@ -49,12 +49,11 @@
 
 
 class StoreClient:
-    """Implements ``SiteStore``; counts its calls, since the platform bills by call."""
+    """Implements ``SiteStore``."""
 
     def __init__(self, reactor: Reactor, address: str) -> None:
         self._http = HttpClient(reactor, PEER, CONNECTIONS)
         self._base = f"http://{address}"
-        self.calls: dict[str, int] = {}
 
     async def get(self, key: str) -> Result[StoredItem | None, Failure]:
         """Reads a key; None if it is absent."""
@@ -147,7 +146,6 @@
     async def _send(
         self, step: str, method: str, path: str, body: object | None, timeout_ms: int
     ) -> Result[Response, Failure]:
-        self.calls[step] = self.calls.get(step, 0) + 1
         return await self._http.call(step, method, self._base + path, body, timeout_ms=timeout_ms)
 
 
--- a/src/jujubehall/platform/adapter/wire.py
+++ b/src/jujubehall/platform/adapter/wire.py
@@ -204,6 +204,7 @@
     until_ms: int = field(name="untilMs")
     token: int = field(name="fencingToken")
     checkpoint: str = ""
+    ticket: str = ""
 
 
 class RunStop(msgspec.Struct, frozen=True):
@@ -232,6 +233,20 @@
     finished: list[tuple[int, str, int, str, str]] = []
 
 
+class AdviceQuestion(msgspec.Struct, frozen=True):
+    """Asks which of the workers may run a step."""
+
+    step: str
+    workers: list[str]
+
+
+class AdviceGiven(msgspec.Struct, frozen=True):
+    """Rows of a worker and its ticket."""
+
+    good: list[tuple[str, str]]
+    validity_ms: int = field(name="validityMs")
+
+
 class OrderRefused(msgspec.Struct, frozen=True):
     """A worker's refusal."""
 
--- a/src/jujubehall/platform/adapter/workers.py
+++ b/src/jujubehall/platform/adapter/workers.py
@@ -75,7 +75,13 @@
     ) -> Result[None, StartRefusal | Failure]:
         """Starts a run."""
         body = wire.RunStart(
-            _task_text(order.task), order.run, order.spec, order.until_ms, token, order.checkpoint
+            _task_text(order.task),
+            order.run,
+            order.spec,
+            order.until_ms,
+            token,
+            order.checkpoint,
+            order.ticket,
         )
         answer = await self._send("start", worker, "/run-start", body, ORDER_TIMEOUT_MS)
         if isinstance(answer, Err):
--- a/src/jujubehall/platform/site_store.py
+++ b/src/jujubehall/platform/site_store.py
@@ -20,6 +20,8 @@
     from jujubehall.core.fleet.workers import ListedWorker
     from jujubehall.errors import Failure
     from jujubehall.identifiers import FencingToken
+    from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import WorkerName
 
 Revision = NewType("Revision", int)
 """The store's counter of changes; 0 stands for an absent key."""
@@ -140,6 +142,16 @@
     spec: str
     until_ms: int
     checkpoint: str = ""
+    ticket: str = ""
+
+
+class SiteAdvice(Protocol):
+    """A service that says which workers may run a step of a queue that asks for advice."""
+
+    async def ask(
+        self, job: JobId, occurrence: int, step: int, workers: list[WorkerName]
+    ) -> Result[tuple[dict[WorkerName, str], int], Failure]:
+        """Returns the tickets of the workers that may run the step, and how long they hold."""
 
 
 class RefusalReason(Enum):
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -15,6 +15,7 @@
 from jujubehall.core.fleet.requests import find_request_fault
 from jujubehall.entry_hosts.messages import StoreWriteSettled
 from jujubehall.identifiers import TeamName
+from jujubehall.metrics import SUBMISSIONS
 from jujubehall.services.fleet.records import cancellation_key
 from jujubehall.services.fleet.records import job_key
 from jujubehall.services.timing import sleep
@@ -129,7 +130,13 @@
         configuration = self._usable_configuration()
         if configuration is None:
             age_ms = self._configuration.age_ms
-            log.info("call refused", path=call.path, configuration_age_ms=age_ms)
+            log.info(
+                "call refused",
+                job=_last_segment(call.path),
+                reason="the configuration may be out of date",
+                version=self._configuration.version,
+                configuration_age_ms=age_ms,
+            )
             return Answer(
                 Outcome.NOT_RUN, "no current configuration", retry_after_ms=RETRY_AFTER_MS
             )
@@ -138,7 +145,14 @@
             return Answer(Outcome.NO_SUCH_QUEUE, "no such queue")
         team = configuration.find_team(call.key) if call.key else None
         if team is None and not queue.is_public:
-            log.info("key unknown", queue=queue.name, version=configuration.version)
+            log.info(
+                "call refused",
+                job=_last_segment(call.path),
+                reason="the key is not known",
+                queue=queue.name,
+                version=configuration.version,
+                configuration_age_ms=self._configuration.age_ms,
+            )
             return Answer(Outcome.UNKNOWN_KEY, "the key is not known")
         timeout_ms = min(
             call.timeout_ms or DEFAULT_TIMEOUT_MS, queue.answer_timeout_ms or DEFAULT_TIMEOUT_MS
@@ -157,7 +171,12 @@
             return Answer(Outcome.MALFORMED, fault)
         began_ms = self._clock.now_ms
         accepted = AcceptedJob(
-            job, admitted.queue.name, admitted.team, request, self._wall_clock.now_ms
+            job,
+            admitted.queue.name,
+            admitted.team,
+            request,
+            self._wall_clock.now_ms,
+            admitted.queue,
         )
         settled = await self._write(
             job_key(job), msgspec.json.encode(accepted), admitted.timeout_ms
@@ -165,6 +184,7 @@
         took_ms = self._clock.now_ms - began_ms
         self._submissions.observe(took_ms)
         answer = _to_answer(settled)
+        SUBMISSIONS.inc({"outcome": answer.outcome.value})
         log.info(
             "job submitted",
             job=job,
@@ -215,6 +235,13 @@
         return Answer(Outcome.SHOWN, pending=count)
 
     async def _write(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
+        """Creates a record and tells the owner of it."""
+        settled = await self._create(key, value, timeout_ms)
+        if settled.is_new:
+            self._peers.tell_owner(key, value)
+        return settled
+
+    async def _create(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
         """Creates a record, from here and through other entry hosts in turn.
 
         While the store has just failed to answer here, the others are asked first.
@@ -251,6 +278,10 @@
         return self._configuration.current
 
 
+def _last_segment(path: str) -> str:
+    return path.rpartition("/")[2]
+
+
 def _to_answer(settled: StoreWriteSettled) -> Answer:
     if settled.is_kept:
         return Answer(Outcome.ACCEPTED)
--- a/src/jujubehall/services/fleet/configuration_follower.py
+++ b/src/jujubehall/services/fleet/configuration_follower.py
@@ -109,7 +109,6 @@
         else:
             found = await self._directory.wait_for_configuration(self._revision, WATCH_WAIT_MS)
         if isinstance(found, Err):
-            log.info("configuration not read", failure=str(found.err_value))
             self._revision = ABSENT
             return False
         read: ConfigurationRead | None = found.ok_value
--- a/src/jujubehall/services/fleet/intake.py
+++ b/src/jujubehall/services/fleet/intake.py
@@ -14,6 +14,8 @@
 from jujubehall.core.fleet.requests import AcceptedJob
 from jujubehall.core.ownership.record import Member
 from jujubehall.identifiers import JobId
+from jujubehall.platform.site_store import ABSENT
+from jujubehall.platform.site_store import StoredItem
 from jujubehall.services.fleet.records import CANCELLATION_PREFIX
 from jujubehall.services.fleet.records import HOST_PREFIX
 from jujubehall.services.fleet.records import INTAKE_PREFIX
@@ -27,7 +29,6 @@
     from jujubehall.errors import Failure
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteStore
-    from jujubehall.platform.site_store import StoredItem
     from jujubehall.services.fleet.site_owner import SiteOwner
 
 WATCH_WAIT_MS = 10_000
@@ -86,6 +87,10 @@
                 self._take_in(found.ok_value.items, {})
                 self._after = found.ok_value.revision
 
+    def note(self, key: str, value: bytes) -> None:
+        """Takes in a record that is known to be kept, ahead of the watch."""
+        self._take_in([StoredItem(key, value, ABSENT)], {})
+
     def _take_in(self, items: list[StoredItem], progress: dict[JobId, JobProgress]) -> None:
         cancelled = []
         for item in items:
--- a/src/jujubehall/services/fleet/job_records.py
+++ b/src/jujubehall/services/fleet/job_records.py
@@ -13,6 +13,7 @@
 from jujubehall.core.jobs.job import JobState
 from jujubehall.entry_hosts.messages import StoreWriteSettled
 from jujubehall.platform.site_store import ABSENT
+from jujubehall.platform.site_store import Conflict
 from jujubehall.platform.site_store import Precondition
 from jujubehall.platform.site_store import Write
 from jujubehall.services.fleet.records import cancellation_key
@@ -50,8 +51,8 @@
         self._is_store_sound = isinstance(written, Ok)
         if isinstance(written, Err):
             return StoreWriteSettled(False, written.err_value.may_have_taken_effect)
-        # A conflict shows that it exists already.
-        return StoreWriteSettled(True, False)
+        # A conflict shows that it exists already, perhaps with other content.
+        return StoreWriteSettled(True, False, not isinstance(written.ok_value, Conflict))
 
     async def find(self, job: JobId) -> Result[AcceptedJob | None, Failure]:
         """Reads an accepted job; None if there is none."""
--- a/src/jujubehall/services/fleet/orders.py
+++ b/src/jujubehall/services/fleet/orders.py
@@ -10,6 +10,8 @@
 
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.errors import FailureKind
+from jujubehall.metrics import GROUP_STOPS
+from jujubehall.metrics import RUN_STARTS
 from jujubehall.platform.site_store import RefusalReason
 from jujubehall.platform.site_store import StartOrder
 from jujubehall.platform.site_store import StartRefusal
@@ -33,6 +35,9 @@
 AVOID_REFUSED_MS = 300
 """How long nothing is started on a worker after an unhealthy answer, none, or another refusal."""
 
+MALFORMED_RETRY_MS = 2_000
+"""A start that no worker understands is repeated slowly; it may be a fault of one worker."""
+
 log = structlog.get_logger()
 
 
@@ -48,7 +53,16 @@
     def log_stop(self, decision: StopGroup) -> None:
         """Logs why a group is stopped."""
         group = decision.group
-        log.info("group stops", job=group.job.id, group=group.key, reason=decision.reason)
+        GROUP_STOPS.inc({"reason": decision.reason.value})
+        log.info(
+            "group stops",
+            job=group.job.id,
+            group=group.key,
+            run=group.run,
+            reason=decision.reason.value,
+            by=decision.by,
+            workers=[each.worker.name for each in group.placements.values()],
+        )
 
     def send_starts(self, group: TaskGroup) -> None:
         """Starts a group whose placement is kept, unless it has been stopped meanwhile."""
@@ -110,6 +124,7 @@
             group.job.accepted.request.spec,
             until_ms,
             group.checkpoint,
+            self._ticket(group, worker),
         )
         sent_ms = self._clock.now_ms
         outcome = await self._owner.workers_api.start(worker.listed, self._owner.token, order)
@@ -120,16 +135,29 @@
             if placement.phase is Phase.STARTING:
                 placement.phase = Phase.RUNNING
             self._owner.starts.observe(self._clock.now_ms - sent_ms)
+            RUN_STARTS.inc({"result": "ok"})
             session.wake()
         elif isinstance(outcome.err_value, StartRefusal):
             self._refused(group, index, placement, outcome.err_value)
         else:
             self._unanswered(group, index, placement, outcome.err_value)
 
+    def _ticket(self, group: TaskGroup, worker: FleetWorker) -> str:
+        queue = group.job.queue
+        if queue is None or not queue.asks_for_advice:
+            return ""
+        tickets = group.job.tickets(group.occurrence, group.step)
+        return tickets.find(worker.name, worker.listed.life, self._clock.now_ms) or ""
+
     def _refused(
         self, group: TaskGroup, index: int, placement: Placement, refusal: StartRefusal
     ) -> None:
         worker = placement.worker
+        RUN_STARTS.inc({"result": refusal.reason.value})
+        if refusal.reason is RefusalReason.MALFORMED:
+            group.not_before_ms = self._clock.now_ms + MALFORMED_RETRY_MS
+        if refusal.reason is RefusalReason.TICKET:
+            group.job.tickets(group.occurrence, group.step).drop(worker.name)
         if refusal.reason is RefusalReason.FENCED:
             self._owner.verify_ownership()
         unhealthy = refusal.reason is RefusalReason.UNHEALTHY
@@ -141,6 +169,7 @@
     def _unanswered(
         self, group: TaskGroup, index: int, placement: Placement, failure: Failure
     ) -> None:
+        RUN_STARTS.inc({"result": failure.kind.value})
         placement.worker.avoid_until_ms = self._clock.now_ms + AVOID_UNANSWERED_MS
         placement.worker.is_in_touch = False
         session = self._owner.session(placement.worker)
--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -20,6 +20,7 @@
 from jujubehall.clock import to_seconds
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import FencingToken
+from jujubehall.metrics import OWNER_CHANGES
 from jujubehall.platform.site_store import ABSENT
 from jujubehall.platform.site_store import Conflict
 from jujubehall.platform.site_store import LeaseId
@@ -291,6 +292,7 @@
         self.term = term
         self.highest_token = max(self.highest_token, term.token)
         self._must_verify = False
+        OWNER_CHANGES.inc({"change": "won"})
         log.info("elected owner", token=term.token)
         self._on_elected(term)
 
@@ -298,5 +300,6 @@
         token = self.term.token if self.term is not None else 0
         self.term = None
         self._lease = None
+        OWNER_CHANGES.inc({"change": "lost"})
         log.warning("ownership lost", token=token, reason=reason)
         self._on_lost(reason)
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -13,6 +13,8 @@
 
 from jujubehall.clock import to_seconds
 from jujubehall.core.jobs.job import JobState
+from jujubehall.entry_hosts.messages import IntakeKept
+from jujubehall.entry_hosts.messages import IntakeNoted
 from jujubehall.entry_hosts.messages import JobStateKnown
 from jujubehall.entry_hosts.messages import JobStateWanted
 from jujubehall.entry_hosts.messages import OwnerContactKnown
@@ -29,9 +31,6 @@
 from jujubehall.entry_hosts.messages import StoreWriteSettled
 from jujubehall.entry_hosts.messages import StoreWriteWanted
 from jujubehall.services.fleet.records import OWNER_KEY
-from jujubehall.services.fleet.records import cancellation_key
-from jujubehall.services.fleet.records import job_key
-from jujubehall.services.fleet.records import progress_key
 from jujubehall.services.timing import gather
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -115,6 +114,7 @@
         mesh.register(JobStateWanted, self._on_job_state_wanted)
         mesh.register(PendingWanted, self._on_pending_wanted)
         mesh.register(StoreWriteWanted, self._on_store_write_wanted)
+        mesh.register(IntakeKept, self._on_intake_kept)
         mesh.register(OwnerContactWanted, self._on_owner_contact_wanted)
         mesh.register(StoreContactWanted, self._on_store_contact_wanted)
 
@@ -200,6 +200,13 @@
         answer = await self._ask_owner(PendingWanted(queue), PendingKnown)
         return None if answer is None else answer.count
 
+    def tell_owner(self, key: str, value: bytes) -> None:
+        """Tells the owner of a record that is kept; nothing depends on its arrival."""
+        if self._owner is not None:
+            self._owner.note_intake(key, value)
+        elif self.owner_member is not None:
+            start(self._mesh.ask(self.owner_member, IntakeKept(key, value), QUESTION_TIMEOUT_MS))
+
     async def write_through_other(
         self, key: str, value: bytes, attempt: int, timeout_ms: int
     ) -> StoreWriteSettled | None:
@@ -217,13 +224,6 @@
             return asked.ok_value
         return StoreWriteSettled(False, False)
 
-    async def delete_job_records(self, job: JobId) -> None:
-        """Removes what is kept of a job that ended long ago."""
-        keys = [job_key(job), cancellation_key(job), progress_key(job)]
-        deleted = await self._store.commit([], [], keys, HEARTBEAT_TIMEOUT_MS)
-        if isinstance(deleted, Err):
-            log.warning("records not deleted", job=job, failure=str(deleted.err_value))
-
     async def _ask_owner(self, message: Message, type_: type[Answer]) -> Answer | None:
         member = self.owner_member
         if member is None:
@@ -318,6 +318,12 @@
             return Refused("not the owner")
         return PendingKnown(self._owner.book.pending(wanted.queue))
 
+    async def _on_intake_kept(self, sender: EntryHostName, kept: IntakeKept) -> Message:
+        if self._owner is None:
+            return Refused("not the owner")
+        self._owner.note_intake(kept.key, kept.value)
+        return IntakeNoted()
+
     async def _on_owner_contact_wanted(
         self, sender: EntryHostName, wanted: OwnerContactWanted
     ) -> Message:
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -12,11 +12,17 @@
 from jujubehall.core.fleet.book import FleetBook
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
+from jujubehall.platform.site_store import Precondition
+from jujubehall.services.fleet.advisor import Advisor
 from jujubehall.services.fleet.intake import Intake
 from jujubehall.services.fleet.latencies import Latencies
 from jujubehall.services.fleet.orders import Orders
 from jujubehall.services.fleet.ownership import OUTAGE_GRACE_MS
 from jujubehall.services.fleet.progress_writer import ProgressWriter
+from jujubehall.services.fleet.records import OWNER_KEY
+from jujubehall.services.fleet.records import cancellation_key
+from jujubehall.services.fleet.records import job_key
+from jujubehall.services.fleet.records import progress_key
 from jujubehall.services.fleet.worker_register import WorkerRegister
 from jujubehall.services.fleet.worker_session import CLOCK_DRIFT
 from jujubehall.services.fleet.worker_session import WorkerSession
@@ -34,6 +40,7 @@
     from jujubehall.identifiers import FencingToken
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import WorkerName
+    from jujubehall.platform.site_store import SiteAdvice
     from jujubehall.platform.site_store import SiteDirectory
     from jujubehall.platform.site_store import SiteStore
     from jujubehall.platform.site_store import SiteWorkers
@@ -52,6 +59,7 @@
 
 LOAD_RETRY_INTERVAL_MS = 200
 FORGET_INTERVAL_MS = 10_000
+DELETE_TIMEOUT_MS = 1_000
 
 log = structlog.get_logger()
 
@@ -67,6 +75,7 @@
         store: SiteStore,
         directory: SiteDirectory,
         workers: SiteWorkers,
+        advice: SiteAdvice | None,
         ownership: Ownership,
         peers: Peers,
         term: Term,
@@ -91,6 +100,7 @@
         self.workers_api = workers
         self.book = FleetBook()
         self.orders = Orders(self, reactor, clock)
+        self._advisor = Advisor(self, clock, advice)
         self.starts = Latencies()
         self.is_closed = False
         self.is_loaded = False
@@ -106,6 +116,21 @@
         """Whether orders may be given now."""
         return not self.is_closed and self._ownership.may_act
 
+    WORKER_STATES = ("usable", "draining", "out-of-touch", "troubled")
+
+    def worker_state(self, worker: FleetWorker) -> str:
+        """What the owner believes of a worker."""
+        now_ms = self._clock.now_ms
+        if not worker.is_in_touch or not worker.is_listed:
+            return "out-of-touch"
+        if worker.listed.is_draining:
+            return "draining"
+        return (
+            "usable"
+            if worker.accepts_work(now_ms) and not worker.is_troubled(now_ms)
+            else "troubled"
+        )
+
     def session(self, worker: FleetWorker) -> WorkerSession | None:
         """The session of a worker."""
         return self._sessions.get(worker.name)
@@ -142,13 +167,18 @@
             loaded.ok_value,
             self.verify_ownership,
         )
-        self.is_loaded = True
         await self._recall_workers()
+        self.is_loaded = True
         log.info("took over", jobs=len(self.book.jobs), token=self.token)
         start(self._intake.run())
         start(self._follow_workers())
         start(self._tick())
 
+    def note_intake(self, key: str, value: bytes) -> None:
+        """Takes in a record that another entry host has just kept."""
+        if self.is_loaded and not self.is_closed:
+            self._intake.note(key, value)
+
     def accept(self, accepted: AcceptedJob, kept: JobProgress | None) -> None:
         """Takes in an accepted job."""
         if accepted.id not in self.book.jobs:
@@ -172,6 +202,7 @@
         if not self.is_loaded or self.is_closed:
             return
         self.writer.poke()
+        self._advisor.poke()
         if not self._is_round_due:
             self._is_round_due = True
             self._reactor.callLater(to_seconds(ROUND_DELAY_MS), self._round)
@@ -257,7 +288,7 @@
             self._follow(worker)
 
     async def _take_in_workers(self, listed: list[ListedWorker]) -> None:
-        fresh = self.book.sync_workers(listed)
+        fresh = self.book.sync_workers(listed, self._clock.now_ms)
         for worker in fresh:
             self._follow(worker)
         gone = self._drop_gone()
@@ -291,4 +322,14 @@
         before_ms = self._clock.now_ms - self._keep_ended_ms
         for job in self.book.forget_ended(before_ms):
             log.info("job forgotten", job=job.id)
-            await self.peers.delete_job_records(job.accepted.id)
+            await self._delete_records(job.accepted.id)
+
+    async def _delete_records(self, job: JobId) -> None:
+        deleted = await self._store.commit(
+            [Precondition(OWNER_KEY, self._term.owner_revision)],
+            [],
+            [job_key(job), cancellation_key(job), progress_key(job)],
+            DELETE_TIMEOUT_MS,
+        )
+        if isinstance(deleted, Err):
+            log.warning("records not deleted", job=job, failure=str(deleted.err_value))
--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -11,6 +11,7 @@
 
 from jujubehall.core.fleet.reconciliation import Reconciliation
 from jujubehall.errors import FailureKind
+from jujubehall.metrics import RUN_ENDS
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 
@@ -28,6 +29,10 @@
 """Workers' clocks may run 2 % slow."""
 
 LAPSE_MARGIN_MS = 150
+SAME_LIFE_MS = 150
+"""After a longer time the worker may have crashed and started anew, with ends that count from 1:
+it is asked who it is before any are confirmed."""
+
 RETRY_INTERVAL_MS = 300
 KEEP_TIMEOUT_MS = 1_500
 """How long the ends of a report may stay unkept before the leases are extended again."""
@@ -57,6 +62,7 @@
         self._is_closed = False
         self._woken: Deferred[None] | None = None
         self._failures = 0
+        self._reported_ms = -SAME_LIFE_MS
         self.leases_end_ms = 0
         """When everything that runs there must have ended, if no lease is extended any more."""
 
@@ -118,8 +124,13 @@
         wait_ms = WAIT_MS if until_ms is not None and not self._pending_ends else 0
         if until_ms is not None:
             self.note_lease_sent()
+        is_fresh = asked_ms - self._reported_ms < SAME_LIFE_MS
         reported = await self._owner.workers_api.report(
-            self._worker.listed, self._owner.token, self._confirmed_ends, until_ms, wait_ms
+            self._worker.listed,
+            self._owner.token,
+            self._confirmed_ends if is_fresh else 0,
+            until_ms,
+            wait_ms if is_fresh else 0,
         )
         if self._is_closed:
             return
@@ -144,6 +155,7 @@
     async def _take_in(self, report: WorkerReport, asked_ms: int) -> None:
         now_ms = self._clock.now_ms
         self._failures = 0
+        self._reported_ms = now_ms
         if report.life != self._confirmed_life:
             self._confirmed_life = report.life
             self._confirmed_ends = 0
@@ -164,6 +176,7 @@
         for stray in result.strays:
             start(self._owner.orders.stop_stray(self._worker, stray))
         for ended in result.ends:
+            RUN_ENDS.inc({"how": ended.kind.value})
             log.info(
                 "run ended",
                 job=ended.task.job,
--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -48,6 +48,7 @@
     from jujubehall.core.fleet.workers import ListedWorker
     from jujubehall.identifiers import JobId
     from jujubehall.platform.site_store import Revision
+    from jujubehall.platform.site_store import SiteStore
 
 STEP_S = 0.01
 CONFIGURATION_KEY = "operators/configuration"
@@ -56,7 +57,7 @@
 class VirtualDirectory:
     """Implements ``SiteDirectory``; the operators' configuration is passed by its version."""
 
-    def __init__(self, site: VirtualFleet, store: VirtualStore) -> None:
+    def __init__(self, site: VirtualFleet, store: SiteStore) -> None:
         self._site = site
         self._store = store
 
@@ -119,7 +120,7 @@
             clock,
             clock,
             member,
-            SitePeers(self.store, VirtualDirectory(site, self.store), self.workers, mesh),
+            SitePeers(self.store, lambda store: VirtualDirectory(site, store), self.workers, mesh),
             SiteBounds(LONGEST_LEASE_MS, 120_000, 4_000),
             site.random,
         )
--- a/src/jujubehall/testing/virtual/fleet/store.py
+++ b/src/jujubehall/testing/virtual/fleet/store.py
@@ -177,6 +177,9 @@
         self.late_writes = 0.0
         """The share of writes without an answer that take effect seconds later."""
 
+        self.are_watches_deaf = False
+        """Whether watches hear nothing for a while."""
+
         self.calls: dict[str, int] = {}
 
     async def get(self, key: str) -> Result[StoredItem | None, Failure]:
@@ -199,7 +202,9 @@
             if found.ok_value is None:
                 return Err(Failure(FailureKind.NOT_FOUND, "watch", PEER, "history is gone"))
             left_s = end - self._reactor.seconds()
-            if found.ok_value.items or left_s <= 0:
+            if left_s <= 0 and self.are_watches_deaf:
+                return Err(Failure(FailureKind.NOT_FOUND, "watch", PEER, "history is gone"))
+            if left_s <= 0 or (found.ok_value.items and not self.are_watches_deaf):
                 return Ok(found.ok_value)
             changed = self._store.changed()
             changed.addTimeout(left_s, self._reactor, onTimeoutCancel=lambda *_: None)
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -62,6 +62,10 @@
     def __init__(self) -> None:
         self.running: dict[TaskName, set[WorkerName]] = {}
         self.done: set[TaskName] = set()
+        """Tasks of which a run has ended as done, whether the scheduler knows it or not."""
+
+        self._confirmed: set[TaskName] = set()
+        self._started_ms: dict[TaskName, int] = {}
         self.starts: dict[TaskName, int] = {}
         self.violations: list[str] = []
 
@@ -70,11 +74,21 @@
         holders = self.running.setdefault(task, set())
         if holders:
             self.violations.append(f"{now_ms}: {task} runs on {holders} and {worker}")
-        if task in self.done:
+        if task in self._confirmed:
             self.violations.append(f"{now_ms}: {task} is started after it was done")
+        self._started_ms[task] = now_ms
         holders.add(worker)
         self.starts[task] = self.starts.get(task, 0) + 1
 
+    def confirm_done(self, task: TaskName, ended_ms: int) -> None:
+        """Notes that the scheduler has confirmed the end of a run that was done.
+
+        An end that is lost with its worker is never confirmed, and its task may run again.
+        """
+        self._confirmed.add(task)
+        if self._started_ms.get(task, 0) > ended_ms:
+            self.violations.append(f"{ended_ms}: {task} was started again after it was done")
+
     def end(self, task: TaskName, worker: WorkerName) -> None:
         """Notes an end."""
         self.running.get(task, set()).discard(worker)
@@ -102,6 +116,10 @@
         self._runs: dict[TaskName, _Run] = {}
         self._highest: dict[TaskName, int] = {}
         self._ended: list[EndedTask] = []
+        self._ended_ms: dict[int, int] = {}
+        self._void_ends = 0
+        """Ends up to this number came before a lapse of the leases; they bind nobody."""
+
         self._count = 0
         self.is_listed = True
         self.is_down = False
@@ -113,6 +131,10 @@
         """The worker's own clock."""
         return round((self._time.seconds() - self._born_s) * MS_PER_SECOND)
 
+    @property
+    def _site_ms(self) -> int:
+        return round(self._time.seconds() * MS_PER_SECOND)
+
     @property
     def tasks(self) -> list[TaskName]:
         """What runs there."""
@@ -125,7 +147,7 @@
         self._runs.clear()
         self._highest.clear()
         self._ended.clear()
-        self._count = 0
+        self._count = self._void_ends = 0
         self._token = 0
         self._until_ms = 0
         self._born_s = self._time.seconds()
@@ -153,7 +175,7 @@
         saved_ms = int(order.checkpoint or 0)
         run.done_ms = self.now_ms + round((step.expected_ms - saved_ms) * self.slowness)
         self._runs[order.task] = run
-        self._ledger.start(order.task, self.listed.name, self.now_ms)
+        self._ledger.start(order.task, self.listed.name, self._site_ms)
         self._gang_runs.setdefault((order.task[:3], order.run), set()).add(order.task.position)
         return Ok(None)
 
@@ -180,6 +202,10 @@
         self._token = token
         if until_ms is not None:
             self._extend(until_ms)
+        self._note_lapse()
+        for each in self._ended:
+            if self._void_ends < each.number <= confirmed and each.kind is EndKind.DONE:
+                self._ledger.confirm_done(each.task, self._ended_ms[each.number])
         self._ended = [each for each in self._ended if each.number > confirmed]
         return Ok(
             WorkerReport(
@@ -235,10 +261,16 @@
             self._ledger.done.add(run.task)
         self._highest[run.task] = max(self._highest.get(run.task, 0), run.run)
         self._count += 1
+        self._ended_ms[self._count] = self._site_ms
         checkpoint = self._progress(run) if kind is not EndKind.DONE else ""
         self._ended.append(EndedTask(self._count, run.task, run.run, kind, checkpoint))
 
+    def _note_lapse(self) -> None:
+        if self.now_ms >= self._until_ms:
+            self._void_ends = self._count
+
     def _extend(self, until_ms: int) -> None:
+        self._note_lapse()
         self._until_ms = max(self._until_ms, min(until_ms, self.now_ms + LONGEST_LEASE_MS))
 
     def _check_room(self, task: TaskName, step: StepRequest) -> None:
@@ -293,7 +325,13 @@
     ) -> Result[WorkerReport, Failure]:
         """Extends the leases of all that runs, confirms ends and asks for the rest."""
         end_s = self._reactor.seconds() + to_seconds(wait_ms)
+        life: int | None = None
         while True:
+            target = self._workers.get(worker.name)
+            if target is not None and life not in (None, target.listed.life):
+                # Its crash has broken the connection on which the report was awaited.
+                return Err(Failure(FailureKind.NO_ANSWER, "report", worker.name, "reset"))
+            life = None if target is None else target.listed.life
             reported: Result[WorkerReport, Failure] = await self._call(
                 worker,
                 "report",
@@ -302,7 +340,6 @@
                 ),
                 may_be_late=False,
             )
-            target = self._workers.get(worker.name)
             if isinstance(reported, Err) or target is None or target.has_news:
                 return reported
             if self._reactor.seconds() >= end_s:
--- a/tests/core/fleet/test_reconciliation.py
+++ b/tests/core/fleet/test_reconciliation.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.jobs import JobProgress
 from jujubehall.core.fleet.reports import EndedTask
@@ -155,3 +157,54 @@
     site.end(group, EndKind.STOPPED)
     assert site.started() == []
     assert job.state is JobState.CANCELLED
+
+
+def test_a_run_kept_on_a_worker_that_has_not_reported_is_waited_for() -> None:
+    site = SmallSite()
+    job = site.submit("job", step())
+    (group,) = site.started()
+    worker = group.placements[0].worker
+    kept = job.progress()
+    successor = SmallSite()
+    successor.book.accept(job.accepted, kept, successor.now_ms, successor.now_ms)
+    unseen = successor.book.workers.pop(worker.name)
+    assert list(successor.book.waiting_groups(successor.now_ms))
+    successor.book.workers[worker.name] = unseen
+    unseen.has_reported = False
+    unseen.earlier_leases_end_ms = successor.now_ms + 5_000
+    assert successor.started() == []
+    assert len(successor.started(after_ms=6_000)) == 1
+
+
+def test_an_end_from_before_a_lapse_does_not_end_the_run_that_followed() -> None:
+    site = SmallSite()
+    job = site.submit("job", step())
+    (group,) = site.started()
+    lost = group.placements[0].worker
+    group.displace(0)
+    lost.is_in_touch = False
+    (again,) = site.started()
+    assert again.run == 2
+    lost.is_in_touch = True
+    late = EndedTask(1, TaskName(job.id, 0, 0, 0), 1, EndKind.DONE)
+    site.report(int(lost.name[1:]), ended=(late,))
+    assert not group.is_done
+    assert group.placements[0].run == 2
+
+
+def test_an_unanswered_start_is_stopped_at_the_next_life_of_its_worker_too() -> None:
+    site = SmallSite(workers=1)
+    site.submit("job", step())
+    (decision,) = site.decide()
+    group = decision.group
+    site.book.note_stop(group)
+    group.placements[0].stop_confirmed_ms = site.now_ms
+    site.book.stops_wanted.clear()
+    site.report(0, life=2)
+    assert group.placements[0].stop_confirmed_ms is None
+    assert site.book.stops_wanted == {group}
+    assert site.started() == []
+    group.placements[0].stop_confirmed_ms = site.now_ms
+    site.report(0, life=2)
+    site.worker(0).listed = msgspec.structs.replace(site.worker(0).listed, life=2)
+    assert site.started() == [group]
--- a/tests/core/fleet/test_rounds.py
+++ b/tests/core/fleet/test_rounds.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from jujubehall.core.fleet.configuration import SiteConfiguration
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.reports import EndKind
+from jujubehall.core.fleet.requests import AcceptedJob
+from jujubehall.core.fleet.requests import JobRequest
+from jujubehall.identifiers import JobId
+from tests.core.fleet.fleet_book import CONFIGURATION
 from tests.core.fleet.fleet_book import EIGHT_GPUS
 from tests.core.fleet.fleet_book import OVERNIGHT
+from tests.core.fleet.fleet_book import TEAM
 from tests.core.fleet.fleet_book import URGENT
 from tests.core.fleet.fleet_book import SmallSite
 from tests.core.fleet.fleet_book import step
@@ -191,3 +197,25 @@
     assert len(site.started()) < 8
     assert sum(len(site.started(after_ms=600)) for _ in range(2)) > 0
     assert all(worker.free.accelerators == 0 for worker in site.book.workers.values())
+
+
+def test_a_filler_and_a_task_with_a_target_share_no_worker() -> None:
+    site = SmallSite(workers=2)
+    serving = step(runs_until_cancelled=True, image="web", target_latency_ms=50)
+    site.submit("serving", serving)
+    site.started()
+    site.submit("filler", step(tasks=20, is_filler=True), queue=OVERNIGHT)
+    site.started()
+    for worker in site.book.workers.values():
+        kinds = {group.request.is_filler for group, _ in worker.placements}
+        assert len(kinds) == 1
+
+
+def test_a_job_is_served_as_accepted_once_its_queue_is_gone() -> None:
+    site = SmallSite()
+    queue = CONFIGURATION.queues[1]
+    request = JobRequest("spec", (step(),))
+    accepted = AcceptedJob(JobId("job"), queue.name, TEAM, request, 0, queue)
+    site.book.configure(SiteConfiguration(2))
+    site.book.accept(accepted, None, site.now_ms, site.now_ms)
+    assert len(site.started()) == 1
--- /dev/null
+++ b/tests/platform/adapter/test_site_processes.py
@@ -0,0 +1,161 @@
+"""Entry hosts as real processes, over HTTP and ZeroMQ, against the stand-in of the platform."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpx
+import pytest
+
+from jujubehall.console.job_history import job_history
+from jujubehall.console.job_history import read_events
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+PORT = 18_521
+READINESS_PORT = 18_523
+MESH_PORT = 18_530
+HEADERS = {"Host": "desk.example", "Authorization": "Token k1", "Deadline-Ms": "3000"}
+JOB = {"spec": "x", "steps": [{"count": 3, "cpu": 1000, "memMb": 1000, "gpu": 1}]}
+TIMEOUT_S = 20.0
+
+
+class EntryHostProcess:
+    """A daemon on a loopback address of its own."""
+
+    def __init__(self, directory: Path, number: int, store: str) -> None:
+        # Tests that run side by side need addresses of their own: the metrics port is fixed.
+        runner = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+        self.ip = f"127.1.{runner}.{20 + number}"
+        self._log = (directory / f"{number}.log").open("w+")
+        settings = directory / f"{number}.toml"
+        settings.write_text(f"""nodeName = "front-{number}"
+ip = "{self.ip}"
+zone = "a"
+portRange = [{MESH_PORT}, {MESH_PORT + 10}]
+somethingNew = 1
+[listen]
+front = "{self.ip}:{PORT}"
+readiness = "{self.ip}:{READINESS_PORT}"
+[platform]
+address = "{store}"
+[bounds]
+maxHoldMs = 6000
+revokeMs = 5000
+strictRevoke = true
+graceS = 6
+status_s = 120
+""")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "jujubehall.daemon.site_main"],
+            env={"JUJUBEHALL_BOOT": str(settings), "PATH": ""},
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+    @property
+    def log(self) -> str:
+        self._log.flush()
+        self._log.seek(0)
+        return self._log.read()
+
+    def call(self, method: str, path: str, **more: Any) -> httpx.Response:
+        headers = HEADERS | more.pop("headers", {})
+        return httpx.request(
+            method, f"http://{self.ip}:{PORT}{path}", headers=headers, timeout=5.0, **more
+        )
+
+    def is_ready(self) -> bool:
+        try:
+            return httpx.get(f"http://{self.ip}:{READINESS_PORT}/ready").status_code == 200
+        except httpx.TransportError:
+            return False
+
+    def end(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self._log.close()
+
+
+def wait_until(condition: Any) -> None:
+    give_up_s = time.monotonic() + TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < give_up_s, "timed out"
+        time.sleep(0.02)
+
+
+@pytest.fixture
+def hosts(tmp_path: Path) -> Iterator[list[EntryHostProcess]]:
+    stand_in = subprocess.Popen(
+        [sys.executable, "-m", "tests.platform.adapter.stand_in"],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    started: list[EntryHostProcess] = []
+    try:
+        assert stand_in.stdout is not None
+        store = stand_in.stdout.readline().strip()
+        started += [EntryHostProcess(tmp_path, number, store) for number in range(2)]
+        wait_until(lambda: all(host.is_ready() for host in started))
+        yield started
+    finally:
+        for host in started:
+            host.end()
+        stand_in.kill()
+        stand_in.wait()
+
+
+def state(host: EntryHostProcess, job: str) -> str | None:
+    answer = host.call("GET", f"/hold/{job}")
+    return str(answer.json()["state"]) if answer.status_code == 200 else None
+
+
+def test_jobs_over_real_processes(hosts: list[EntryHostProcess]) -> None:
+    first, second = hosts
+    job = "00000000000000c1"
+    assert first.call("POST", f"/hold/{job}", json=JOB).status_code == 200
+    wait_until(lambda: state(second, job) == "succeeded")
+    assert second.call("GET", "/hold/").json() == {"pending": 0}
+    assert first.call("GET", "/hold/00000000000000ff").status_code == 410
+    assert first.call("GET", "/nowhere/00000000000000ff").status_code == 404
+    wrong = first.call("GET", f"/hold/{job}", headers={"Authorization": "Token no"})
+    assert wrong.status_code == 401
+    for body in (b"{", b"[]", b'{"spec":1}', b'{"spec":"x","steps":[{"count":-1}]}', b"\xff"):
+        malformed = first.call("POST", "/hold/00000000000000c2", content=body)
+        assert malformed.status_code == 400
+        assert malformed.json()["error"]
+    page = httpx.get(f"http://{first.ip}:9464/metrics").text
+    assert 'jujubehall_submissions_total{outcome="accepted"} 1' in page
+
+    owner, other = (first, second) if "elected owner" in first.log else (second, first)
+    running = "00000000000000c3"
+    other.call("POST", f"/hold/{running}", json=JOB)
+    owner.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: state(other, running) == "succeeded")
+    assert owner.process.wait(TIMEOUT_S) == 0
+
+    events = read_events((first.log + second.log).splitlines())
+    history = [line.text for line in job_history(events, job)]
+    assert any(text.startswith("submitted to queue r-1") for text in history)
+    assert any(text.startswith("group 0.0.0 starts as run 1") for text in history)
+    assert any(text.startswith("state succeeded") for text in history)
+    assert all(json.loads(line)["event"] for line in other.log.splitlines())
+
+
+def test_a_killed_owner_is_followed_by_another_process(hosts: list[EntryHostProcess]) -> None:
+    owner, other = hosts if "elected owner" in hosts[0].log else hosts[::-1]
+    owner.process.kill()
+    job = "00000000000000d1"
+    assert other.call("POST", f"/hold/{job}", json=JOB).status_code == 200
+    wait_until(lambda: state(other, job) == "succeeded")
