--- a/src/jujubehall/core/fleet/book.py
+++ b/src/jujubehall/core/fleet/book.py
@@ -56,7 +56,7 @@
             return known
         job = FleetJob(accepted, self.configuration.queue(accepted.queue), now_ms)
         if kept is not None:
-            job.restore(kept)
+            job.restore(kept, now_ms)
         self.jobs[accepted.id] = job
         job.make_due(now_ms, unix_ms)
         if job.state is not job.kept_state:
@@ -122,10 +122,13 @@
                 worker.is_listed = False
         return fresh
 
-    def find_group(self, task: TaskName) -> TaskGroup | None:
-        """The group of a task, if its job is known."""
+    def find_group(self, task: TaskName, now_ms: int) -> TaskGroup | None:
+        """The group of a task that a worker has reported, if its job is known."""
         job = self.jobs.get(task.job)
-        return None if job is None else job.find_group(task.occurrence, task.step, task.position)
+        if job is None:
+            return None
+        job.make_known(task.occurrence, now_ms)
+        return job.find_group(task.occurrence, task.step, task.position)
 
     def waiting_groups(self, now_ms: int) -> Iterator[TaskGroup]:
         """The groups that may be placed now."""
--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -96,10 +96,12 @@
         for groups in self.groups.values():
             yield from groups
 
-    def restore(self, kept: JobProgress) -> None:
+    def restore(self, kept: JobProgress, now_ms: int) -> None:
         """Takes over what an earlier owner kept; call it before ``make_due``."""
         self._kept = kept
         self.kept_state = kept.state
+        for key in kept.groups:
+            self.make_known(int(key.partition(".")[0]), now_ms)
         if kept.state.is_final:
             self.state = kept.state
 
@@ -130,11 +132,17 @@
             self.release_steps(now_ms)
         return made
 
-    def next_due_unix_ms(self) -> int | None:
-        """When the next occurrence is due, if there is one."""
-        if self.is_final or self._next_occurrence >= self.occurrences:
-            return None
-        return self.due_unix_ms(self._next_occurrence)
+    def make_known(self, occurrence: int, now_ms: int) -> None:
+        """Makes the groups of an occurrence that an earlier owner has started.
+
+        Its clock may have been ahead of this entry host's.
+        """
+        if occurrence >= self.occurrences:
+            return
+        while self._next_occurrence <= occurrence:
+            self._make_occurrence(self._next_occurrence)
+            self._next_occurrence += 1
+        self.release_steps(now_ms)
 
     def release_steps(self, now_ms: int) -> None:
         """Lets the steps start whose earlier steps are done, and ends the job after the last."""
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -94,7 +94,7 @@
                 self._displace(group, index)
 
     def _apply_end(self, ended: EndedTask) -> None:
-        group = self._book.find_group(ended.task)
+        group = self._book.find_group(ended.task, self._now_ms)
         if group is None:
             return
         index = ended.task.position
@@ -151,7 +151,7 @@
             self._book.drop_groups(job)
 
     def _apply_running(self, running: RunningTask) -> TaskGroup | None:
-        group = self._book.find_group(running.task)
+        group = self._book.find_group(running.task, self._now_ms)
         if group is None:
             self._strays.append(StrayRun(running.task, running.run, "its job is not known"))
             return None
--- a/tests/core/fleet/test_reconciliation.py
+++ b/tests/core/fleet/test_reconciliation.py
@@ -208,3 +208,26 @@
     site.report(0, life=2)
     site.worker(0).listed = msgspec.structs.replace(site.worker(0).listed, life=2)
     assert site.started() == [group]
+
+
+def test_runs_of_an_occurrence_that_is_not_due_by_this_clock_are_adopted() -> None:
+    # The earlier owner's clock was ahead.
+    site = SmallSite()
+    due_ms = site.now_ms + 2_000
+    job = site.submit("timed", step(), occurrences=2, first_due_unix_ms=due_ms, interval_ms=1_000)
+    assert not list(job.all_groups())
+    result = site.report(0, (RunningTask(TaskName(job.id, 0, 0, 0), 1),))
+    assert result.strays == []
+    assert site.worker(0).free.accelerators == 7
+    assert site.started() == []
+
+
+def test_kept_progress_of_an_occurrence_makes_it_known() -> None:
+    site = SmallSite()
+    due_ms = site.now_ms - 10
+    job = site.submit("timed", step(), occurrences=2, first_due_unix_ms=due_ms, interval_ms=5_000)
+    (group,) = site.started()
+    site.end(group, EndKind.DONE)
+    successor = SmallSite()
+    restored = successor.book.accept(job.accepted, job.progress(), successor.now_ms, due_ms - 500)
+    assert [each.is_done for each in restored.all_groups()] == [True]
