--- /dev/null
+++ b/benchmarks/site_rounds.py
@@ -0,0 +1,124 @@
+"""Processor time of a round of scheduling and of taking in a report, by the size of the site.
+
+``python -m benchmarks.site_rounds`` fills a book with running batch work and a queue, then times
+rounds in which an urgent gang arrives, and reports of single workers.
+"""
+
+from __future__ import annotations
+
+import time
+
+from random import Random
+
+from jujubehall.core.fleet.book import FleetBook
+from jujubehall.core.fleet.configuration import Queue
+from jujubehall.core.fleet.configuration import SiteConfiguration
+from jujubehall.core.fleet.reconciliation import Reconciliation
+from jujubehall.core.fleet.reports import RunningTask
+from jujubehall.core.fleet.reports import WorkerReport
+from jujubehall.core.fleet.requests import AcceptedJob
+from jujubehall.core.fleet.requests import JobRequest
+from jujubehall.core.fleet.requests import StepRequest
+from jujubehall.core.fleet.resources import Resources
+from jujubehall.core.fleet.workers import ListedWorker
+from jujubehall.identifiers import JobId
+from jujubehall.identifiers import PoolName
+from jujubehall.identifiers import QueueName
+from jujubehall.identifiers import RackName
+from jujubehall.identifiers import TeamName
+from jujubehall.identifiers import WorkerName
+from jujubehall.identifiers import ZoneName
+
+SIZES = (24, 176)
+RACK_SIZE = 8
+REPEATS = 5
+WAITING_JOBS_PER_WORKER = 0.5
+POOL = PoolName("pool")
+QUEUES = tuple(
+    Queue(QueueName(name), "h", f"/{name}/", POOL, priority=priority, max_failures=3)
+    for priority, name in enumerate(("urgent", "normal", "overnight"))
+)
+GANG = StepRequest(4, Resources(8_000, 20_000, 4), 2_500, is_gang=True, prefers_one_rack=True)
+BATCH = StepRequest(12, Resources(6_000, 16_000, 1), 9_500)
+
+
+def make_book(workers: int) -> FleetBook:
+    """A site whose accelerators are all in use, with work waiting."""
+    book = FleetBook()
+    book.configure(SiteConfiguration(1, QUEUES))
+    listed = [
+        ListedWorker(
+            WorkerName(f"w{number:04}"),
+            "",
+            POOL,
+            ZoneName(f"z{number % 3}"),
+            RackName(f"r{number // RACK_SIZE}"),
+            frozenset({"a"}),
+            Resources(64_000, 262_144, 8),
+            life=1,
+        )
+        for number in range(workers)
+    ]
+    for worker in book.sync_workers(listed):
+        worker.is_in_touch = worker.is_registered = worker.has_reported = True
+    jobs = round(workers * 8 / BATCH.tasks + workers * WAITING_JOBS_PER_WORKER)
+    for number in range(jobs):
+        submit(book, f"{number:016x}", "overnight", BATCH, 0)
+    book.decide(1)
+    for worker in book.workers.values():
+        for placement in worker.placements.values():
+            placement.confirmed_ms = 1
+    return book
+
+
+def submit(book: FleetBook, job: str, queue: str, step: StepRequest, now_ms: int) -> None:
+    """Accepts a job."""
+    accepted = AcceptedJob(
+        JobId(job), QueueName(queue), TeamName("t"), JobRequest("s", (step,)), now_ms
+    )
+    book.accept(accepted, None, now_ms, now_ms)
+
+
+def time_rounds(book: FleetBook) -> float:
+    """Milliseconds a round in which an urgent gang has arrived."""
+    spent = 0.0
+    for number in range(REPEATS):
+        submit(book, f"f{number:015x}", "urgent", GANG, 100 + number)
+        began = time.process_time()
+        book.decide(200 + number)
+        spent += time.process_time() - began
+    return spent * 1_000 / REPEATS
+
+
+def time_reports(book: FleetBook, random: Random) -> float:
+    """Milliseconds to take in the report of one worker."""
+    spent = 0.0
+    workers = list(book.workers.values())
+    for number in range(REPEATS):
+        worker = random.choice(workers)
+        running = tuple(
+            RunningTask(group.task(index), placement.run, percent=number)
+            for (group, index), placement in worker.placements.items()
+        )
+        report = WorkerReport(1, number, running)
+        began = time.process_time()
+        Reconciliation(book, worker, report, 1_000 + number, 1_001 + number).apply()
+        spent += time.process_time() - began
+    return spent * 1_000 / REPEATS
+
+
+def main() -> None:
+    """Prints one row a size."""
+    print("| workers | tasks running | groups waiting | round ms | report ms |")
+    print("|---|---|---|---|---|")
+    for size in SIZES:
+        book = make_book(size)
+        running = sum(len(worker.placements) for worker in book.workers.values())
+        waiting = sum(1 for _ in book.waiting_groups(100))
+        report_ms = time_reports(book, Random(1))
+        round_ms = time_rounds(book)
+        print(f"| {size} | {running} | {waiting} | {round_ms:.1f} | {report_ms:.2f} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from jujubehall.core.fleet.book import FleetBook
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import JobId
 
@@ -47,6 +48,12 @@
         self._now_ms = now_ms
         self._decisions: list[Decision] = []
         self._stopped: set[TaskGroup] = set()
+        self._steps_without_room: set[tuple[object, ...]] = set()
+        """Steps of which a task found no room in this round; its equals would not, either."""
+
+        self._needs_without_room: dict[tuple[object, ...], list[Resources]] = {}
+        """Needs of plain tasks that found no room; larger ones of the same kind would not, either."""
+
         self._headroom = 0
         """Accelerators to be kept free, less those that urgent groups of this round have taken."""
 
@@ -59,7 +66,8 @@
         waiting = sorted(self._book.waiting_groups(self._now_ms), key=self._urgency)
         self._headroom = self._find_headroom(waiting)
         for group in waiting:
-            self._decide(group)
+            if self._step_key(group) not in self._steps_without_room:
+                self._decide(group)
         return self._decisions
 
     def _evacuate(self) -> None:
@@ -110,10 +118,16 @@
         return (job.priority, group.ready_since_ms or 0, job.id, group.key)
 
     def _decide(self, group: TaskGroup) -> None:
+        kind = self._plain_kind(group)
+        if kind is not None and any(
+            needs.fits_in(group.counted_needs) for needs in self._needs_without_room.get(kind, ())
+        ):
+            return
         sound = self._sound_workers(group)
         if group.reserved_on and not self._continue_reservation(group, sound):
             return
         if not self._leaves_headroom(group, sound):
+            self._steps_without_room.add(self._step_key(group))
             return
         if self._place(group, sound, may_go_far=False):
             return
@@ -123,8 +137,36 @@
             return
         if self._may_go_far(group) and self._place(group, sound, may_go_far=True):
             return
-        if self._waited_ms(group) >= SOUND_WAIT_MS:
-            self._place(group, self._accepting_workers(group), may_go_far=False)
+        if self._waited_ms(group) >= SOUND_WAIT_MS and self._place(
+            group, self._accepting_workers(group), may_go_far=False
+        ):
+            return
+        self._steps_without_room.add(self._step_key(group))
+        if kind is not None:
+            self._needs_without_room.setdefault(kind, []).append(group.counted_needs)
+
+    def _plain_kind(self, group: TaskGroup) -> tuple[object, ...] | None:
+        """Names the workers that a single task without further conditions may use; else None."""
+        request = group.request
+        queue = group.job.queue
+        if (
+            queue is None
+            or queue.asks_for_advice
+            or group.job.priority == MOST_URGENT
+            or request.is_gang
+            or request.tasks_per_worker
+            or request.is_filler
+            or request.target_latency_ms
+            or group.failed_on
+            or (request.data_rack and not self._may_go_far(group))
+        ):
+            return None
+        return (queue.pool, request.required_label, self._waited_ms(group) >= SOUND_WAIT_MS)
+
+    def _step_key(self, group: TaskGroup) -> tuple[object, ...]:
+        """Names what makes tasks of a step equal for a round."""
+        history = (frozenset(group.failed_on), bool(group.reserved_on))
+        return (group.job.id, group.occurrence, group.step, self._may_go_far(group), history)
 
     def _find_headroom(self, waiting: list[TaskGroup]) -> int:
         in_use = sum(
