--- a/src/jujubehall/platform/adapter/wire.py
+++ b/src/jujubehall/platform/adapter/wire.py
@@ -229,7 +229,7 @@
 
     clock_ms: int = field(name="clockMs")
     born: int = 0
-    running: list[tuple[Any, ...]] = []
+    running: list[list[Any]] = []
     finished: list[tuple[int, str, int, str, str]] = []
 
 
--- a/src/jujubehall/platform/adapter/workers.py
+++ b/src/jujubehall/platform/adapter/workers.py
@@ -29,6 +29,7 @@
     from jujubehall.core.fleet.workers import ListedWorker
     from jujubehall.http.client import Response
     from jujubehall.identifiers import FencingToken
+    from jujubehall.identifiers import WorkerName
     from jujubehall.platform.site_store import StartOrder
 
 PEER = "worker"
@@ -127,10 +128,7 @@
             return answer
         if answer.ok_value.status // 100 != 2:
             return Err(_failure("report", worker, answer.ok_value))
-        try:
-            return Ok(_to_report(answer.ok_value.decode(wire.HoldAnswer)))
-        except (msgspec.DecodeError, ValueError, KeyError) as error:
-            return Err(Failure(FailureKind.INVALID, "report", worker.name, repr(error)))
+        return decode_report(worker.name, answer.ok_value)
 
     async def _send(
         self, step: str, worker: ListedWorker, path: str, body: object, timeout_ms: int
@@ -146,6 +144,14 @@
         )
 
 
+def decode_report(worker: WorkerName, response: Response) -> Result[WorkerReport, Failure]:
+    """Decodes the answer to a question for a report."""
+    try:
+        return Ok(_to_report(response.decode(wire.HoldAnswer)))
+    except (msgspec.DecodeError, ValueError, KeyError) as error:
+        return Err(Failure(FailureKind.INVALID, "report", worker, repr(error)))
+
+
 def _failure(step: str, worker: ListedWorker, response: Response) -> Failure:
     kinds = {409: FailureKind.CONFLICT, 421: FailureKind.NOT_FOUND}
     unavailable = FailureKind.UNAVAILABLE if response.status in (429, 503) else None
@@ -182,12 +188,8 @@
     )
 
 
-def _to_running(row: tuple[Any, ...]) -> RunningTask:
-    task, run, checkpoint, percent, *load = row
-    return RunningTask(
-        _to_task(str(task)),
-        int(run),
-        str(checkpoint),
-        int(percent),
-        int(load[0]) if load and load[0] is not None else 0,
-    )
+def _to_running(row: list[Any]) -> RunningTask:
+    task, run, checkpoint, percent = msgspec.convert(row[:4], tuple[str, int, str, int])
+    # The fifth entry is a rough figure that older workers leave out.
+    load = msgspec.convert(row[4], float) if len(row) > 4 else 0.0
+    return RunningTask(_to_task(task), run, checkpoint, percent, round(load))
--- a/src/jujubehall/services/fleet/advisor.py
+++ b/src/jujubehall/services/fleet/advisor.py
@@ -74,8 +74,10 @@
         tickets = job.tickets(*step)
         asked_ms = self._clock.now_ms
         tickets.note_question(asked_ms)
-        answered = await advice.ask(job.accepted.id, *step, list(asked))
-        self._is_asking = False
+        try:
+            answered = await advice.ask(job.accepted.id, *step, list(asked))
+        finally:
+            self._is_asking = False
         if isinstance(answered, Err):
             log.warning("advice not given", job=job.id, failure=str(answered.err_value))
         else:
--- a/src/jujubehall/services/fleet/configuration_follower.py
+++ b/src/jujubehall/services/fleet/configuration_follower.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from jujubehall.platform.site_store import ABSENT
+from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
 
 if TYPE_CHECKING:
@@ -95,12 +96,14 @@
 
     async def run(self) -> None:
         """Follows the store until the process ends."""
-        while True:
-            age_ms = self.age_ms
-            if age_ms is not None and age_ms < RELAYED_AGE_MS and not self._must_read_store():
-                await sleep(self._reactor, IDLE_INTERVAL_MS)
-            elif not await self._read():
-                await sleep(self._reactor, RETRY_INTERVAL_MS)
+        await repeat(self._reactor, "configuration", self._follow, lambda: False)
+
+    async def _follow(self) -> None:
+        age_ms = self.age_ms
+        if age_ms is not None and age_ms < RELAYED_AGE_MS and not self._must_read_store():
+            await sleep(self._reactor, IDLE_INTERVAL_MS)
+        elif not await self._read():
+            await sleep(self._reactor, RETRY_INTERVAL_MS)
 
     async def _read(self) -> bool:
         asked_ms = self._clock.now_ms
--- a/src/jujubehall/services/fleet/intake.py
+++ b/src/jujubehall/services/fleet/intake.py
@@ -22,6 +22,7 @@
 from jujubehall.services.fleet.records import JOB_PREFIX
 from jujubehall.services.fleet.records import PROGRESS_PREFIX
 from jujubehall.services.fleet.records import decode_record
+from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
 
 if TYPE_CHECKING:
@@ -71,21 +72,23 @@
 
     async def run(self) -> None:
         """Watches until the owner is closed; after a gap in the history it reads all again."""
-        while not self._owner.is_closed:
-            assert self._after is not None
-            changes = await self._store.watch(INTAKE_PREFIX, self._after, WATCH_WAIT_MS)
-            if self._owner.is_closed:
-                return
-            if isinstance(changes, Ok):
-                self._take_in(changes.ok_value.items, {})
-                self._after = changes.ok_value.revision
-                continue
-            log.info("intake watch broken", failure=str(changes.err_value))
-            await sleep(self._reactor, RETRY_INTERVAL_MS)
-            found = await self._store.list_items(INTAKE_PREFIX)
-            if isinstance(found, Ok):
-                self._take_in(found.ok_value.items, {})
-                self._after = found.ok_value.revision
+        await repeat(self._reactor, "intake", self._watch, lambda: self._owner.is_closed)
+
+    async def _watch(self) -> None:
+        assert self._after is not None
+        changes = await self._store.watch(INTAKE_PREFIX, self._after, WATCH_WAIT_MS)
+        if self._owner.is_closed:
+            return
+        if isinstance(changes, Ok):
+            self._take_in(changes.ok_value.items, {})
+            self._after = changes.ok_value.revision
+            return
+        log.info("intake watch broken", failure=str(changes.err_value))
+        await sleep(self._reactor, RETRY_INTERVAL_MS)
+        found = await self._store.list_items(INTAKE_PREFIX)
+        if isinstance(found, Ok):
+            self._take_in(found.ok_value.items, {})
+            self._after = found.ok_value.revision
 
     def note(self, key: str, value: bytes) -> None:
         """Takes in a record that is known to be kept, ahead of the watch."""
--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -29,6 +29,7 @@
 from jujubehall.services.fleet.records import OWNER_KEY
 from jujubehall.services.fleet.records import OwnerRecord
 from jujubehall.services.fleet.records import decode_record
+from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
 
 if TYPE_CHECKING:
@@ -166,13 +167,15 @@
     async def run(self) -> None:
         """Campaigns and renews until ``stop``."""
         self._tick()
-        while not self._is_stopping:
-            if self.term is not None:
-                await self._renew()
-            elif self._is_owner_present():
-                await sleep(self._reactor, CHECK_INTERVAL_MS)
-            else:
-                await self._campaign()
+        await repeat(self._reactor, "ownership", self._step, lambda: self._is_stopping)
+
+    async def _step(self) -> None:
+        if self.term is not None:
+            await self._renew()
+        elif self._is_owner_present():
+            await sleep(self._reactor, CHECK_INTERVAL_MS)
+        else:
+            await self._campaign()
 
     async def stop(self) -> None:
         """Gives the ownership up at once, so that another entry host can take over."""
--- a/src/jujubehall/services/fleet/progress_writer.py
+++ b/src/jujubehall/services/fleet/progress_writer.py
@@ -94,6 +94,12 @@
         return waiting
 
     async def _write_all(self) -> None:
+        try:
+            await self._write_changes()
+        finally:
+            self._is_writing = False
+
+    async def _write_changes(self) -> None:
         await sleep(self._reactor, GATHER_MS)
         while (self._book.changed or self._waiting) and not self._is_closed:
             waiting, self._waiting = self._waiting, []
@@ -106,7 +112,6 @@
             for each in waiting:
                 if not each.called:
                     each.callback(None)
-        self._is_writing = False
 
     async def _write(self, jobs: list[FleetJob]) -> None:
         batch = _Batch(jobs, [job.progress() for job in jobs])
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -26,6 +26,7 @@
 from jujubehall.services.fleet.worker_register import WorkerRegister
 from jujubehall.services.fleet.worker_session import CLOCK_DRIFT
 from jujubehall.services.fleet.worker_session import WorkerSession
+from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 
@@ -93,6 +94,7 @@
         self._keep_ended_ms = keep_ended_ms
         self._sessions: dict[WorkerName, WorkerSession] = {}
         self._is_round_due = False
+        self._forgotten_ms = 0
         self._elected_ms = clock.now_ms
         self._intake = Intake(self, reactor, store)
         self._register = WorkerRegister(reactor, store, term.owner_revision)
@@ -171,8 +173,9 @@
         self.is_loaded = True
         log.info("took over", jobs=len(self.book.jobs), token=self.token)
         start(self._intake.run())
-        start(self._follow_workers())
-        start(self._tick())
+        self._forgotten_ms = self._clock.now_ms
+        for name, step in (("workers", self._follow_workers), ("rounds", self._tick)):
+            start(repeat(self._reactor, name, step, lambda: self.is_closed))
 
     def note_intake(self, key: str, value: bytes) -> None:
         """Takes in a record that another entry host has just kept."""
@@ -246,24 +249,21 @@
                 self.orders.withdraw(each.group)
 
     async def _tick(self) -> None:
-        forgotten_ms = self._clock.now_ms
-        while not self.is_closed:
-            self.book.make_due(self._clock.now_ms, self._wall_clock.now_ms)
-            self.poke()
-            if self._clock.now_ms - forgotten_ms >= FORGET_INTERVAL_MS:
-                forgotten_ms = self._clock.now_ms
-                await self._forget_ended()
-            await sleep(self._reactor, ROUND_INTERVAL_MS)
+        self.book.make_due(self._clock.now_ms, self._wall_clock.now_ms)
+        self.poke()
+        if self._clock.now_ms - self._forgotten_ms >= FORGET_INTERVAL_MS:
+            self._forgotten_ms = self._clock.now_ms
+            await self._forget_ended()
+        await sleep(self._reactor, ROUND_INTERVAL_MS)
 
     async def _follow_workers(self) -> None:
-        while not self.is_closed:
-            listed = await self._directory.workers()
-            if self.is_closed:
-                return
-            if not isinstance(listed, Err):
-                await self._take_in_workers(listed.ok_value)
-                self.poke()
-            await sleep(self._reactor, WORKERS_INTERVAL_MS)
+        listed = await self._directory.workers()
+        if self.is_closed:
+            return
+        if not isinstance(listed, Err):
+            await self._take_in_workers(listed.ok_value)
+            self.poke()
+        await sleep(self._reactor, WORKERS_INTERVAL_MS)
 
     def _follow(self, worker: FleetWorker) -> None:
         known = self._sessions.get(worker.name)
--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -12,6 +12,7 @@
 from jujubehall.core.fleet.reconciliation import Reconciliation
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import RUN_ENDS
+from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 
@@ -61,6 +62,9 @@
         self._confirmed_life = 0
         self._is_closed = False
         self._woken: Deferred[None] | None = None
+        self._has_pending_ends = False
+        """Whether the last report listed ends that are not confirmed yet."""
+
         self._failures = 0
         self._reported_ms = -SAME_LIFE_MS
         self.leases_end_ms = 0
@@ -95,11 +99,13 @@
 
     async def run(self) -> None:
         """Asks for reports for as long as anything runs there or is to be confirmed."""
-        while not self._is_closed:
-            if self._is_idle():
-                self._woken = Deferred()
-                await self._woken
-                continue
+        await repeat(self._reactor, "worker session", self._step, lambda: self._is_closed)
+
+    async def _step(self) -> None:
+        if self._is_idle():
+            self._woken = Deferred()
+            await self._woken
+        else:
             await self._ask()
 
     def _is_idle(self) -> bool:
@@ -109,19 +115,17 @@
             and not (
                 self._worker.placements
                 or self._worker.unknown_use.accelerators
-                or self._pending_ends
+                or self._has_pending_ends
             )
         )
 
-    _pending_ends = False
-
     async def _ask(self) -> None:
         if not self._owner.may_act:
             await sleep(self._reactor, RETRY_INTERVAL_MS)
             return
         asked_ms = self._clock.now_ms
         until_ms = self.lease_until_ms() if self._failures == 0 else None
-        wait_ms = WAIT_MS if until_ms is not None and not self._pending_ends else 0
+        wait_ms = WAIT_MS if until_ms is not None and not self._has_pending_ends else 0
         if until_ms is not None:
             self.note_lease_sent()
         is_fresh = asked_ms - self._reported_ms < SAME_LIFE_MS
@@ -187,14 +191,14 @@
             )
         self._owner.after_report()
         if report.ended:
-            self._pending_ends = True
+            self._has_pending_ends = True
             highest = max(ended.number for ended in report.ended)
             kept = self._owner.writer.flushed()
             kept.addCallback(lambda _: self._confirm(report.life, highest))
             timeout = sleep(self._reactor, KEEP_TIMEOUT_MS)
             await _first(kept, timeout)
         else:
-            self._pending_ends = False
+            self._has_pending_ends = False
 
     def _confirm(self, life: int, number: int) -> None:
         if life == self._confirmed_life:
--- a/src/jujubehall/services/timing.py
+++ b/src/jujubehall/services/timing.py
@@ -5,20 +5,29 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import structlog
+
 from twisted.internet.defer import Deferred
 
 from jujubehall.clock import to_seconds
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Coroutine
     from collections.abc import Iterable
     from random import Random
 
     from jujubehall.clock import Reactor
 
+AFTER_ERROR_MS = 500
+"""Keeps a loop that fails at once each time from taking the whole processor."""
+
 FIRST_BACK_OFF_MS = 100
 MAX_BACK_OFF_MS = 5_000
 
+log = structlog.get_logger()
+
 
 def sleep(reactor: Reactor, duration_ms: int) -> Deferred[None]:
     """Waits ``duration_ms`` milliseconds of the reactor's time."""
@@ -37,6 +46,24 @@
     return [await each for each in [start(coroutine) for coroutine in coroutines]]
 
 
+async def repeat(
+    reactor: Reactor,
+    name: str,
+    step: Callable[[], Awaitable[None]],
+    is_over: Callable[[], bool],
+) -> None:
+    """Runs ``step`` again and again until ``is_over``; an exception is logged and survived.
+
+    A loop that died with the first unforeseen error would leave its work undone for ever.
+    """
+    while not is_over():
+        try:
+            await step()
+        except Exception as error:
+            log.error("loop failed", loop=name, error=repr(error))
+            await sleep(reactor, AFTER_ERROR_MS)
+
+
 class BackOff:
     """Exponential back-off with full jitter, so that the end of an outage is no stampede."""
 
--- /dev/null
+++ b/tests/platform/adapter/test_decoders.py
@@ -0,0 +1,107 @@
+"""Whatever a peer sends, decoding it ends in a value or a failure and in nothing else."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from result import Err
+from result import Ok
+
+from jujubehall.core.fleet.reports import EndKind
+from jujubehall.core.fleet.requests import JobRequest
+from jujubehall.core.fleet.requests import find_request_fault
+from jujubehall.http.client import Response
+from jujubehall.identifiers import WorkerName
+from jujubehall.platform.adapter import wire
+from jujubehall.platform.adapter.directory import StoreDirectory
+from jujubehall.platform.adapter.front import _to_request
+from jujubehall.platform.adapter.store import _check
+from jujubehall.platform.adapter.workers import decode_report
+from jujubehall.platform.site_store import Revision
+from jujubehall.platform.site_store import StoredItem
+
+NAMES = st.sampled_from(
+    [
+        "spec",
+        "steps",
+        "count",
+        "cpu",
+        "after",
+        "running",
+        "finished",
+        "clockMs",
+        "born",
+        "version",
+        "routes",
+        "tenants",
+        "name",
+        "items",
+        "atRev",
+        "events",
+        "service",
+        "state",
+        "capacity",
+    ]
+)
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**70), 2**70) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(NAMES, inner, max_size=5),
+    max_leaves=12,
+)
+CONTENTS = st.binary(max_size=40) | VALUES.map(msgspec.json.encode)
+
+fuzz = settings(derandomize=True, max_examples=300, deadline=None)
+
+
+@fuzz
+@given(CONTENTS)
+def test_submissions(content: bytes) -> None:
+    try:
+        request = _to_request(msgspec.json.decode(content, type=wire.Submission))
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return
+    assert isinstance(request, JobRequest)
+    find_request_fault(request)
+
+
+@fuzz
+@given(CONTENTS)
+def test_configurations_and_worker_entries(content: bytes) -> None:
+    directory = StoreDirectory(None)  # type: ignore[arg-type]
+    directory.decode_configuration(content)
+    directory._to_worker(StoredItem("servers/i-1", content, Revision(1)))
+
+
+ROWS = st.lists(
+    st.lists(st.sampled_from(["a.0.0.0", "done", "", 1, -1, None]) | VALUES, max_size=6)
+)
+
+
+@fuzz
+@given(ROWS, ROWS)
+def test_reports(running: list[object], finished: list[object]) -> None:
+    content = msgspec.json.encode(
+        {"clockMs": 1, "born": 1, "running": running, "finished": finished}
+    )
+    report = decode_report(WorkerName("i-1"), Response(200, content))
+    assert isinstance(report, Ok | Err)
+
+
+def test_a_report_with_and_without_the_load_of_a_run() -> None:
+    content = (
+        b'{"clockMs":7,"born":5,"running":[["a.0.1.2",3,"c",41],["a.0.1.3",3,"c",41,900]],'
+        b'"finished":[[1,"a.0.0.0",2,"lapsed","c"]]}'
+    )
+    report = decode_report(WorkerName("i-1"), Response(200, content)).unwrap()
+    assert [each.load for each in report.running] == [0, 900]
+    assert report.ended[0].kind is EndKind.LEASE_LAPSED
+
+
+@fuzz
+@given(CONTENTS, st.sampled_from([200, 404, 410, 429, 503, 700]))
+def test_answers_of_the_store(content: bytes, status: int) -> None:
+    for type_ in (wire.Item, wire.Range, wire.Events, wire.Committed, wire.LeaseGranted):
+        _check("read", Response(status, content), type_)
--- /dev/null
+++ b/tests/services/fleet/test_observed_store.py
@@ -0,0 +1,25 @@
+"""The store is noticed as lost and regained, once each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from jujubehall.testing.virtual.fleet.store import Path
+
+if TYPE_CHECKING:
+    from jujubehall.testing.virtual.fleet.site import VirtualFleet
+
+
+def test_an_outage_is_logged_once_at_its_begin_and_at_its_end(site: VirtualFleet) -> None:
+    host = next(each for each in site.hosts if each is not site.owner)
+    with structlog.testing.capture_logs() as logs:
+        site.set_store_path(Path.BUSY)
+        site.run(3.0)
+        assert host.host.store.is_lost
+        site.set_store_path(Path.SOUND)
+        site.run(3.0)
+        assert not host.host.store.is_lost
+    events = [each["event"] for each in logs if each["event"].startswith("store ")]
+    assert events.count("store lost") == events.count("store regained") <= len(site.hosts)
