Take the owner's word on the configuration only from a question on; probe a lost store

Found by reading: heartbeats held up by a cut arrive seconds late, and their claim that the configuration was current then let an entry host accept revoked keys for a moment. Hosts now ask the owner, and count from their question; a heartbeat only says that there is something newer. Also found: after one failed write an entry host relayed all its writes for ever, since nothing tried the store from there again; a lost store is now probed each 500 ms. The answers to peers stand in a module of their own, and configuration listeners no longer pile up with each term.

--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -17,9 +17,12 @@
 from jujubehall.services.fleet.latencies import Latencies
 from jujubehall.services.fleet.observed_store import ObservedStore
 from jujubehall.services.fleet.ownership import Ownership
+from jujubehall.services.fleet.peer_answers import PeerAnswers
 from jujubehall.services.fleet.peers import Peers
+from jujubehall.services.fleet.records import OWNER_KEY
 from jujubehall.services.fleet.records import host_key
 from jujubehall.services.fleet.site_owner import SiteOwner
+from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 
@@ -38,6 +41,7 @@
     from jujubehall.platform.site_store import SiteWorkers
     from jujubehall.services.fleet.ownership import Term
 
+PROBE_INTERVAL_MS = 500
 ANNOUNCE_RETRY_MS = 300
 ANNOUNCE_TIMEOUT_MS = 1_000
 
@@ -93,13 +97,21 @@
         self._owner: SiteOwner | None = None
         self._is_stopping = False
         self.configuration = ConfigurationFollower(reactor, clock, self._directory)
-        records = JobRecords(self.store)
-        self.peers = Peers(
-            reactor, clock, peers.mesh, member, self.store, self.configuration, records
-        )
+        records = JobRecords(clock, self.store)
+        self.peers = Peers(reactor, clock, peers.mesh, member, self.configuration)
+        self.configuration.ask_owner_by(self.peers.ask_configuration)
         self.ownership = Ownership(reactor, clock, self.store, member, random)
         self.ownership.on_change(self._begin_term, self._end_term)
         self.peers.attach(self.ownership)
+        PeerAnswers(
+            reactor,
+            peers.mesh,
+            self.peers,
+            self.ownership,
+            self.store,
+            self.configuration,
+            records,
+        )
         self.configuration.read_store_while(lambda: self._owner is not None)
         self.configuration.on_change(self._configure)
         self.submissions = Latencies()
@@ -129,6 +141,7 @@
         start(self.configuration.run())
         start(self.ownership.run())
         start(self._announce())
+        start(repeat(self._reactor, "store probe", self._probe, lambda: False))
 
     async def stop(self) -> None:
         """Hands the ownership over; calls are still answered."""
@@ -166,6 +179,12 @@
         if self._owner is not None:
             self._owner.configure(configuration)
 
+    async def _probe(self) -> None:
+        """Asks a store that is lost; else only the owner might notice that it is back."""
+        if self.store.is_lost:
+            await self.store.get(OWNER_KEY)
+        await sleep(self._reactor, PROBE_INTERVAL_MS)
+
     async def _announce(self) -> None:
         """Writes this entry host to the store, where the owner finds it."""
         announced = Write(host_key(self._member.name), msgspec.json.encode(self._member))
--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -124,14 +124,12 @@
 class SiteHeartbeat(msgspec.Struct, frozen=True, tag="site-heartbeat"):
     """Sent by the owner of the site to every entry host.
 
-    ``configuration_age_ms`` is how long ago the owner last knew that no later configuration than
-    ``configuration_version`` was in force.
+    It may arrive late, after a cut, so it proves nothing about how current anything is.
     """
 
     owner: Member
     token: FencingToken
     configuration_version: int
-    configuration_age_ms: int
     members: tuple[Member, ...] = ()
     is_resigning: bool = False
     """The owner gives the site up; whoever hears this may take over at once."""
@@ -181,7 +179,12 @@
 
 
 class SiteConfigurationWanted(msgspec.Struct, frozen=True, tag="site-configuration-wanted"):
-    """Asks an entry host for the site's configuration and for how current it is there."""
+    """Asks the owner for the site's configuration and for how current it is there.
+
+    The content is left out of the answer if its version is ``known``.
+    """
+
+    known: int = 0
 
 
 class SiteConfigurationOffered(msgspec.Struct, frozen=True, tag="site-configuration-offered"):
--- a/src/jujubehall/services/fleet/configuration_follower.py
+++ b/src/jujubehall/services/fleet/configuration_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import structlog
@@ -11,13 +13,13 @@
 from jujubehall.platform.site_store import ABSENT
 from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
+from jujubehall.services.timing import start
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.configuration import SiteConfiguration
+    from jujubehall.entry_hosts.messages import SiteConfigurationOffered
     from jujubehall.platform.site_store import ConfigurationRead
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteDirectory
@@ -25,12 +27,15 @@
 WATCH_WAIT_MS = 1_000
 """Each return of the watch proves that the configuration is current."""
 
-RELAYED_AGE_MS = 1_500
-"""While the owner's heartbeats show a younger configuration than this, the store isn't asked."""
+REFRESH_AGE_MS = 1_000
+"""A copy of this age is refreshed; with the owner's own age it stays under half of the time in
+which a revoked key must go out of use."""
 
 IDLE_INTERVAL_MS = 200
 RETRY_INTERVAL_MS = 200
 
+AskOwner = Callable[[int], Awaitable["SiteConfigurationOffered | None"]]
+
 log = structlog.get_logger()
 
 
@@ -49,6 +54,7 @@
         self._content = b""
         self._revision: Revision = ABSENT
         self._current_at_ms: int | None = None
+        self._ask_owner: AskOwner | None = None
         self._must_read_store: Callable[[], bool] = lambda: False
         self._listeners: list[Callable[[SiteConfiguration], None]] = []
 
@@ -80,19 +86,13 @@
         """Has the store read by this entry host itself while ``condition`` holds."""
         self._must_read_store = condition
 
-    def confirm(self, version: int, age_ms: int) -> None:
-        """Notes that another entry host knew ``version`` to be the latest ``age_ms`` ago."""
-        if version <= self.version:
-            self._note_current(self._clock.now_ms - age_ms)
+    def ask_owner_by(self, ask: AskOwner) -> None:
+        """Sets how the owner of the site is asked for its configuration."""
+        self._ask_owner = ask
 
-    def offer(self, content: bytes, age_ms: int) -> None:
-        """Takes over a newer configuration from another entry host."""
-        decoded = self._directory.decode_configuration(content)
-        if isinstance(decoded, Err):
-            log.error("offered configuration ignored", failure=str(decoded.err_value))
-            return
-        self._apply(decoded.ok_value, content)
-        self.confirm(decoded.ok_value.version, age_ms)
+    def wake(self) -> None:
+        """Has the owner asked at once: it has a newer configuration."""
+        start(self._read_from_owner())
 
     async def run(self) -> None:
         """Follows the store until the process ends."""
@@ -100,11 +100,37 @@
 
     async def _follow(self) -> None:
         age_ms = self.age_ms
-        if age_ms is not None and age_ms < RELAYED_AGE_MS and not self._must_read_store():
+        if self._must_read_store():
+            is_read = await self._read()
+        elif age_ms is not None and age_ms < REFRESH_AGE_MS:
             await sleep(self._reactor, IDLE_INTERVAL_MS)
-        elif not await self._read():
+            return
+        else:
+            is_read = await self._read_from_owner() or await self._read()
+        if not is_read:
             await sleep(self._reactor, RETRY_INTERVAL_MS)
 
+    async def _read_from_owner(self) -> bool:
+        """Asks the owner, and takes its word only from the moment of the question on.
+
+        A message that the owner sent by itself might have been held up on its way.
+        """
+        if self._ask_owner is None:
+            return False
+        asked_ms = self._clock.now_ms
+        offered = await self._ask_owner(self.version)
+        if offered is None or offered.age_ms > REFRESH_AGE_MS + WATCH_WAIT_MS:
+            return False
+        if offered.content:
+            decoded = self._directory.decode_configuration(offered.content)
+            if isinstance(decoded, Err):
+                log.error("offered configuration ignored", failure=str(decoded.err_value))
+                return False
+            self._apply(decoded.ok_value, offered.content)
+        if offered.version == self.version:
+            self._note_current(asked_ms - offered.age_ms)
+        return offered.version == self.version
+
     async def _read(self) -> bool:
         asked_ms = self._clock.now_ms
         if self._revision == ABSENT:
--- a/src/jujubehall/services/fleet/job_records.py
+++ b/src/jujubehall/services/fleet/job_records.py
@@ -21,23 +21,31 @@
 from jujubehall.services.fleet.records import job_key
 from jujubehall.services.fleet.records import progress_key
 
+FAILURE_MEMORY_MS = 1_000
+"""After a failed write others are asked first for this long, or until the store is regained."""
+
 if TYPE_CHECKING:
+    from jujubehall.clock import Clock
     from jujubehall.errors import Failure
     from jujubehall.identifiers import JobId
-    from jujubehall.platform.site_store import SiteStore
+    from jujubehall.services.fleet.observed_store import ObservedStore
 
 
 class JobRecords:
     """The store's records of jobs, as entry hosts that don't own the site use them."""
 
-    def __init__(self, store: SiteStore) -> None:
+    def __init__(self, clock: Clock, store: ObservedStore) -> None:
+        self._clock = clock
         self._store = store
-        self._is_store_sound = True
+        self._failed_ms: int | None = None
 
     @property
     def is_store_sound(self) -> bool:
-        """Whether the last write that was tried here was answered."""
-        return self._is_store_sound
+        """Whether a write from here is likely to be answered."""
+        is_recent = (
+            self._failed_ms is not None and self._clock.now_ms - self._failed_ms < FAILURE_MEMORY_MS
+        )
+        return not (self._store.is_lost or is_recent)
 
     async def create(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
         """Creates a record unless it exists, in one attempt.
@@ -48,8 +56,8 @@
         written = await self._store.commit(
             [Precondition(key, ABSENT)], [Write(key, value)], [], timeout_ms
         )
-        self._is_store_sound = isinstance(written, Ok)
         if isinstance(written, Err):
+            self._failed_ms = self._clock.now_ms
             return StoreWriteSettled(False, written.err_value.may_have_taken_effect)
         # A conflict shows that it exists already, perhaps with other content.
         return StoreWriteSettled(True, False, not isinstance(written.ok_value, Conflict))
--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -51,7 +51,7 @@
 
 RETRY_INTERVAL_MS = 200
 ELECTION_JITTER_MS = 30
-CHECK_INTERVAL_MS = 50
+CHECK_INTERVAL_MS = 100
 CAMPAIGN_INTERVAL_MS = 250
 """How often an entry host without an owner looks for one; bounds the time without an owner."""
 
--- /dev/null
+++ b/src/jujubehall/services/fleet/peer_answers.py
@@ -0,0 +1,126 @@
+"""Answers the questions of the other entry hosts of a site."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+from twisted.internet.defer import TimeoutError
+
+from jujubehall.clock import to_seconds
+from jujubehall.entry_hosts.messages import IntakeKept
+from jujubehall.entry_hosts.messages import IntakeNoted
+from jujubehall.entry_hosts.messages import JobStateWanted
+from jujubehall.entry_hosts.messages import OwnerContactKnown
+from jujubehall.entry_hosts.messages import OwnerContactWanted
+from jujubehall.entry_hosts.messages import PendingKnown
+from jujubehall.entry_hosts.messages import PendingWanted
+from jujubehall.entry_hosts.messages import Refused
+from jujubehall.entry_hosts.messages import SiteConfigurationOffered
+from jujubehall.entry_hosts.messages import SiteConfigurationWanted
+from jujubehall.entry_hosts.messages import StoreContactKnown
+from jujubehall.entry_hosts.messages import StoreContactWanted
+from jujubehall.entry_hosts.messages import StoreWriteWanted
+from jujubehall.services.fleet.peers import CONTACT_TIMEOUT_MS
+from jujubehall.services.fleet.peers import known_state
+from jujubehall.services.fleet.records import OWNER_KEY
+from jujubehall.services.timing import start
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Reactor
+    from jujubehall.entry_hosts.mesh import Mesh
+    from jujubehall.entry_hosts.messages import Message
+    from jujubehall.identifiers import EntryHostName
+    from jujubehall.platform.site_store import SiteStore
+    from jujubehall.services.fleet.configuration_follower import ConfigurationFollower
+    from jujubehall.services.fleet.job_records import JobRecords
+    from jujubehall.services.fleet.ownership import Ownership
+    from jujubehall.services.fleet.peers import Peers
+    from jujubehall.services.fleet.site_owner import SiteOwner
+
+NEVER_MS = 10**9
+"""Said of an owner that was never heard of here."""
+
+
+class PeerAnswers:
+    """Answers as the owner of the site, and as a witness for elections."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        mesh: Mesh,
+        peers: Peers,
+        ownership: Ownership,
+        store: SiteStore,
+        configuration: ConfigurationFollower,
+        records: JobRecords,
+    ) -> None:
+        self._reactor: Any = reactor
+        self._peers = peers
+        self._ownership = ownership
+        self._store = store
+        self._configuration = configuration
+        self._records = records
+        mesh.register(SiteConfigurationWanted, self._on_configuration_wanted)
+        mesh.register(JobStateWanted, self._on_job_state_wanted)
+        mesh.register(PendingWanted, self._on_pending_wanted)
+        mesh.register(IntakeKept, self._on_intake_kept)
+        mesh.register(StoreWriteWanted, self._on_store_write_wanted)
+        mesh.register(OwnerContactWanted, self._on_owner_contact_wanted)
+        mesh.register(StoreContactWanted, self._on_store_contact_wanted)
+
+    @property
+    def _loaded_owner(self) -> SiteOwner | None:
+        owner = self._peers.owner
+        return owner if owner is not None and owner.is_loaded else None
+
+    async def _on_configuration_wanted(
+        self, sender: EntryHostName, wanted: SiteConfigurationWanted
+    ) -> Message:
+        age_ms = self._configuration.age_ms
+        if age_ms is None:
+            return Refused("no configuration here")
+        version = self._configuration.version
+        content = b"" if wanted.known == version else self._configuration.content
+        return SiteConfigurationOffered(version, age_ms, content)
+
+    async def _on_job_state_wanted(self, sender: EntryHostName, wanted: JobStateWanted) -> Message:
+        if (owner := self._loaded_owner) is None:
+            return Refused("not the owner")
+        return known_state(owner, wanted.job)
+
+    async def _on_pending_wanted(self, sender: EntryHostName, wanted: PendingWanted) -> Message:
+        if (owner := self._loaded_owner) is None:
+            return Refused("not the owner")
+        return PendingKnown(owner.book.pending(wanted.queue))
+
+    async def _on_intake_kept(self, sender: EntryHostName, kept: IntakeKept) -> Message:
+        if (owner := self._loaded_owner) is None:
+            return Refused("not the owner")
+        owner.note_intake(kept.key, kept.value)
+        return IntakeNoted()
+
+    async def _on_owner_contact_wanted(
+        self, sender: EntryHostName, wanted: OwnerContactWanted
+    ) -> Message:
+        if self._ownership.term is not None:
+            return OwnerContactKnown(0)
+        if self._ownership.highest_token < wanted.token:
+            return OwnerContactKnown(NEVER_MS)
+        return OwnerContactKnown(self._ownership.heard_ms_ago)
+
+    async def _on_store_contact_wanted(
+        self, sender: EntryHostName, wanted: StoreContactWanted
+    ) -> Message:
+        read = start(self._store.get(OWNER_KEY))
+        read.addTimeout(to_seconds(CONTACT_TIMEOUT_MS), self._reactor)
+        try:
+            return StoreContactKnown(not isinstance(await read, Err))
+        except TimeoutError:
+            return StoreContactKnown(False)
+
+    async def _on_store_write_wanted(
+        self, sender: EntryHostName, wanted: StoreWriteWanted
+    ) -> Message:
+        return await self._records.create(wanted.key, wanted.value, wanted.timeout_ms)
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -9,19 +9,15 @@
 import structlog
 
 from result import Err
-from twisted.internet.defer import TimeoutError
 
-from jujubehall.clock import to_seconds
 from jujubehall.core.jobs.job import JobState
 from jujubehall.entry_hosts.messages import IntakeKept
-from jujubehall.entry_hosts.messages import IntakeNoted
 from jujubehall.entry_hosts.messages import JobStateKnown
 from jujubehall.entry_hosts.messages import JobStateWanted
 from jujubehall.entry_hosts.messages import OwnerContactKnown
 from jujubehall.entry_hosts.messages import OwnerContactWanted
 from jujubehall.entry_hosts.messages import PendingKnown
 from jujubehall.entry_hosts.messages import PendingWanted
-from jujubehall.entry_hosts.messages import Refused
 from jujubehall.entry_hosts.messages import SiteConfigurationOffered
 from jujubehall.entry_hosts.messages import SiteConfigurationWanted
 from jujubehall.entry_hosts.messages import SiteHeartbeat
@@ -30,7 +26,6 @@
 from jujubehall.entry_hosts.messages import StoreContactWanted
 from jujubehall.entry_hosts.messages import StoreWriteSettled
 from jujubehall.entry_hosts.messages import StoreWriteWanted
-from jujubehall.services.fleet.records import OWNER_KEY
 from jujubehall.services.timing import gather
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -47,9 +42,7 @@
     from jujubehall.identifiers import Incarnation
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import QueueName
-    from jujubehall.platform.site_store import SiteStore
     from jujubehall.services.fleet.configuration_follower import ConfigurationFollower
-    from jujubehall.services.fleet.job_records import JobRecords
     from jujubehall.services.fleet.ownership import Ownership
     from jujubehall.services.fleet.site_owner import SiteOwner
 
@@ -83,7 +76,7 @@
 
 
 class Peers:
-    """The other entry hosts: heartbeats of the owner, questions to it, relayed writes."""
+    """The other entry hosts: heartbeats of the owner, and questions to them."""
 
     def __init__(
         self,
@@ -91,17 +84,13 @@
         clock: Clock,
         mesh: Mesh,
         member: Member,
-        store: SiteStore,
         configuration: ConfigurationFollower,
-        records: JobRecords,
     ) -> None:
         self._reactor: Any = reactor
         self._clock = clock
         self._mesh = mesh
         self._member = member
-        self._store = store
         self._configuration = configuration
-        self._records = records
         self._ownership: Ownership
         self._owner: SiteOwner | None = None
         self._owner_member: Member | None = None
@@ -110,13 +99,7 @@
         self._answered_ms: dict[EntryHostName, int] = {}
         self._told: dict[Incarnation, frozenset[Incarnation]] = {}
         mesh.register(SiteHeartbeat, self._on_heartbeat)
-        mesh.register(SiteConfigurationWanted, self._on_configuration_wanted)
-        mesh.register(JobStateWanted, self._on_job_state_wanted)
-        mesh.register(PendingWanted, self._on_pending_wanted)
-        mesh.register(StoreWriteWanted, self._on_store_write_wanted)
-        mesh.register(IntakeKept, self._on_intake_kept)
-        mesh.register(OwnerContactWanted, self._on_owner_contact_wanted)
-        mesh.register(StoreContactWanted, self._on_store_contact_wanted)
+        configuration.on_change(lambda _: self._beat_configuration())
 
     @property
     def owner(self) -> SiteOwner | None:
@@ -169,7 +152,6 @@
         self._owner = owner
         self._owner_member = None
         start(self._beat(owner))
-        self._configuration.on_change(lambda _: self._beat_now(owner))
 
     def end_term(self) -> None:
         """Ends the heartbeats."""
@@ -190,7 +172,7 @@
     async def job_state(self, job: JobId) -> JobStateKnown | None:
         """What the owner knows of a job; None if there is no answer."""
         if self._owner is not None and self._owner.is_loaded:
-            return self._job_state_here(self._owner, job)
+            return known_state(self._owner, job)
         return await self._ask_owner(JobStateWanted(job), JobStateKnown)
 
     async def pending(self, queue: QueueName) -> int | None:
@@ -239,6 +221,11 @@
                 self._beat_now(owner)
             await sleep(self._reactor, HEARTBEAT_INTERVAL_MS)
 
+    def _beat_configuration(self) -> None:
+        """Has the others learn of a newer configuration at once."""
+        if self._owner is not None:
+            self._beat_now(self._owner)
+
     def _beat_now(self, owner: SiteOwner, is_resigning: bool = False) -> None:
         if owner.is_closed:
             return
@@ -248,14 +235,12 @@
                 start(self._beat_to(owner, member, is_resigning))
 
     async def _beat_to(self, owner: SiteOwner, member: Member, is_resigning: bool = False) -> None:
-        age_ms = self._configuration.age_ms
         told = frozenset(each.incarnation for each in self._members.values())
         is_told = self._told.get(member.incarnation) == told
         heartbeat = SiteHeartbeat(
             self._member,
             owner.token,
             self._configuration.version,
-            NEVER_MS if age_ms is None else age_ms,
             () if is_told else tuple(self._members.values()),
             is_resigning,
         )
@@ -284,76 +269,19 @@
                 self.note_member(member)
             self._answered_ms[beat.owner.name] = self._clock.now_ms
         if beat.configuration_version > self._configuration.version:
-            start(self._fetch_configuration(beat.owner))
-        else:
-            # Only a sender with the same version shows that there was no later one.
-            if beat.configuration_version == self._configuration.version:
-                self._configuration.confirm(beat.configuration_version, beat.configuration_age_ms)
+            self._configuration.wake()
         return SiteHeartbeatAnswer(
             max(highest, self._ownership.highest_token), self._configuration.version
         )
 
-    async def _fetch_configuration(self, member: Member) -> None:
-        asked = await self._mesh.ask(member, SiteConfigurationWanted(), QUESTION_TIMEOUT_MS)
-        if not isinstance(asked, Err) and isinstance(asked.ok_value, SiteConfigurationOffered):
-            self._configuration.offer(asked.ok_value.content, asked.ok_value.age_ms)
-
-    async def _on_configuration_wanted(
-        self, sender: EntryHostName, wanted: SiteConfigurationWanted
-    ) -> Message:
-        age_ms = self._configuration.age_ms
-        if age_ms is None:
-            return Refused("no configuration here")
-        return SiteConfigurationOffered(
-            self._configuration.version, age_ms, self._configuration.content
-        )
+    async def ask_configuration(self, known: int) -> SiteConfigurationOffered | None:
+        """Asks the owner for its configuration; without content if it has version ``known``."""
+        return await self._ask_owner(SiteConfigurationWanted(known), SiteConfigurationOffered)
+
 
-    async def _on_job_state_wanted(self, sender: EntryHostName, wanted: JobStateWanted) -> Message:
-        if self._owner is None or not self._owner.is_loaded:
-            return Refused("not the owner")
-        return self._job_state_here(self._owner, wanted.job)
-
-    async def _on_pending_wanted(self, sender: EntryHostName, wanted: PendingWanted) -> Message:
-        if self._owner is None or not self._owner.is_loaded:
-            return Refused("not the owner")
-        return PendingKnown(self._owner.book.pending(wanted.queue))
-
-    async def _on_intake_kept(self, sender: EntryHostName, kept: IntakeKept) -> Message:
-        if self._owner is None:
-            return Refused("not the owner")
-        self._owner.note_intake(kept.key, kept.value)
-        return IntakeNoted()
-
-    async def _on_owner_contact_wanted(
-        self, sender: EntryHostName, wanted: OwnerContactWanted
-    ) -> Message:
-        if self._ownership.term is not None:
-            return OwnerContactKnown(0)
-        if self._ownership.highest_token < wanted.token:
-            return OwnerContactKnown(NEVER_MS)
-        return OwnerContactKnown(self._ownership.heard_ms_ago)
-
-    async def _on_store_contact_wanted(
-        self, sender: EntryHostName, wanted: StoreContactWanted
-    ) -> Message:
-        read = start(self._store.get(OWNER_KEY))
-        read.addTimeout(to_seconds(CONTACT_TIMEOUT_MS), self._reactor)
-        try:
-            return StoreContactKnown(not isinstance(await read, Err))
-        except TimeoutError:
-            return StoreContactKnown(False)
-
-    async def _on_store_write_wanted(
-        self, sender: EntryHostName, wanted: StoreWriteWanted
-    ) -> Message:
-        return await self._records.create(wanted.key, wanted.value, wanted.timeout_ms)
-
-    def _job_state_here(self, owner: SiteOwner, job_id: JobId) -> JobStateKnown:
-        job = owner.book.jobs.get(job_id)
-        if job is None:
-            return JobStateKnown(None)
-        return JobStateKnown(shown_state(job), job.accepted.queue)
-
-
-NEVER_MS = 10**9
-"""The age of a configuration that has never been known to be the latest."""
+def known_state(owner: SiteOwner, job_id: JobId) -> JobStateKnown:
+    """What the owner tells of a job."""
+    job = owner.book.jobs.get(job_id)
+    if job is None:
+        return JobStateKnown(None)
+    return JobStateKnown(shown_state(job), job.accepted.queue)
