Drop what nothing reads from the core, and count a victim's tasks once

Found on reading the whole change: a constant, two fields of a placement that were written and never read, a check that the loop after it makes needless, and a sum of equal needs taken one by one.

--- a/src/jujubehall/core/fleet/book.py
+++ b/src/jujubehall/core/fleet/book.py
@@ -145,8 +145,6 @@
 
     def _may_run_unseen(self, group: TaskGroup, now_ms: int) -> bool:
         """Whether a worker that has not reported yet may run it for an earlier owner."""
-        if not group.kept_workers:
-            return False
         for name in group.kept_workers:
             worker = self.workers.get(name)
             if worker is None or worker.has_reported:
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -58,8 +58,6 @@
 
         self.stop_confirmed_ms: int | None = None
         self.progress = RunProgress(started_ms, is_from_scratch)
-        self.percent = 100
-        self.load = 0
 
 
 class TaskGroup:
--- a/src/jujubehall/core/fleet/preempting.py
+++ b/src/jujubehall/core/fleet/preempting.py
@@ -7,7 +7,6 @@
 
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.placing import task_bound
-from jujubehall.core.fleet.resources import NOTHING
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import TaskGroup
@@ -107,9 +106,6 @@
             break
         extra.add(other)
         cost += loss_by_stopping(other, now_ms)
-        freed = NOTHING
-        for victim, _ in worker.placements:
-            if victim is other:
-                freed = freed + victim.counted_needs
-        staying = staying.minus(freed)
+        freed = sum(1 for victim, _ in worker.placements if victim is other)
+        staying = staying.minus(other.counted_needs.times(freed))
     return (cost, extra) if wanted.fits_in(capacity.minus(staying)) else None
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -23,8 +23,6 @@
 RETRY_AFTER_FAILURE_MS = 100
 """A group that failed waits this long, so that a broken worker doesn't use up its attempts."""
 
-UNKNOWN_RUN = 0
-
 
 class StrayRun(NamedTuple):
     """A run that a worker holds and that must not go on."""
@@ -193,8 +191,6 @@
     def _confirm(self, placement: Placement, running: RunningTask) -> None:
         placement.confirmed_ms = self._now_ms
         placement.progress.note(running.percent, self._now_ms)
-        placement.percent = running.percent
-        placement.load = running.load
         if placement.phase is Phase.STARTING:
             placement.phase = Phase.RUNNING
 
