--- /dev/null
+++ b/benchmarks/site_load/baseline.py
@@ -0,0 +1,42 @@
+"""The baseline: first come, first fit, without priorities, preemption or racks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jujubehall.core.fleet.decisions import StartGroup
+from jujubehall.core.fleet.placing import eligible_workers
+
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.book import FleetBook
+    from jujubehall.core.fleet.decisions import Decision
+    from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.workers import FleetWorker
+
+
+def decide_first_fit(book: FleetBook, now_ms: int) -> list[Decision]:
+    """Starts each waiting group, oldest first, on the first workers with room for all of it."""
+    decisions: list[Decision] = []
+    waiting = sorted(
+        book.waiting_groups(now_ms),
+        key=lambda group: (group.job.accepted_ms, group.job.id, group.key),
+    )
+    for group in waiting:
+        chosen = _first_fit(group, eligible_workers(group, book.workers.values(), now_ms))
+        if chosen is not None:
+            book.note_start(group, chosen, now_ms)
+            decisions.append(StartGroup(group, chosen))
+    return decisions
+
+
+def _first_fit(group: TaskGroup, workers: list[FleetWorker]) -> dict[int, FleetWorker] | None:
+    pending = list(group.indexes)
+    chosen: dict[int, FleetWorker] = {}
+    for worker in workers:
+        copies = group.counted_needs.copies_in(worker.free)
+        for index in pending[:copies]:
+            chosen[index] = worker
+        pending = pending[copies:]
+        if not pending:
+            return chosen
+    return None
--- /dev/null
+++ b/tests/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load tests."""
