Let rounds grow no faster than the site: keep what is free, batch equal tasks, look once at occupants

Cause: each group looked at every worker, and each urgent group worked out what occupies every worker anew, so that a round on 816 workers took seconds, longer than the owner's lease. Now free room is kept until it changes, equal single tasks are taken from a heap, what occupies a worker is worked out once a round, and rounds take at most a quarter of the time.

--- a/src/jujubehall/core/fleet/book.py
+++ b/src/jujubehall/core/fleet/book.py
@@ -111,9 +111,9 @@
                 fresh.append(known)
                 known.is_in_touch = False
                 known.leaves_ms = None
-                known.listed = entry
+                known.list_anew(entry)
             elif entry.life == known.listed.life:
-                known.listed = entry
+                known.list_anew(entry)
             known.is_listed = True
             if entry.leaves_in_ms is not None and known.leaves_ms is None:
                 known.leaves_ms = now_ms + entry.leaves_in_ms
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -150,15 +150,12 @@
         self.reserved_on = dict(chosen)
         self.reserved_until_ms = until_ms
         for worker in chosen.values():
-            present = worker.reserved.get(self)
-            worker.reserved[self] = (
-                self.counted_needs if present is None else present + self.counted_needs
-            )
+            worker.reserve(self, self.counted_needs)
 
     def release_reservation(self) -> None:
         """Gives up what was reserved."""
         for worker in self.reserved_on.values():
-            worker.reserved.pop(self, None)
+            worker.release(self)
         self.reserved_on = {}
         self.reserved_until_ms = 0
 
--- a/src/jujubehall/core/fleet/placing.py
+++ b/src/jujubehall/core/fleet/placing.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from jujubehall.core.fleet.best_fit import fit_of
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -12,10 +14,6 @@
     from jujubehall.identifiers import RackName
 
 
-SLOWNESS_STEPS = 2
-"""Workers are told apart by slowness in steps of a half; smaller differences are noise."""
-
-
 def eligible_workers(
     group: TaskGroup, workers: Iterable[FleetWorker], now_ms: int
 ) -> list[FleetWorker]:
@@ -75,6 +73,8 @@
     racks or put away from their data.
     """
     request = group.request
+    if len(group.indexes) == 1 and not request.data_rack:
+        return _fill(group, workers, now_ms)
     racks: dict[RackName, list[FleetWorker]] = {}
     for worker in workers:
         racks.setdefault(worker.listed.rack, []).append(worker)
@@ -82,17 +82,15 @@
         near = _fill(group, racks.get(request.data_rack, []), now_ms)
         if near is not None or not may_go_far:
             return near
-    if len(group.indexes) == 1 or request.prefers_one_rack:
+    if request.prefers_one_rack:
         candidates = [
             (_free_accelerators(rack), name, chosen)
             for name, rack in racks.items()
             if (chosen := _fill(group, rack, now_ms)) is not None
         ]
         if candidates:
-            if len(group.indexes) == 1:
-                return _fill(group, workers, now_ms)
             return min(candidates, key=lambda each: each[:2])[2]
-        if request.prefers_one_rack and not may_go_far:
+        if not may_go_far:
             return None
     return _fill(group, workers, now_ms)
 
@@ -111,21 +109,13 @@
         free = worker.free_for(group)
         copies = min(needs.copies_in(free), task_bound(group, worker))
         if copies > 0:
-            rooms.append(
-                (
-                    round(worker.slowness(now_ms) * SLOWNESS_STEPS),
-                    free.accelerators,
-                    free.millicores,
-                    copies,
-                    worker,
-                )
-            )
-    if sum(room[3] for room in rooms) < len(group.indexes):
+            rooms.append((fit_of(worker, free, now_ms), copies, worker))
+    if sum(copies for _, copies, _ in rooms) < len(group.indexes):
         return None
-    rooms.sort(key=lambda room: (room[:3], room[4].name))
+    rooms.sort(key=lambda room: room[0])
     chosen: dict[int, FleetWorker] = {}
     pending = list(group.indexes)
-    for *_, copies, worker in rooms:
+    for _, copies, worker in rooms:
         for index in pending[:copies]:
             chosen[index] = worker
         pending = pending[copies:]
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -70,7 +70,7 @@
             stray_group = self._apply_running(running)
             if stray_group is not None:
                 unknown = unknown + stray_group.counted_needs
-        self._worker.unknown_use = unknown
+        self._worker.note_unknown_use(unknown)
         self._drop_missing(listed)
         judge_worker(self._worker, self._now_ms)
         self._worker.has_reported = True
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from jujubehall.core.fleet.best_fit import BestFit
 from jujubehall.core.fleet.decisions import Decision
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.decisions import StopReason
 from jujubehall.core.fleet.placing import eligible_workers
 from jujubehall.core.fleet.placing import place
-from jujubehall.core.fleet.preempting import find_room
+from jujubehall.core.fleet.preempting import RoomFinder
 from jujubehall.core.fleet.preempting import loss_by_stopping
 from jujubehall.core.fleet.priorities import DEFERRABLE
 from jujubehall.core.fleet.priorities import MOST_URGENT
@@ -18,6 +19,8 @@
 from jujubehall.core.fleet.rescue import should_leave
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from jujubehall.core.fleet.book import FleetBook
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.resources import Resources
@@ -58,6 +61,12 @@
         """Accelerators to be kept free, less those that urgent groups of this round have taken."""
 
         self._eligible: dict[tuple[object, ...], list[FleetWorker]] = {}
+        self._sound: dict[tuple[object, ...], list[FleetWorker]] = {}
+        self._free_sums: dict[tuple[object, ...], tuple[int, int]] = {}
+        """Free accelerators of the sound workers, with the number of decisions before."""
+
+        self._best_fits: dict[tuple[object, ...], BestFit] = {}
+        self._finder = RoomFinder(now_ms)
 
     def run(self) -> list[Decision]:
         """The decisions, in the order in which they are to be carried out."""
@@ -88,6 +97,7 @@
 
     def _stop(self, group: TaskGroup, reason: StopReason) -> None:
         self._book.note_stop(group)
+        self._finder.forget(group)
         self._decisions.append(self._stop_decision(group, reason))
 
     def _stop_decision(
@@ -129,7 +139,7 @@
         if not self._leaves_headroom(group, sound):
             self._steps_without_room.add(self._step_key(group))
             return
-        if self._place(group, sound, may_go_far=False):
+        if self._place_sound(group, sound):
             return
         if group.job.priority == MOST_URGENT and not group.reserved_on:
             self._preempt(group, sound)
@@ -188,13 +198,41 @@
 
         The longer it has waited, the less it leaves: work must not starve.
         """
+        if not self._headroom:
+            return True
         if group.job.priority < DEFERRABLE or group.request.saves_checkpoints:
             return True
         patience_ms = max(1, group.request.expected_ms)
         share = max(0.0, 1 - self._waited_ms(group) / patience_ms)
         wanted = group.counted_needs.accelerators * len(group.indexes)
-        free = sum(worker.free.accelerators for worker in workers)
-        return free - wanted >= self._headroom * share
+        return self._free_accelerators(group, workers) - wanted >= self._headroom * share
+
+    def _free_accelerators(self, group: TaskGroup, workers: list[FleetWorker]) -> int:
+        key = self._workers_key(group)
+        if key is None or group.failed_on:
+            return sum(worker.free.accelerators for worker in workers)
+        known = self._free_sums.get(key)
+        if known is None or known[0] != len(self._decisions):
+            free = sum(worker.free.accelerators for worker in workers)
+            known = self._free_sums[key] = (len(self._decisions), free)
+        return known[1]
+
+    def _place_sound(self, group: TaskGroup, sound: list[FleetWorker]) -> bool:
+        """Places the group on sound workers, near its data if it has any."""
+        request = group.request
+        key = self._workers_key(group)
+        is_plain = len(group.indexes) == 1 and not (
+            request.data_rack or request.tasks_per_worker or group.failed_on or group.reserved_on
+        )
+        if key is None or not is_plain:
+            return self._place(group, sound, may_go_far=False)
+        if key not in self._best_fits:
+            self._best_fits[key] = BestFit(group.counted_needs, sound, self._now_ms)
+        worker = self._best_fits[key].find()
+        if worker is None:
+            return False
+        self._start(group, {group.indexes.start: worker})
+        return True
 
     def _place(self, group: TaskGroup, workers: list[FleetWorker], may_go_far: bool) -> bool:
         chosen = place(group, workers, self._now_ms, may_go_far)
@@ -205,25 +243,39 @@
 
     def _sound_workers(self, group: TaskGroup) -> list[FleetWorker]:
         """The workers for the group, without those that are slow or on which it has failed."""
-        return [
-            each
-            for each in self._accepting_workers(group)
-            if each.name not in group.failed_on and not each.is_troubled(self._now_ms)
-        ]
+        key = self._workers_key(group)
+        if key is None or key not in self._sound:
+            accepting = self._accepting_workers(group)
+            sound = [each for each in accepting if not each.is_troubled(self._now_ms)]
+            if key is not None:
+                self._sound[key] = sound
+        else:
+            sound = self._sound[key]
+        if group.failed_on:
+            return [each for each in sound if each.name not in group.failed_on]
+        return sound
 
     def _accepting_workers(self, group: TaskGroup) -> list[FleetWorker]:
-        request = group.request
-        pool = group.job.queue.pool if group.job.queue is not None else None
-        key: tuple[object, ...] = (pool, request.required_label, request.needs)
-        if request.is_filler or request.target_latency_ms:
-            # What is started in this round may make a worker unfit for the next.
+        key = self._workers_key(group)
+        if key is None:
             return eligible_workers(group, self._book.workers.values(), self._now_ms)
-        if group.job.queue is not None and group.job.queue.asks_for_advice:
-            key += (group.job.id, group.occurrence, group.step)
         if key not in self._eligible:
             self._eligible[key] = eligible_workers(group, self._book.workers.values(), self._now_ms)
         return self._eligible[key]
 
+    def _workers_key(self, group: TaskGroup) -> tuple[object, ...] | None:
+        """Names what decides on which workers a group may run; None if that changes in a round."""
+        request = group.request
+        queue = group.job.queue
+        if request.is_filler or request.target_latency_ms:
+            # What is started in this round may make a worker unfit for the next.
+            return None
+        key: tuple[object, ...] = (queue.pool if queue is not None else None,)
+        key += (request.required_label, request.needs)
+        if queue is not None and queue.asks_for_advice:
+            key += (group.job.id, group.occurrence, group.step)
+        return key
+
     def _may_go_far(self, group: TaskGroup) -> bool:
         if group.job.priority == MOST_URGENT:
             return True
@@ -237,30 +289,44 @@
         """Starts a group whose reserved room has become free; True if it must look anew."""
         usable = all(worker in workers for worker in group.reserved_on.values())
         if usable and all(
-            worker.reserved[group].fits_in(worker.free_for(group))
+            worker.reserved_for(group).fits_in(worker.free_for(group))
             for worker in group.reserved_on.values()
         ):
             self._start(group, group.reserved_on)
             return False
         if usable and self._now_ms < group.reserved_until_ms:
             return False
-        group.release_reservation()
+        self._release_reservation(group)
         return True
 
     def _start(self, group: TaskGroup, chosen: dict[int, FleetWorker]) -> None:
-        group.release_reservation()
+        self._release_reservation(group)
         self._book.note_start(group, chosen, self._now_ms)
+        self._finder.forget(group)
+        self._note_changed(chosen.values())
         self._decisions.append(StartGroup(group, dict(chosen)))
 
+    def _release_reservation(self, group: TaskGroup) -> None:
+        workers = list(group.reserved_on.values())
+        group.release_reservation()
+        self._note_changed(workers)
+
+    def _note_changed(self, workers: Iterable[FleetWorker]) -> None:
+        for worker in set(workers):
+            for best_fit in self._best_fits.values():
+                best_fit.note_change(worker)
+
     def _preempt(self, group: TaskGroup, workers: list[FleetWorker]) -> None:
-        room = find_room(group, workers, self._now_ms)
+        room = self._finder.find(group, workers)
         if room is None:
             return
         group.reserve(room.workers, self._now_ms + RESERVATION_MS)
+        self._note_changed(room.workers.values())
         for victim in sorted(room.victims, key=lambda each: (each.job.id, each.key)):
             if victim not in self._stopped:
                 self._stopped.add(victim)
                 self._book.note_stop(victim)
+                self._finder.forget(victim)
                 self._decisions.append(
                     self._stop_decision(victim, StopReason.PREEMPTED, group.job.id)
                 )
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -46,7 +46,7 @@
     def __init__(self, listed: ListedWorker) -> None:
         self.listed = listed
         self.placements: dict[tuple[TaskGroup, int], Placement] = {}
-        self.reserved: dict[TaskGroup, Resources] = {}
+        self._reserved: dict[TaskGroup, Resources] = {}
         self.is_listed = True
         self.is_in_touch = False
         """Whether its last report is recent; nothing is started on a worker out of touch."""
@@ -58,15 +58,16 @@
         """Whether a later owner would know of this worker."""
 
         self.avoid_until_ms = 0
-        self.unknown_use: Resources = NOTHING
-        """What tasks take that it runs and the scheduler does not know."""
-
+        self._unknown_use: Resources = NOTHING
         self.record = WorkerRecord()
         self.has_reported = False
         self.earlier_leases_end_ms = 0
         """Until its first report, runs of an earlier owner may go on here up to this time."""
 
-        self.used: Resources = NOTHING
+        self._used: Resources = NOTHING
+        self._free: Resources | None = None
+        """Kept between changes: a round asks for it once a group and worker."""
+
         self._slowness = 1.0
         self._is_standing = False
         self._judged_until_ms = 0
@@ -94,21 +95,60 @@
         self._is_standing = is_standing
         self._judged_until_ms = until_ms
 
+    @property
+    def unknown_use(self) -> Resources:
+        """What tasks take that it runs and the scheduler does not know."""
+        return self._unknown_use
+
     @property
     def free(self) -> Resources:
         """What is neither in use nor reserved."""
-        taken = self.used + self.unknown_use
-        for amount in self.reserved.values():
-            taken = taken + amount
-        return self.listed.capacity.minus(taken)
+        if self._free is None:
+            taken = self._used + self._unknown_use
+            for amount in self._reserved.values():
+                taken = taken + amount
+            self._free = self.listed.capacity.minus(taken)
+        return self._free
 
     def free_for(self, group: TaskGroup) -> Resources:
         """What ``group`` may use: what is free and what is reserved for it."""
-        taken = self.used + self.unknown_use
-        for owner, amount in self.reserved.items():
+        if group not in self._reserved:
+            return self.free
+        return self.listed.capacity.minus(
+            self._used + self._unknown_use + self.reserved_for_others(group)
+        )
+
+    def reserved_for(self, group: TaskGroup) -> Resources:
+        """What is reserved for ``group``."""
+        return self._reserved.get(group, NOTHING)
+
+    def reserved_for_others(self, group: TaskGroup) -> Resources:
+        """What is reserved for other groups than ``group``."""
+        taken = NOTHING
+        for owner, amount in self._reserved.items():
             if owner is not group:
                 taken = taken + amount
-        return self.listed.capacity.minus(taken)
+        return taken
+
+    def list_anew(self, listed: ListedWorker) -> None:
+        """Notes what the worker says of itself now."""
+        self.listed = listed
+        self._free = None
+
+    def note_unknown_use(self, amount: Resources) -> None:
+        """Notes what tasks take that it runs and the scheduler does not know."""
+        self._unknown_use = amount
+        self._free = None
+
+    def reserve(self, group: TaskGroup, amount: Resources) -> None:
+        """Keeps room for one more task of ``group``."""
+        self._reserved[group] = self.reserved_for(group) + amount
+        self._free = None
+
+    def release(self, group: TaskGroup) -> None:
+        """Gives up what is reserved for ``group``."""
+        self._reserved.pop(group, None)
+        self._free = None
 
     def accepts_work(self, now_ms: int) -> bool:
         """Whether new tasks may be started here."""
@@ -124,9 +164,11 @@
     def add(self, group: TaskGroup, index: int, placement: Placement) -> None:
         """Notes that a task may run here from now on."""
         self.placements[group, index] = placement
-        self.used = self.used + group.counted_needs
+        self._used = self._used + group.counted_needs
+        self._free = None
 
     def remove(self, group: TaskGroup, index: int) -> None:
         """Notes that a task no longer runs here."""
         if self.placements.pop((group, index), None) is not None:
-            self.used = self.used.minus(group.counted_needs)
+            self._used = self._used.minus(group.counted_needs)
+            self._free = None
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -52,6 +52,10 @@
 ROUND_DELAY_MS = 5
 """Events that arrive together share a round."""
 
+ROUND_SHARE = 0.25
+"""Rounds take at most about this share of the time: on a site of 816 workers one takes about
+0.1 s, and the reports of the workers must be taken in between them."""
+
 ROUND_INTERVAL_MS = 200
 """Rounds without an event, for what waits for time to pass."""
 
@@ -94,6 +98,7 @@
         self._keep_ended_ms = keep_ended_ms
         self._sessions: dict[WorkerName, WorkerSession] = {}
         self._is_round_due = False
+        self._round_took_ms = 0
         self._forgotten_ms = 0
         self._elected_ms = clock.now_ms
         self._intake = Intake(self, reactor, store)
@@ -208,7 +213,9 @@
         self._advisor.poke()
         if not self._is_round_due:
             self._is_round_due = True
-            self._reactor.callLater(to_seconds(ROUND_DELAY_MS), self._round)
+            pause_ms = round(self._round_took_ms * (1 / ROUND_SHARE - 1))
+            delay_ms = max(ROUND_DELAY_MS, min(pause_ms, ROUND_INTERVAL_MS))
+            self._reactor.callLater(to_seconds(delay_ms), self._round)
 
     def verify_ownership(self) -> None:
         """Gives the term up after a peer has shown that there is a later owner."""
@@ -231,7 +238,9 @@
         self._is_round_due = False
         if not self.may_act:
             return
-        decisions = self.book.decide(self._clock.now_ms)
+        began_ms = self._clock.now_ms
+        decisions = self.book.decide(began_ms)
+        self._round_took_ms = self._clock.now_ms - began_ms
         starts = [each for each in decisions if isinstance(each, StartGroup)]
         for decision in decisions:
             if isinstance(decision, StopGroup):
