Let urgent groups wait for work that ends by itself instead of stopping other work

An urgent group now compares stopping at once with waiting, for at most half of the time that it has to spare and 1.2 s, until runs end by themselves as their progress predicts; what the group would do meanwhile counts twice against what is thrown away. A run that is overdue is not waited for again.

--- a/src/jujubehall/console/job_history.py
+++ b/src/jujubehall/console/job_history.py
@@ -110,6 +110,15 @@
     )
 
 
+@describes("group waits")
+def _waits(event: dict[str, Any]) -> str:
+    workers = ", ".join(event.get("workers", []))
+    return (
+        f"group {event.get('group')} waits for room on {workers}, where other work is expected to "
+        f"end in {event.get('expected_wait_ms')} ms"
+    )
+
+
 @describes("group stops")
 def _stops(event: dict[str, Any]) -> str:
     by = f" for job {event['by']}" if event.get("by") else ""
--- a/src/jujubehall/core/fleet/decisions.py
+++ b/src/jujubehall/core/fleet/decisions.py
@@ -38,4 +38,12 @@
     """What this throws away, an accelerator counted as eight cores."""
 
 
-Decision = StartGroup | StopGroup
+class AwaitRoom(NamedTuple):
+    """Keep room for a group on workers where other work ends by itself in ``wait_ms``."""
+
+    group: TaskGroup
+    workers: dict[int, FleetWorker]
+    wait_ms: int
+
+
+Decision = StartGroup | StopGroup | AwaitRoom
--- a/src/jujubehall/core/fleet/progress.py
+++ b/src/jujubehall/core/fleet/progress.py
@@ -43,12 +43,11 @@
         """What the whole run would take at the highest speed that it has had."""
         return self._best_ms
 
-    @property
-    def remaining_ms(self) -> float | None:
-        """What is left at the speed of the last sample."""
+    def remaining_ms(self, now_ms: int) -> float | None:
+        """What is left at the speed of the last sample; None before one."""
         if self._recent_ms is None:
             return None
-        return self._recent_ms * (WHOLE - self._percent) / WHOLE
+        return self._recent_ms * (WHOLE - self._percent) / WHOLE - (now_ms - self._sampled_ms)
 
     @property
     def standing_ms(self) -> int:
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from jujubehall.core.fleet.best_fit import BestFit
+from jujubehall.core.fleet.decisions import AwaitRoom
 from jujubehall.core.fleet.decisions import Decision
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
@@ -320,7 +321,11 @@
         room = self._finder.find(group, workers)
         if room is None:
             return
-        group.reserve(room.workers, self._now_ms + RESERVATION_MS)
+        for_ms = RESERVATION_MS
+        if room.wait_ms and not room.victims:
+            for_ms = round(room.wait_ms)
+            self._decisions.append(AwaitRoom(group, room.workers, for_ms))
+        group.reserve(room.workers, self._now_ms + for_ms)
         self._note_changed(room.workers.values())
         for victim in sorted(room.victims, key=lambda each: (each.job.id, each.key)):
             if victim not in self._stopped:
--- a/src/jujubehall/services/fleet/orders.py
+++ b/src/jujubehall/services/fleet/orders.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.decisions import AwaitRoom
     from jujubehall.core.fleet.decisions import StopGroup
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
@@ -65,6 +66,18 @@
             workers=[each.worker.name for each in group.placements.values()],
         )
 
+    def log_wait(self, decision: AwaitRoom) -> None:
+        """Logs that a group waits for work that ends by itself."""
+        group = decision.group
+        log.info(
+            "group waits",
+            job=group.job.id,
+            group=group.key,
+            expected_wait_ms=decision.wait_ms,
+            waited_ms=self._clock.now_ms - (group.ready_since_ms or 0),
+            workers=sorted({each.name for each in decision.workers.values()}),
+        )
+
     def send_starts(self, group: TaskGroup) -> None:
         """Starts a group whose placement is kept, unless it has been stopped meanwhile."""
         if not all(each.phase is Phase.STARTING for each in group.placements.values()):
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -10,6 +10,7 @@
 
 from jujubehall.clock import to_seconds
 from jujubehall.core.fleet.book import FleetBook
+from jujubehall.core.fleet.decisions import AwaitRoom
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.platform.site_store import Precondition
@@ -245,6 +246,8 @@
         for decision in decisions:
             if isinstance(decision, StopGroup):
                 self.orders.log_stop(decision)
+            elif isinstance(decision, AwaitRoom):
+                self.orders.log_wait(decision)
         self.orders.send_stops()
         if starts:
             # A successor must know where a run may be, so that is kept before the run is started.
--- a/tests/core/fleet/test_rounds.py
+++ b/tests/core/fleet/test_rounds.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from jujubehall.core.fleet.configuration import SiteConfiguration
+from jujubehall.core.fleet.decisions import AwaitRoom
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.reports import EndKind
+from jujubehall.core.fleet.reports import RunningTask
 from jujubehall.core.fleet.requests import AcceptedJob
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.identifiers import JobId
@@ -16,6 +20,9 @@
 from tests.core.fleet.fleet_book import SmallSite
 from tests.core.fleet.fleet_book import step
 
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.groups import TaskGroup
+
 
 def test_a_gang_is_started_whole_in_one_rack() -> None:
     site = SmallSite()
@@ -79,6 +86,54 @@
     assert stop.group.job.id == "saved"
 
 
+def report_progress(site: SmallSite, group: TaskGroup, percent: int) -> None:
+    """Has the worker of a single task report it."""
+    (placement,) = group.placements.values()
+    running = RunningTask(group.task(group.indexes.start), placement.run, percent=percent)
+    site.report(int(placement.worker.name[1:]), (running,))
+
+
+def test_urgent_work_waits_for_work_that_ends_soon_instead_of_stopping_other_work() -> None:
+    site = SmallSite(workers=2)
+    site.submit("old", step(needs=EIGHT_GPUS, expected_ms=10_000), queue=OVERNIGHT)
+    (old,) = site.started()
+    site.now_ms += 4_500
+    site.submit("young", step(needs=EIGHT_GPUS, expected_ms=10_000), queue=OVERNIGHT)
+    site.started()
+    site.now_ms += 4_500
+    report_progress(site, old, 94)
+    site.submit("now", step(needs=EIGHT_GPUS, expected_ms=2_500), queue=URGENT)
+    (wait,) = site.decide()
+    assert isinstance(wait, AwaitRoom)
+    site.now_ms += 550
+    site.end(old, EndKind.DONE)
+    assert [group.job.id for group in site.started()] == ["now"]
+
+
+def test_urgent_work_does_not_wait_longer_than_half_of_its_time_to_spare() -> None:
+    site = SmallSite(workers=1)
+    site.submit("old", step(needs=EIGHT_GPUS, expected_ms=10_000), queue=OVERNIGHT)
+    (old,) = site.started()
+    site.now_ms += 9_000
+    report_progress(site, old, 90)
+    site.submit("now", step(needs=EIGHT_GPUS, expected_ms=1_000), queue=URGENT)
+    (stop,) = site.decide()
+    assert stop.group is old
+
+
+def test_urgent_work_stops_what_has_not_ended_when_it_should_have() -> None:
+    site = SmallSite(workers=1)
+    site.submit("old", step(needs=EIGHT_GPUS, expected_ms=10_000), queue=OVERNIGHT)
+    (old,) = site.started()
+    site.now_ms += 9_500
+    report_progress(site, old, 95)
+    site.submit("now", step(needs=EIGHT_GPUS, expected_ms=2_500), queue=URGENT)
+    (wait,) = site.decide()
+    assert isinstance(wait, AwaitRoom)
+    (stop,) = site.decide(after_ms=wait.wait_ms)
+    assert stop.group is old
+
+
 def test_the_same_room_is_not_promised_to_two_urgent_groups() -> None:
     site = SmallSite(workers=2)
     site.submit("a", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
