Carry out the operators' waves of upkeep

The owner follows the waves, closes as many machines for new work as may be down at once, lets their work end or moves it from checkpoints, and takes them down once they are empty; work is only stopped if the wave would be late otherwise, and a service never below its bound on absences. Each order is kept in the store before it is given, and orders without an answer count as down and are repeated, so that the next owner carries on. Calls to the cloud carry the owner's fencing token; a new owner waits 3.5 s before its first order.

--- a/src/jujubehall/core/fleet/decisions.py
+++ b/src/jujubehall/core/fleet/decisions.py
@@ -24,6 +24,9 @@
 
     PREEMPTED = "preempted"
     WORKER_LEAVES = "worker-leaves"
+    UPKEEP = "upkeep"
+    """Its worker's machine is to be taken down."""
+
     TOO_SLOW = "too-slow"
     """It would end sooner if it were started again elsewhere."""
 
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -51,6 +51,9 @@
         self.is_in_touch = False
         """Whether its last report is recent; nothing is started on a worker out of touch."""
 
+        self.is_vacating = False
+        """Whether its machine is to be taken down for upkeep."""
+
         self.leaves_ms: int | None = None
         """When a draining worker leaves at the earliest, on the scheduler's clock."""
 
@@ -95,6 +98,11 @@
         self._is_standing = is_standing
         self._judged_until_ms = until_ms
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing runs there, as far as is known, or may be running."""
+        return not self.placements and self._unknown_use == NOTHING and self.has_reported
+
     @property
     def unknown_use(self) -> Resources:
         """What tasks take that it runs and the scheduler does not know."""
@@ -157,6 +165,7 @@
             and self.is_registered
             and self.is_in_touch
             and not self.listed.is_draining
+            and not self.is_vacating
             and self.avoid_until_ms <= now_ms
             and self.record.avoid_until_ms <= now_ms
         )
--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -22,6 +22,7 @@
 from jujubehall.services.fleet.records import OWNER_KEY
 from jujubehall.services.fleet.records import host_key
 from jujubehall.services.fleet.site_owner import SiteOwner
+from jujubehall.services.fleet.upkeep import UpkeepPeers
 from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -35,6 +36,8 @@
     from jujubehall.core.fleet.configuration import SiteConfiguration
     from jujubehall.core.ownership.record import Member
     from jujubehall.entry_hosts.mesh import Mesh
+    from jujubehall.platform.site_machines import SiteMachines
+    from jujubehall.platform.site_machines import SiteWaves
     from jujubehall.platform.site_store import SiteAdvice
     from jujubehall.platform.site_store import SiteDirectory
     from jujubehall.platform.site_store import SiteStore
@@ -56,6 +59,9 @@
     workers: SiteWorkers
     mesh: Mesh
     advice: SiteAdvice | None = None
+    make_waves: Callable[[SiteStore], SiteWaves] | None = None
+    machines: SiteMachines | None = None
+    """Waves of upkeep are only carried out with both of them."""
 
 
 class SiteBounds(NamedTuple):
@@ -93,6 +99,11 @@
         self._directory = peers.make_directory(self.store)
         self._workers = peers.workers
         self._advice = peers.advice
+        self._upkeep_peers = (
+            UpkeepPeers(peers.make_waves(self.store), peers.machines, member.name)
+            if peers.make_waves is not None and peers.machines is not None
+            else None
+        )
         self._bounds = bounds
         self._owner: SiteOwner | None = None
         self._is_stopping = False
@@ -162,6 +173,7 @@
             term,
             self._bounds.longest_lease_ms,
             self._bounds.keep_ended_ms,
+            self._upkeep_peers,
         )
         self._owner = owner
         if self.configuration.current is not None:
--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -27,10 +27,12 @@
 from jujubehall.http.site import LimitedSite
 from jujubehall.identifiers import Incarnation
 from jujubehall.platform.adapter.advice import AdviceClient
+from jujubehall.platform.adapter.cloud import CloudClient
 from jujubehall.platform.adapter.directory import StoreDirectory
 from jujubehall.platform.adapter.front import FrontResource
 from jujubehall.platform.adapter.front import ReadinessResource
 from jujubehall.platform.adapter.store import StoreClient
+from jujubehall.platform.adapter.waves import StoreWaves
 from jujubehall.platform.adapter.workers import WorkerOrders
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -156,6 +158,8 @@
             WorkerOrders(reactor),
             mesh,
             AdviceClient(reactor, settings.advice) if settings.advice else None,
+            StoreWaves,
+            CloudClient(reactor, settings.cloud.address) if settings.cloud.address else None,
         ),
         _to_bounds(settings),
         random,
--- a/src/jujubehall/identifiers.py
+++ b/src/jujubehall/identifiers.py
@@ -40,3 +40,9 @@
 
 FencingToken = NewType("FencingToken", int)
 """Drawn from the store at each election; peers refuse orders under a lower one."""
+
+MachineName = NewType("MachineName", str)
+"""Names the hardware that a worker runs on; a worker is one life of its machine."""
+
+WaveNumber = NewType("WaveNumber", int)
+"""Names a wave of upkeep that the operators have asked for."""
--- a/src/jujubehall/platform/adapter/settings.py
+++ b/src/jujubehall/platform/adapter/settings.py
@@ -53,6 +53,12 @@
     address: str
 
 
+class CloudAddress(msgspec.Struct, frozen=True):
+    """Where the cloud is that runs the machines of the workers; empty if there is none."""
+
+    address: str = ""
+
+
 class SiteSettings(msgspec.Struct, frozen=True):
     """What a process needs of the platform's settings."""
 
@@ -63,6 +69,7 @@
     listen: ListenAddresses
     store: StoreAddress = field(name="platform")
     bounds: Bounds = Bounds()
+    cloud: CloudAddress = CloudAddress()
     advice: str = ""
     """Address of the service that says which workers may run a step; empty if there is none."""
 
--- /dev/null
+++ b/src/jujubehall/platform/adapter/waves.py
@@ -0,0 +1,69 @@
+"""The operators' waves of upkeep in the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from jujubehall.clock import MS_PER_SECOND
+from jujubehall.core.upkeep.wave import Wave
+from jujubehall.identifiers import MachineName
+from jujubehall.identifiers import WaveNumber
+from jujubehall.platform.adapter import wire
+from jujubehall.platform.site_machines import Waves
+from jujubehall.platform.site_store import Write
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from jujubehall.errors import Failure
+    from jujubehall.platform.site_store import Revision
+    from jujubehall.platform.site_store import SiteStore
+    from jujubehall.platform.site_store import StoredItem
+    from jujubehall.platform.site_store import StoredItems
+
+WAVES_PREFIX = "op/wave/"
+STATUS_PREFIX = "status/wave/"
+
+log = structlog.get_logger()
+
+
+class StoreWaves:
+    """Implements ``SiteWaves`` over the store."""
+
+    def __init__(self, store: SiteStore) -> None:
+        self._store = store
+
+    async def list_waves(self) -> Result[Waves, Failure]:
+        """Reads all waves; those that can't be read are left out."""
+        return (await self._store.list_items(WAVES_PREFIX)).map(_to_waves)
+
+    async def wait_for_waves(self, after: Revision, wait_ms: int) -> Result[Waves, Failure]:
+        """Waits for waves written later than ``after``."""
+        return (await self._store.watch(WAVES_PREFIX, after, wait_ms)).map(_to_waves)
+
+    def status_write(self, wave: WaveNumber, is_done: bool) -> Write:
+        """What tells the operators how far a wave is."""
+        status = wire.WaveStatus("succeeded" if is_done else "running")
+        return Write(f"{STATUS_PREFIX}{wave}", msgspec.json.encode(status))
+
+
+def _to_waves(found: StoredItems) -> Waves:
+    waves = [_to_wave(item) for item in found.items if not item.is_deleted]
+    return Waves([wave for wave in waves if wave is not None], found.revision)
+
+
+def _to_wave(item: StoredItem) -> Wave | None:
+    try:
+        written = msgspec.json.decode(item.value, type=wire.Wave)
+    except msgspec.DecodeError as error:
+        log.warning("wave ignored", key=item.key, error=str(error))
+        return None
+    return Wave(
+        WaveNumber(written.number),
+        tuple(MachineName(name) for name in written.machines),
+        round(written.duration_s * MS_PER_SECOND),
+        max(1, written.most_down),
+    )
--- a/src/jujubehall/platform/adapter/wire.py
+++ b/src/jujubehall/platform/adapter/wire.py
@@ -251,3 +251,43 @@
     """A worker's refusal."""
 
     reason: str = ""
+
+
+class Wave(msgspec.Struct, frozen=True):
+    """A wave of upkeep that the operators ask for."""
+
+    number: int = field(name="wave")
+    machines: list[str]
+    duration_s: float = field(name="durationS")
+    """The time for all machines together, not for one."""
+
+    most_down: int = field(name="maximum")
+
+
+class WaveStatus(msgspec.Struct, frozen=True):
+    """How far a wave is."""
+
+    state: str
+
+
+class MachineEntry(msgspec.Struct, frozen=True):
+    """A machine in the cloud's list."""
+
+    machine: str
+    state: str = ""
+    worker: str | None = field(name="id", default=None)
+    """The worker that is its present life, not the machine itself."""
+
+
+class Machines(msgspec.Struct, frozen=True):
+    """One page of machines."""
+
+    machines: list[MachineEntry]
+    next_token: str | None = field(name="nextToken", default=None)
+
+
+class MachineUpkeep(msgspec.Struct, frozen=True):
+    """An order to take a machine down."""
+
+    machine: str
+    wave: int
--- a/src/jujubehall/services/fleet/records.py
+++ b/src/jujubehall/services/fleet/records.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from jujubehall.identifiers import EntryHostName
     from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import WaveNumber
 
 OWNER_KEY = "jujubehall/owner"
 INTAKE_PREFIX = "jujubehall/intake/"
@@ -23,6 +24,7 @@
 HOST_PREFIX = INTAKE_PREFIX + "host/"
 WORKERS_KEY = "jujubehall/workers"
 PROGRESS_PREFIX = "jujubehall/progress/"
+WAVE_PREFIX = "jujubehall/wave/"
 
 log = structlog.get_logger()
 
@@ -55,6 +57,11 @@
     return HOST_PREFIX + host
 
 
+def wave_key(wave: WaveNumber) -> str:
+    """Where the owner keeps the progress of a wave of upkeep."""
+    return f"{WAVE_PREFIX}{wave}"
+
+
 def decode_record(key: str, value: bytes, type_: type[Any]) -> Any:
     """Decodes a record; None, with a log line, for one that can't be read."""
     try:
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -24,6 +24,7 @@
 from jujubehall.services.fleet.records import cancellation_key
 from jujubehall.services.fleet.records import job_key
 from jujubehall.services.fleet.records import progress_key
+from jujubehall.services.fleet.upkeep import Upkeep
 from jujubehall.services.fleet.worker_register import WorkerRegister
 from jujubehall.services.fleet.worker_session import CLOCK_DRIFT
 from jujubehall.services.fleet.worker_session import WorkerSession
@@ -49,6 +50,7 @@
     from jujubehall.services.fleet.ownership import Ownership
     from jujubehall.services.fleet.ownership import Term
     from jujubehall.services.fleet.peers import Peers
+    from jujubehall.services.fleet.upkeep import UpkeepPeers
 
 ROUND_DELAY_MS = 5
 """Events that arrive together share a round."""
@@ -87,6 +89,7 @@
         term: Term,
         longest_lease_ms: int,
         keep_ended_ms: int,
+        upkeep_peers: UpkeepPeers | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -109,6 +112,11 @@
         self.book = FleetBook()
         self.orders = Orders(self, reactor, clock)
         self._advisor = Advisor(self, clock, advice)
+        self._upkeep = (
+            Upkeep(self, reactor, clock, wall_clock, store, upkeep_peers, term)
+            if upkeep_peers is not None
+            else None
+        )
         self.starts = Latencies()
         self.is_closed = False
         self.is_loaded = False
@@ -179,6 +187,8 @@
         self.is_loaded = True
         log.info("took over", jobs=len(self.book.jobs), token=self.token)
         start(self._intake.run())
+        if self._upkeep is not None:
+            start(self._upkeep.run())
         self._forgotten_ms = self._clock.now_ms
         for name, step in (("workers", self._follow_workers), ("rounds", self._tick)):
             start(repeat(self._reactor, name, step, lambda: self.is_closed))
--- /dev/null
+++ b/src/jujubehall/services/fleet/upkeep.py
@@ -0,0 +1,265 @@
+"""Carries out the operators' waves of upkeep during one term of the owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import msgspec
+import structlog
+
+from result import Err
+
+from jujubehall.core.fleet.decisions import StopGroup
+from jujubehall.core.fleet.decisions import StopReason
+from jujubehall.core.fleet.preempting import loss_by_stopping
+from jujubehall.core.fleet.rounds import MILLICORE_MS_PER_CORE_S
+from jujubehall.core.upkeep.wave import BegunUpkeep
+from jujubehall.core.upkeep.wave import WaveProgress
+from jujubehall.core.upkeep.wave_plan import plan_wave
+from jujubehall.errors import FailureKind
+from jujubehall.platform.site_machines import UpkeepRefusal
+from jujubehall.platform.site_store import ABSENT
+from jujubehall.platform.site_store import Conflict
+from jujubehall.platform.site_store import Precondition
+from jujubehall.platform.site_store import Write
+from jujubehall.services.fleet.records import OWNER_KEY
+from jujubehall.services.fleet.records import decode_record
+from jujubehall.services.fleet.records import wave_key
+from jujubehall.services.timing import repeat
+from jujubehall.services.timing import sleep
+from jujubehall.services.timing import start
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.upkeep.wave import Machine
+    from jujubehall.core.upkeep.wave import Wave
+    from jujubehall.core.upkeep.wave_plan import PlannedUpkeep
+    from jujubehall.identifiers import EntryHostName
+    from jujubehall.identifiers import WaveNumber
+    from jujubehall.identifiers import WorkerName
+    from jujubehall.platform.site_machines import SiteMachines
+    from jujubehall.platform.site_machines import SiteWaves
+    from jujubehall.platform.site_store import Revision
+    from jujubehall.platform.site_store import SiteStore
+    from jujubehall.services.fleet.ownership import Term
+    from jujubehall.services.fleet.site_owner import SiteOwner
+
+WATCH_WAIT_MS = 30_000
+"""The store's limit; nothing else tells of a new wave."""
+
+STEP_INTERVAL_MS = 500
+"""Between two looks at the machines of a wave, which the platform prices."""
+
+RETRY_INTERVAL_MS = 500
+COMMIT_TIMEOUT_MS = 1_000
+HAND_OVER_MS = 3_500
+"""An owner orders nothing this long after its election: two owners must not take turns on one
+machine within the platform's 3 s, and the earlier one may have given its last order just then."""
+
+log = structlog.get_logger()
+
+
+class UpkeepPeers(NamedTuple):
+    """What waves need besides the store and the workers."""
+
+    waves: SiteWaves
+    machines: SiteMachines
+    holder: EntryHostName
+    """Under this name orders are given to the cloud."""
+
+
+class Upkeep:
+    """Follows the waves; each order is kept in the store before it is given."""
+
+    def __init__(
+        self,
+        owner: SiteOwner,
+        reactor: Reactor,
+        clock: Clock,
+        wall_clock: Clock,
+        store: SiteStore,
+        peers: UpkeepPeers,
+        term: Term,
+    ) -> None:
+        self._owner = owner
+        self._reactor = reactor
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._store = store
+        self._peers = peers
+        self._term = term
+        self._elected_ms = clock.now_ms
+        self._after: Revision | None = None
+        self._waves: dict[WaveNumber, Wave] = {}
+        self._progress: dict[WaveNumber, WaveProgress] = {}
+        self._vacating: dict[WaveNumber, set[WorkerName]] = {}
+        self._revisions: dict[WaveNumber, Revision] = {}
+
+    async def run(self) -> None:
+        """Follows and carries out waves until the term ends."""
+        start(repeat(self._reactor, "waves", self._follow, lambda: self._owner.is_closed))
+        await repeat(self._reactor, "upkeep", self._step, lambda: self._owner.is_closed)
+
+    async def _follow(self) -> None:
+        found = (
+            await self._peers.waves.list_waves()
+            if self._after is None
+            else await self._peers.waves.wait_for_waves(self._after, WATCH_WAIT_MS)
+        )
+        if isinstance(found, Err):
+            log.info("waves not read", failure=str(found.err_value))
+            if found.err_value.kind is FailureKind.NOT_FOUND:
+                self._after = None
+            await sleep(self._reactor, RETRY_INTERVAL_MS)
+            return
+        self._after = found.ok_value.revision
+        for wave in found.ok_value.waves:
+            self._waves[wave.number] = wave
+
+    async def _step(self) -> None:
+        for wave in list(self._waves.values()) if self._owner.may_act else ():
+            if not await self._load(wave):
+                continue
+            if self._progress[wave.number].is_done:
+                del self._waves[wave.number]
+                self._vacate(wave, set())
+            else:
+                await self._carry_on(wave)
+        await sleep(self._reactor, STEP_INTERVAL_MS)
+
+    async def _load(self, wave: Wave) -> bool:
+        """Reads what earlier owners kept, or notes that the wave is known from now on."""
+        if wave.number in self._progress:
+            return True
+        found = await self._store.get(wave_key(wave.number))
+        if isinstance(found, Err):
+            log.info("wave not loaded", wave=wave.number, failure=str(found.err_value))
+            return False
+        item = found.ok_value
+        kept = decode_record(item.key, item.value, WaveProgress) if item is not None else None
+        self._revisions[wave.number] = item.revision if item is not None else ABSENT
+        if kept is not None:
+            self._progress[wave.number] = kept
+            return True
+        log.info(
+            "wave begins",
+            wave=wave.number,
+            machines=len(wave.machines),
+            duration_ms=wave.duration_ms,
+            most_down=wave.most_down,
+        )
+        return await self._keep(wave, WaveProgress(self._wall_clock.now_ms))
+
+    async def _carry_on(self, wave: Wave) -> None:
+        listed = await self._peers.machines.list_machines()
+        if isinstance(listed, Err):
+            log.warning("machines not listed", wave=wave.number, failure=str(listed.err_value))
+            return
+        if not self._owner.may_act:
+            return
+        plan = self._plan(wave, listed.ok_value)
+        if plan.is_done:
+            log.info("wave complete", wave=wave.number)
+            progress = msgspec.structs.replace(self._progress[wave.number], is_done=True)
+            await self._keep(wave, progress)
+            return
+        self._vacate(wave, plan.vacating)
+        for group in plan.stops:
+            self._stop(group)
+        self._owner.orders.send_stops()
+        if self._clock.now_ms - self._elected_ms < HAND_OVER_MS:
+            return
+        for begun in plan.repeat:
+            await self._order(wave, begun)
+        for machine in plan.begin:
+            begun = BegunUpkeep(machine.name, machine.worker, self._life(machine))
+            progress = self._progress[wave.number]
+            if await self._keep(
+                wave, msgspec.structs.replace(progress, begun=(*progress.begun, begun))
+            ):
+                await self._order(wave, begun)
+
+    def _plan(self, wave: Wave, listed: list[Machine]) -> PlannedUpkeep:
+        progress = self._progress[wave.number]
+        elapsed_ms = self._wall_clock.now_ms - progress.first_seen_unix_ms
+        left_ms = wave.duration_ms - elapsed_ms
+        return plan_wave(wave, progress, listed, self._owner.book, self._clock.now_ms, left_ms)
+
+    def _life(self, machine: Machine) -> int:
+        worker = self._owner.book.workers.get(machine.worker) if machine.worker else None
+        return worker.listed.life if worker is not None else 0
+
+    def _vacate(self, wave: Wave, names: set[WorkerName]) -> None:
+        self._vacating[wave.number] = names
+        vacating = set().union(*self._vacating.values())
+        for worker in self._owner.book.workers.values():
+            if worker.is_vacating != (worker.name in vacating):
+                worker.is_vacating = worker.name in vacating
+                log.info(
+                    "worker closed for upkeep" if worker.is_vacating else "worker open again",
+                    worker=worker.name,
+                    wave=wave.number,
+                )
+
+    def _stop(self, group: TaskGroup) -> None:
+        lost_core_s = loss_by_stopping(group, self._clock.now_ms) // MILLICORE_MS_PER_CORE_S
+        self._owner.orders.log_stop(StopGroup(group, StopReason.UPKEEP, None, lost_core_s))
+        self._owner.book.note_stop(group)
+
+    async def _order(self, wave: Wave, begun: BegunUpkeep) -> None:
+        if not self._owner.may_act:
+            return
+        answered = await self._peers.machines.begin_upkeep(
+            begun.machine, wave.number, self._peers.holder, self._term.token
+        )
+        outcome = "begun" if not isinstance(answered, Err) else str(answered.err_value)
+        log.info("upkeep ordered", wave=wave.number, machine=begun.machine, outcome=outcome)
+        if not isinstance(answered, Err):
+            await self._settle(wave, begun, is_confirmed=True)
+        elif answered.err_value is UpkeepRefusal.FENCED:
+            self._owner.verify_ownership()
+        elif answered.err_value in (UpkeepRefusal.NOT_IN_WAVE, UpkeepRefusal.NO_SUCH_MACHINE):
+            # The operators have changed the wave or taken the machine away: nothing is left to do.
+            await self._settle(wave, begun, is_confirmed=True)
+
+    async def _settle(self, wave: Wave, begun: BegunUpkeep, is_confirmed: bool) -> None:
+        progress = self._progress[wave.number]
+        settled = tuple(
+            (
+                msgspec.structs.replace(each, is_confirmed=is_confirmed)
+                if each.machine == begun.machine
+                else each
+            )
+            for each in progress.begun
+        )
+        await self._keep(wave, msgspec.structs.replace(progress, begun=settled))
+
+    async def _keep(self, wave: Wave, progress: WaveProgress) -> bool:
+        """Writes the progress and what the operators are told, under the fence of the owner's."""
+        key = wave_key(wave.number)
+        outcome = await self._store.commit(
+            [
+                Precondition(OWNER_KEY, self._term.owner_revision),
+                Precondition(key, self._revisions[wave.number]),
+            ],
+            [
+                Write(key, msgspec.json.encode(progress)),
+                self._peers.waves.status_write(wave.number, progress.is_done),
+            ],
+            [],
+            COMMIT_TIMEOUT_MS,
+        )
+        if isinstance(outcome, Err):
+            log.warning("wave not kept", wave=wave.number, failure=str(outcome.err_value))
+            # It may have been kept: the next step reads what is there.
+            self._progress.pop(wave.number, None)
+            return False
+        if isinstance(outcome.ok_value, Conflict):
+            self._progress.pop(wave.number, None)
+            return False
+        self._revisions[wave.number] = outcome.ok_value
+        self._progress[wave.number] = progress
+        return True
--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -26,6 +26,10 @@
 from jujubehall.platform.site_store import Write
 from jujubehall.services.fleet.admission import Answer
 from jujubehall.services.fleet.admission import CallerCall
+from jujubehall.testing.virtual.fleet.cloud import VirtualCloud
+from jujubehall.testing.virtual.fleet.cloud import VirtualMachines
+from jujubehall.testing.virtual.fleet.cloud import VirtualWaves
+from jujubehall.testing.virtual.fleet.cloud import wave_write
 from jujubehall.testing.virtual.fleet.store import Path
 from jujubehall.testing.virtual.fleet.store import RevisionedStore
 from jujubehall.testing.virtual.fleet.store import VirtualStore
@@ -46,6 +50,7 @@
     from jujubehall.core.fleet.requests import JobRequest
     from jujubehall.core.fleet.requests import StepRequest
     from jujubehall.core.fleet.workers import ListedWorker
+    from jujubehall.core.upkeep.wave import Wave
     from jujubehall.identifiers import JobId
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteStore
@@ -105,6 +110,7 @@
         self.reactor = HostReactor(site.time)
         self.store = VirtualStore(self.reactor, site.store, site.random)
         self.workers = VirtualWorkers(self.reactor, site.workers, site.random)
+        self.machines = VirtualMachines(self.reactor, site.cloud)
         member = Member(
             self.name,
             Incarnation(f"{name}/{incarnation}"),
@@ -120,7 +126,14 @@
             clock,
             clock,
             member,
-            SitePeers(self.store, lambda store: VirtualDirectory(site, store), self.workers, mesh),
+            SitePeers(
+                self.store,
+                lambda store: VirtualDirectory(site, store),
+                self.workers,
+                mesh,
+                make_waves=VirtualWaves,
+                machines=self.machines,
+            ),
             SiteBounds(LONGEST_LEASE_MS, 120_000, 4_000),
             site.random,
         )
@@ -156,6 +169,7 @@
             each.name: VirtualWorker(each, self.time, self.ledger, self._find_step, gang_runs)
             for each in listed
         }
+        self.cloud = VirtualCloud(self.time, self.workers)
         self.configure(configuration)
         self._incarnations = 0
         self.hosts: list[VirtualHost] = []
@@ -177,6 +191,11 @@
         self.configurations[configuration.version] = configuration
         self.store.commit([], [Write(CONFIGURATION_KEY, str(configuration.version).encode())], [])
 
+    def ask_for_wave(self, wave: Wave) -> None:
+        """Has the operators ask for a wave of upkeep."""
+        self.cloud.waves[wave.number] = wave
+        self.store.commit([], [wave_write(wave)], [])
+
     def run(self, seconds: float) -> None:
         """Lets time pass."""
         end = self.time.seconds() + seconds
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -38,6 +38,9 @@
 
 LATENCY_MS = 1
 ORDER_TIMEOUT_MS = 700
+SERVICE_START_MS = 300
+"""After this time a task that runs until it is cancelled is at work."""
+
 STOP_MS = 300
 GANG_WAIT_MS = 3_000
 LONGEST_LEASE_MS = 6_000
@@ -251,6 +254,8 @@
         return str(int(run.checkpoint or 0) + self.now_ms - run.started_ms)
 
     def _percent(self, run: _Run) -> int:
+        if run.step.runs_until_cancelled:
+            return 100 if self.now_ms - run.started_ms >= SERVICE_START_MS else 0
         duration_ms = max(1, run.done_ms - run.started_ms)
         return min(100, 100 * (self.now_ms - run.started_ms) // duration_ms)
 
--- /dev/null
+++ b/tests/core/upkeep/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the upkeep of machines."""
--- /dev/null
+++ b/tests/core/upkeep/test_wave_plan.py
@@ -0,0 +1,140 @@
+"""Which machines of a wave go down next, and what leaves them before."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from jujubehall.core.fleet.reports import RunningTask
+from jujubehall.core.upkeep.wave import BegunUpkeep
+from jujubehall.core.upkeep.wave import Machine
+from jujubehall.core.upkeep.wave import MachineState
+from jujubehall.core.upkeep.wave import Wave
+from jujubehall.core.upkeep.wave import WaveProgress
+from jujubehall.core.upkeep.wave_plan import plan_wave
+from jujubehall.identifiers import MachineName
+from jujubehall.identifiers import WaveNumber
+from jujubehall.identifiers import WorkerName
+from tests.core.fleet.fleet_book import EIGHT_GPUS
+from tests.core.fleet.fleet_book import OVERNIGHT
+from tests.core.fleet.fleet_book import SmallSite
+from tests.core.fleet.fleet_book import step
+
+if TYPE_CHECKING:
+    from jujubehall.core.upkeep.wave_plan import PlannedUpkeep
+
+LONG_MS = 600_000
+FIRST = BegunUpkeep(MachineName("m0"), WorkerName("w0"), life=1)
+
+
+def plan(
+    site: SmallSite,
+    begun: tuple[BegunUpkeep, ...] = (),
+    states: dict[int, MachineState] | None = None,
+    most_down: int = 1,
+    left_ms: int = LONG_MS,
+) -> PlannedUpkeep:
+    """Plans a wave over all machines of a site."""
+    count = len(site.listed)
+    wave = Wave(
+        WaveNumber(1),
+        tuple(MachineName(f"m{number}") for number in range(count)),
+        LONG_MS,
+        most_down,
+    )
+    machines = [
+        Machine(
+            MachineName(f"m{number}"),
+            (states or {}).get(number, MachineState.UP),
+            WorkerName(f"w{number}"),
+        )
+        for number in range(count)
+    ]
+    return plan_wave(wave, WaveProgress(0, begun), machines, site.book, site.now_ms, left_ms)
+
+
+def names(machines: list[Any]) -> list[str]:
+    return [machine.name for machine in machines]
+
+
+def test_no_more_machines_than_allowed_go_down() -> None:
+    site = SmallSite(workers=4)
+    assert names(plan(site, most_down=2).begin) == ["m0", "m1"]
+    states = {0: MachineState.IN_UPKEEP}
+    confirmed = msgspec.structs.replace(FIRST, is_confirmed=True)
+    assert names(plan(site, (confirmed,), states, most_down=2).begin) == ["m1"]
+
+
+def test_an_order_without_an_answer_counts_as_down_and_is_repeated() -> None:
+    planned = plan(SmallSite(workers=2), (FIRST,))
+    assert planned.begin == []
+    assert planned.repeat == [FIRST]
+    assert planned.vacating == {"w0"}
+
+
+def test_an_order_is_not_repeated_while_it_would_end_work() -> None:
+    site = SmallSite(workers=1)
+    site.submit("job", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
+    site.started()
+    planned = plan(site, (FIRST,))
+    assert planned.repeat == []
+    assert len(planned.stops) == 1
+
+
+def test_a_machine_is_back_in_the_next_life_of_its_worker() -> None:
+    site = SmallSite(workers=2)
+    confirmed = msgspec.structs.replace(FIRST, is_confirmed=True)
+    assert plan(site, (confirmed,)).begin == []
+    site.worker(0).list_anew(msgspec.structs.replace(site.worker(0).listed, life=2))
+    assert names(plan(site, (confirmed,)).begin) == ["m1"]
+
+
+def test_work_without_checkpoints_ends_by_itself_unless_the_wave_would_be_late() -> None:
+    site = SmallSite(workers=1)
+    site.submit("job", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
+    (group,) = site.started()
+    planned = plan(site)
+    assert planned.vacating == {"w0"}
+    assert (planned.stops, planned.begin) == ([], [])
+    assert plan(site, left_ms=3_000).stops == [group]
+
+
+def test_work_with_checkpoints_is_moved_at_once() -> None:
+    site = SmallSite(workers=1)
+    site.submit("job", step(needs=EIGHT_GPUS, saves_checkpoints=True), queue=OVERNIGHT)
+    (group,) = site.started()
+    assert plan(site).stops == [group]
+
+
+def test_the_machine_on_which_least_is_lost_goes_first() -> None:
+    site = SmallSite(workers=2)
+    site.submit("job", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
+    (group,) = site.started()
+    (placement,) = group.placements.values()
+    other = 1 - int(placement.worker.name[1:])
+    assert names(plan(site).begin) == [f"m{other}"]
+
+
+def test_a_service_keeps_all_but_the_tasks_that_may_be_absent() -> None:
+    site = SmallSite(workers=2)
+    service = step(tasks=2, needs=EIGHT_GPUS, runs_until_cancelled=True, may_be_absent=1)
+    site.submit("service", service)
+    groups = site.started()
+    assert plan(site, most_down=2, left_ms=0).stops == []
+    for group in groups:
+        (placement,) = group.placements.values()
+        running = RunningTask(group.task(group.indexes.start), placement.run, percent=100)
+        site.report(int(placement.worker.name[1:]), (running,))
+    (first,) = plan(site, most_down=2, left_ms=0).stops
+    site.book.note_stop(first)
+    assert plan(site, most_down=2, left_ms=0).stops == []
+
+
+def test_a_wave_is_done_once_every_machine_is_back() -> None:
+    site = SmallSite(workers=1)
+    confirmed = msgspec.structs.replace(FIRST, is_confirmed=True)
+    assert not plan(site, (confirmed,), {0: MachineState.IN_UPKEEP}).is_done
+    site.worker(0).list_anew(msgspec.structs.replace(site.worker(0).listed, life=2))
+    assert plan(site, (confirmed,)).is_done
