Model a job on a site: true refusals, one run at a time, ends kept before they are confirmed

18 steps searched, property held; six broken variants caught (a write without an answer refused, a start before its place is kept, a restart without a stop, ends confirmed before they are kept, no fence, silence trusted). 20 steps held, too, in 57 s; 24 were not finished in 240 s.

--- a/spec/catalogue.py
+++ b/spec/catalogue.py
@@ -11,10 +11,13 @@
 from spec.gang import GangVariant
 from spec.gang import make_gang_model
 from spec.model import Model
+from spec.site_jobs import SiteJobsVariant
+from spec.site_jobs import make_site_jobs_model
 
 CLAIMS_STEPS = 19
 GANG_STEPS = 17
 CONFIGURATION_STEPS = 12
+SITE_JOBS_STEPS = 18
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -32,4 +35,8 @@
         Entry(make_configuration_model(variant), CONFIGURATION_STEPS, bool(variant))
         for variant in ConfigurationVariant
     ),
+    *(
+        Entry(make_site_jobs_model(variant), SITE_JOBS_STEPS, bool(variant))
+        for variant in SiteJobsVariant
+    ),
 )
