Probe a store that has not answered lately before a job is written, and refuse early and truthfully

A read without an answer leaves nothing behind: where the store has not answered within 300 ms it is read first, for at most 400 ms, and a submission that reached no store is refused as not run with a Retry-After. Tests: a silent store is not written to and the refusal takes less than half of the deadline (failed before: unknown after the whole); the test of unanswered writes now has writes that do take effect late, which is stricter than a silent store.

--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -95,7 +95,7 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._member = member
-        self.store = ObservedStore(peers.store, clock)
+        self.store = ObservedStore(reactor, peers.store, clock)
         self._directory = peers.make_directory(self.store)
         self._workers = peers.workers
         self._advice = peers.advice
--- a/src/jujubehall/services/fleet/job_records.py
+++ b/src/jujubehall/services/fleet/job_records.py
@@ -16,6 +16,7 @@
 from jujubehall.platform.site_store import Conflict
 from jujubehall.platform.site_store import Precondition
 from jujubehall.platform.site_store import Write
+from jujubehall.services.fleet.records import OWNER_KEY
 from jujubehall.services.fleet.records import cancellation_key
 from jujubehall.services.fleet.records import decode_record
 from jujubehall.services.fleet.records import job_key
@@ -51,8 +52,12 @@
         """Creates a record unless it exists, in one attempt.
 
         Repeating an attempt without an answer is safe, here or at another entry host: whichever
-        takes effect, the record exists once. It may also take effect after this has returned.
+        takes effect, the record exists once. It may also take effect after this has returned. To a
+        store that does not answer nothing is written, so that the call can be refused truthfully.
         """
+        if not await self._store.can_be_reached(OWNER_KEY):
+            self._failed_ms = self._clock.now_ms
+            return StoreWriteSettled(False, False)
         written = await self._store.commit(
             [Precondition(key, ABSENT)], [Write(key, value)], [], timeout_ms
         )
--- a/src/jujubehall/services/fleet/observed_store.py
+++ b/src/jujubehall/services/fleet/observed_store.py
@@ -8,11 +8,15 @@
 import structlog
 
 from result import Err
+from result import Ok
+from twisted.internet.defer import Deferred
 
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import PLATFORM_CALLS
 from jujubehall.metrics import result_label
 from jujubehall.services.fleet.latencies import Latencies
+from jujubehall.services.timing import sleep
+from jujubehall.services.timing import start
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -20,6 +24,7 @@
     from result import Result
 
     from jujubehall.clock import Clock
+    from jujubehall.clock import Reactor
     from jujubehall.errors import Failure
     from jujubehall.platform.site_store import Conflict
     from jujubehall.platform.site_store import LeaseId
@@ -30,6 +35,15 @@
     from jujubehall.platform.site_store import StoredItems
     from jujubehall.platform.site_store import Write
 
+FRESH_MS = 300
+"""An answer this recent shows that the store can be reached; the owner gets one twice a second."""
+
+PROBE_TIMEOUT_MS = 400
+"""A store that is slow by a factor of 60 answers in 250 ms."""
+
+UNANSWERED_MEMORY_MS = 1_000
+"""No second probe is sent within this time: as long as a call to the store may take."""
+
 FAILURES_UNTIL_LOST = 2
 """A single failure is often one broken connection."""
 
@@ -43,11 +57,16 @@
 class ObservedStore:
     """Implements ``SiteStore`` over another one."""
 
-    def __init__(self, store: SiteStore, clock: Clock) -> None:
+    def __init__(self, reactor: Reactor, store: SiteStore, clock: Clock) -> None:
+        self._reactor = reactor
         self._store = store
         self._clock = clock
         self._failures = 0
         self._lost_ms: int | None = None
+        self._answered_ms: int | None = None
+        self._unanswered_ms: int | None = None
+        """When a probe got no answer; None once anything has been answered."""
+
         self.commits = Latencies()
 
     @property
@@ -55,6 +74,33 @@
         """Whether the last calls have failed."""
         return self._lost_ms is not None
 
+    async def can_be_reached(self, key: str) -> bool:
+        """Whether the store answers now; reads ``key`` unless it has answered just before.
+
+        A read without an answer leaves nothing behind, a write would have to be left open.
+        """
+        if self.is_lost:
+            return False
+        if self._answered_ms is not None and self._clock.now_ms - self._answered_ms < FRESH_MS:
+            return True
+        if self._unanswered_ms is not None and (
+            self._clock.now_ms - self._unanswered_ms < UNANSWERED_MEMORY_MS
+        ):
+            return False
+        answered: Deferred[bool] = Deferred()
+
+        def settle(is_answered: bool) -> None:
+            if not answered.called:
+                answered.callback(is_answered)
+
+        start(self.get(key)).addCallback(lambda found: settle(isinstance(found, Ok)))
+        sleep(self._reactor, PROBE_TIMEOUT_MS).addCallback(lambda _: settle(False))
+        if not await answered:
+            self._unanswered_ms = self._clock.now_ms
+            log.info("store does not answer", waited_ms=PROBE_TIMEOUT_MS)
+            return False
+        return True
+
     async def get(self, key: str) -> Result[StoredItem | None, Failure]:
         """Reads a key; None if it is absent."""
         return await self._observe("get", self._store.get(key))
@@ -115,6 +161,8 @@
 
     def _note_answer(self) -> None:
         self._failures = 0
+        self._answered_ms = self._clock.now_ms
+        self._unanswered_ms = None
         if self._lost_ms is not None:
             log.info("store regained", after_ms=self._clock.now_ms - self._lost_ms)
             self._lost_ms = None
--- a/tests/services/fleet/test_admission.py
+++ b/tests/services/fleet/test_admission.py
@@ -23,6 +23,9 @@
 SHORT = JobRequest("spec", (step(expected_ms=300),))
 
 
+HALF_OF_DEADLINE_S = 1.5
+
+
 def host_without_ownership(site: VirtualFleet) -> int:
     return next(number for number, host in enumerate(site.hosts) if host is not site.owner)
 
@@ -60,8 +63,26 @@
 
 
 def test_an_unanswered_write_is_never_called_not_run(site: VirtualFleet) -> None:
-    site.set_store_path(Path.SILENT)
+    for host in site.hosts:
+        host.store.late_writes = 1.0
     assert site.submit(JOB, SHORT).outcome is Outcome.UNKNOWN
+    for host in site.hosts:
+        host.store.late_writes = 0.0
+    site.run(8.0)
+    assert site.ledger.starts != {}
+
+
+def test_a_store_that_does_not_answer_is_not_written_to(site: VirtualFleet) -> None:
+    site.set_store_path(Path.SILENT)
+    site.run(0.5)
+    began = site.time.seconds()
+    answer = site.submit(JOB, SHORT)
+    assert answer.outcome is Outcome.NOT_RUN
+    assert answer.retry_after_ms > 0
+    assert site.time.seconds() - began < HALF_OF_DEADLINE_S
+    site.set_store_path(Path.SOUND)
+    site.run(8.0)
+    assert site.ledger.starts == {}
 
 
 def test_calls_are_refused_while_revoked_keys_might_still_be_known(site: VirtualFleet) -> None:
