--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -4,13 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from jujubehall.core.fleet.best_fit import BestFit
 from jujubehall.core.fleet.decisions import AwaitRoom
 from jujubehall.core.fleet.decisions import Decision
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.decisions import StopReason
-from jujubehall.core.fleet.placing import eligible_workers
 from jujubehall.core.fleet.placing import place
 from jujubehall.core.fleet.preempting import RoomFinder
 from jujubehall.core.fleet.preempting import loss_by_stopping
@@ -18,10 +16,9 @@
 from jujubehall.core.fleet.priorities import MOST_URGENT
 from jujubehall.core.fleet.rescue import is_worth_moving
 from jujubehall.core.fleet.rescue import should_leave
+from jujubehall.core.fleet.round_workers import RoundWorkers
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from jujubehall.core.fleet.book import FleetBook
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.resources import Resources
@@ -61,12 +58,7 @@
         self._headroom = 0
         """Accelerators to be kept free, less those that urgent groups of this round have taken."""
 
-        self._eligible: dict[tuple[object, ...], list[FleetWorker]] = {}
-        self._sound: dict[tuple[object, ...], list[FleetWorker]] = {}
-        self._free_sums: dict[tuple[object, ...], tuple[int, int]] = {}
-        """Free accelerators of the sound workers, with the number of decisions before."""
-
-        self._best_fits: dict[tuple[object, ...], BestFit] = {}
+        self._workers = RoundWorkers(book, now_ms)
         self._finder = RoomFinder(now_ms)
 
     def run(self) -> list[Decision]:
@@ -92,7 +84,7 @@
             if not should_leave(group, worker, self._now_ms):
                 continue
             saves = group.request.saves_checkpoints
-            room = place(group, self._sound_workers(group), self._now_ms, may_go_far=True)
+            room = place(group, self._workers.sound(group), self._now_ms, may_go_far=True)
             if saves or room is not None:
                 self._stop(group, StopReason.WORKER_LEAVES)
 
@@ -118,7 +110,7 @@
         for group in sorted(troubled, key=self._urgency):
             if not is_worth_moving(group, self._now_ms):
                 continue
-            workers = self._sound_workers(group)
+            workers = self._workers.sound(group)
             if place(group, workers, self._now_ms, may_go_far=False) is None:
                 continue
             group.rescues += 1
@@ -134,10 +126,10 @@
             needs.fits_in(group.counted_needs) for needs in self._needs_without_room.get(kind, ())
         ):
             return
-        sound = self._sound_workers(group)
+        sound = self._workers.sound(group)
         if group.reserved_on and not self._continue_reservation(group, sound):
             return
-        if not self._leaves_headroom(group, sound):
+        if not self._leaves_headroom(group):
             self._steps_without_room.add(self._step_key(group))
             return
         if self._place_sound(group, sound):
@@ -149,7 +141,7 @@
         if self._may_go_far(group) and self._place(group, sound, may_go_far=True):
             return
         if self._waited_ms(group) >= SOUND_WAIT_MS and self._place(
-            group, self._accepting_workers(group), may_go_far=False
+            group, self._workers.accepting(group), may_go_far=False
         ):
             return
         self._steps_without_room.add(self._step_key(group))
@@ -194,7 +186,7 @@
         self._book.urgent_demand.note(in_use + wanted, self._now_ms)
         return self._book.urgent_demand.headroom(in_use, self._now_ms)
 
-    def _leaves_headroom(self, group: TaskGroup, workers: list[FleetWorker]) -> bool:
+    def _leaves_headroom(self, group: TaskGroup) -> bool:
         """Whether the group may start without taking what urgent work is likely to need.
 
         The longer it has waited, the less it leaves: work must not starve.
@@ -206,30 +198,18 @@
         patience_ms = max(1, group.request.expected_ms)
         share = max(0.0, 1 - self._waited_ms(group) / patience_ms)
         wanted = group.counted_needs.accelerators * len(group.indexes)
-        return self._free_accelerators(group, workers) - wanted >= self._headroom * share
-
-    def _free_accelerators(self, group: TaskGroup, workers: list[FleetWorker]) -> int:
-        key = self._workers_key(group)
-        if key is None or group.failed_on:
-            return sum(worker.free.accelerators for worker in workers)
-        known = self._free_sums.get(key)
-        if known is None or known[0] != len(self._decisions):
-            free = sum(worker.free.accelerators for worker in workers)
-            known = self._free_sums[key] = (len(self._decisions), free)
-        return known[1]
+        return self._workers.free_accelerators(group) - wanted >= self._headroom * share
 
     def _place_sound(self, group: TaskGroup, sound: list[FleetWorker]) -> bool:
         """Places the group on sound workers, near its data if it has any."""
         request = group.request
-        key = self._workers_key(group)
         is_plain = len(group.indexes) == 1 and not (
             request.data_rack or request.tasks_per_worker or group.failed_on or group.reserved_on
         )
-        if key is None or not is_plain:
+        best_fit = self._workers.best_fit(group) if is_plain else None
+        if best_fit is None:
             return self._place(group, sound, may_go_far=False)
-        if key not in self._best_fits:
-            self._best_fits[key] = BestFit(group.counted_needs, sound, self._now_ms)
-        worker = self._best_fits[key].find()
+        worker = best_fit.find()
         if worker is None:
             return False
         self._start(group, {group.indexes.start: worker})
@@ -242,41 +222,6 @@
         self._start(group, chosen)
         return True
 
-    def _sound_workers(self, group: TaskGroup) -> list[FleetWorker]:
-        """The workers for the group, without those that are slow or on which it has failed."""
-        key = self._workers_key(group)
-        if key is None or key not in self._sound:
-            accepting = self._accepting_workers(group)
-            sound = [each for each in accepting if not each.is_troubled(self._now_ms)]
-            if key is not None:
-                self._sound[key] = sound
-        else:
-            sound = self._sound[key]
-        if group.failed_on:
-            return [each for each in sound if each.name not in group.failed_on]
-        return sound
-
-    def _accepting_workers(self, group: TaskGroup) -> list[FleetWorker]:
-        key = self._workers_key(group)
-        if key is None:
-            return eligible_workers(group, self._book.workers.values(), self._now_ms)
-        if key not in self._eligible:
-            self._eligible[key] = eligible_workers(group, self._book.workers.values(), self._now_ms)
-        return self._eligible[key]
-
-    def _workers_key(self, group: TaskGroup) -> tuple[object, ...] | None:
-        """Names what decides on which workers a group may run; None if that changes in a round."""
-        request = group.request
-        queue = group.job.queue
-        if request.is_filler or request.target_latency_ms:
-            # What is started in this round may make a worker unfit for the next.
-            return None
-        key: tuple[object, ...] = (queue.pool if queue is not None else None,)
-        key += (request.required_label, request.needs)
-        if queue is not None and queue.asks_for_advice:
-            key += (group.job.id, group.occurrence, group.step)
-        return key
-
     def _may_go_far(self, group: TaskGroup) -> bool:
         if group.job.priority == MOST_URGENT:
             return True
@@ -304,18 +249,13 @@
         self._release_reservation(group)
         self._book.note_start(group, chosen, self._now_ms)
         self._finder.forget(group)
-        self._note_changed(chosen.values())
+        self._workers.note_changed(chosen.values())
         self._decisions.append(StartGroup(group, dict(chosen)))
 
     def _release_reservation(self, group: TaskGroup) -> None:
         workers = list(group.reserved_on.values())
         group.release_reservation()
-        self._note_changed(workers)
-
-    def _note_changed(self, workers: Iterable[FleetWorker]) -> None:
-        for worker in set(workers):
-            for best_fit in self._best_fits.values():
-                best_fit.note_change(worker)
+        self._workers.note_changed(workers)
 
     def _preempt(self, group: TaskGroup, workers: list[FleetWorker]) -> None:
         room = self._finder.find(group, workers)
@@ -326,7 +266,7 @@
             for_ms = round(room.wait_ms)
             self._decisions.append(AwaitRoom(group, room.workers, for_ms))
         group.reserve(room.workers, self._now_ms + for_ms)
-        self._note_changed(room.workers.values())
+        self._workers.note_changed(room.workers.values())
         for victim in sorted(room.victims, key=lambda each: (each.job.id, each.key)):
             if victim not in self._stopped:
                 self._stopped.add(victim)
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -184,6 +184,8 @@
             self.verify_ownership,
         )
         await self._recall_workers()
+        if self.is_closed:
+            return
         self.is_loaded = True
         log.info("took over", jobs=len(self.book.jobs), token=self.token)
         start(self._intake.run())
@@ -303,7 +305,7 @@
 
         A worker that is cut off from the store loses its entry and runs on until its leases end.
         """
-        recalled = await self._register.load()
+        recalled = await self._register.load(lambda: self.is_closed)
         for worker in self.book.sync_workers(recalled):
             worker.is_listed = False
             worker.is_registered = True
--- a/src/jujubehall/services/fleet/worker_register.py
+++ b/src/jujubehall/services/fleet/worker_register.py
@@ -41,9 +41,11 @@
         self._owner_revision = owner_revision
         self._revision: Revision = ABSENT
 
-    async def load(self) -> list[ListedWorker]:
+    async def load(self, is_closed: Callable[[], bool]) -> list[ListedWorker]:
         """The workers that the last owner kept; repeated until the store answers."""
         while isinstance(found := await self._store.get(WORKERS_KEY), Err):
+            if is_closed():
+                return []
             log.warning("workers not recalled yet", failure=str(found.err_value))
             await sleep(self._reactor, RETRY_INTERVAL_MS)
         item = found.ok_value
--- a/tests/services/fleet/test_ownership.py
+++ b/tests/services/fleet/test_ownership.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from jujubehall.platform.site_store import ABSENT
+from jujubehall.services.fleet.worker_register import WorkerRegister
 from jujubehall.services.timing import start
 from jujubehall.testing.virtual.fleet.store import Path
 
@@ -23,6 +25,13 @@
     return site.time.seconds() - began
 
 
+def test_a_term_that_has_ended_recalls_no_workers(site: VirtualFleet) -> None:
+    host = site.hosts[0]
+    host.store.path = Path.SILENT
+    register = WorkerRegister(host.reactor, host.store, ABSENT)
+    assert site.await_result(register.load(lambda: True), seconds=5.0) == []
+
+
 def test_a_dead_owner_is_replaced_before_its_lease_ends(site: VirtualFleet) -> None:
     owner = owner_of(site)
     site.kill(owner)
