--- a/tests/platform/adapter/test_decoders.py
+++ b/tests/platform/adapter/test_decoders.py
@@ -13,15 +13,19 @@
 from jujubehall.core.fleet.reports import EndKind
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.fleet.requests import find_request_fault
+from jujubehall.core.upkeep.wave import MachineState
 from jujubehall.http.client import Response
 from jujubehall.identifiers import WorkerName
 from jujubehall.platform.adapter import wire
+from jujubehall.platform.adapter.cloud import _to_machine
 from jujubehall.platform.adapter.directory import StoreDirectory
 from jujubehall.platform.adapter.front import _to_request
 from jujubehall.platform.adapter.store import _check
+from jujubehall.platform.adapter.waves import _to_waves
 from jujubehall.platform.adapter.workers import decode_report
 from jujubehall.platform.site_store import Revision
 from jujubehall.platform.site_store import StoredItem
+from jujubehall.platform.site_store import StoredItems
 
 NAMES = st.sampled_from(
     [
@@ -105,3 +109,44 @@
 def test_answers_of_the_store(content: bytes, status: int) -> None:
     for type_ in (wire.Item, wire.Range, wire.Events, wire.Committed, wire.LeaseGranted):
         _check("read", Response(status, content), type_)
+
+
+WAVES = st.fixed_dictionaries(
+    {},
+    optional={
+        "wave": st.integers() | VALUES,
+        "machines": st.lists(st.text(max_size=4), max_size=3) | VALUES,
+        "durationS": st.floats() | VALUES,
+        "maximum": st.integers() | VALUES,
+    },
+)
+MACHINES = st.lists(
+    st.fixed_dictionaries(
+        {},
+        optional={
+            "machine": st.text(max_size=4) | VALUES,
+            "state": st.sampled_from(["up", "moving", "upkeep", "down", "?"]) | VALUES,
+            "id": st.none() | st.text(max_size=4) | VALUES,
+        },
+    ),
+    max_size=3,
+)
+
+
+@fuzz
+@given(CONTENTS | WAVES.map(msgspec.json.encode))
+def test_waves(content: bytes) -> None:
+    found = StoredItems([StoredItem("op/wave/1", content, Revision(1))], Revision(1))
+    for wave in _to_waves(found).waves:
+        assert wave.most_down >= 1
+
+
+@fuzz
+@given(CONTENTS | MACHINES.map(lambda rows: msgspec.json.encode({"machines": rows})))
+def test_machines(content: bytes) -> None:
+    try:
+        page = msgspec.json.decode(content, type=wire.Machines)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return
+    for entry in page.machines:
+        assert isinstance(_to_machine(entry).state, MachineState)
