Let one piece serve where two stood: stop decisions, first of two results, core equivalents, benchmark sites

Rounds and upkeep made the same decision to stop a group; a session and the store's probe each waited for the first of two results; accelerators were counted as cores in four places; two benchmarks made the same book, and two sites' queues were written out with the same figures. Removed: a result of make_due, a parameter of the confirmation of upkeeps and a field of the load test that nothing read.

--- /dev/null
+++ b/benchmarks/site_book.py
@@ -0,0 +1,43 @@
+"""A book with usable workers, for benchmarks of the scheduling of a whole site."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jujubehall.core.fleet.book import FleetBook
+from jujubehall.core.fleet.configuration import SiteConfiguration
+from jujubehall.core.fleet.workers import ListedWorker
+from jujubehall.identifiers import PoolName
+from jujubehall.identifiers import RackName
+from jujubehall.identifiers import WorkerName
+from jujubehall.identifiers import ZoneName
+
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.configuration import Queue
+    from jujubehall.core.fleet.resources import Resources
+
+POOL = PoolName("pool")
+RACK_SIZE = 8
+ZONES = 3
+
+
+def make_site_book(workers: int, capacity: Resources, queues: tuple[Queue, ...]) -> FleetBook:
+    """Makes the book of a site whose workers have reported and run nothing."""
+    book = FleetBook()
+    book.configure(SiteConfiguration(1, queues))
+    listed = [
+        ListedWorker(
+            WorkerName(f"w{number:04}"),
+            "",
+            POOL,
+            ZoneName(f"z{number % ZONES}"),
+            RackName(f"r{number // RACK_SIZE:03}"),
+            frozenset({"a"}),
+            capacity,
+            life=1,
+        )
+        for number in range(workers)
+    ]
+    for worker in book.sync_workers(listed):
+        worker.is_in_touch = worker.is_registered = worker.has_reported = True
+    return book
--- a/benchmarks/site_load/figures.py
+++ b/benchmarks/site_load/figures.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from benchmarks.site_load.shapes import TRAFFIC_MS
+from jujubehall.core.fleet.resources import MILLICORES_PER_ACCELERATOR
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -49,7 +50,8 @@
 def _weight(each: JobOutcome) -> float:
     """What a job is worth: larger jobs of a queue more, up to four times."""
     shape = each.job.shape
-    cores = shape.needs.millicores / 1_000 + 8 * statistics.fmean(shape.accelerators)
+    accelerators = statistics.fmean(shape.accelerators)
+    cores = (shape.needs.millicores + MILLICORES_PER_ACCELERATOR * accelerators) / 1_000
     mean = shape.tasks * shape.work_ms * cores
     return shape.worth * min(4.0, 0.3 + 0.7 * each.job.core_ms / mean)
 
--- a/benchmarks/site_load/replay.py
+++ b/benchmarks/site_load/replay.py
@@ -10,12 +10,9 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from benchmarks.site_book import make_site_book
 from benchmarks.site_load.shapes import LATE_FACTOR
-from benchmarks.site_load.shapes import POOL
-from benchmarks.site_load.shapes import RACK_SIZE
 from benchmarks.site_load.shapes import TRAFFIC_MS
-from jujubehall.core.fleet.book import FleetBook
-from jujubehall.core.fleet.configuration import SiteConfiguration
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.reconciliation import Reconciliation
 from jujubehall.core.fleet.reports import EndedTask
@@ -23,22 +20,20 @@
 from jujubehall.core.fleet.reports import RunningTask
 from jujubehall.core.fleet.reports import WorkerReport
 from jujubehall.core.fleet.requests import AcceptedJob
-from jujubehall.core.fleet.workers import ListedWorker
-from jujubehall.identifiers import RackName
 from jujubehall.identifiers import TeamName
-from jujubehall.identifiers import WorkerName
-from jujubehall.identifiers import ZoneName
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from benchmarks.site_load.shapes import DrawnJob
     from benchmarks.site_load.shapes import SiteShape
+    from jujubehall.core.fleet.book import FleetBook
     from jujubehall.core.fleet.decisions import Decision
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import WorkerName
 
     Policy = Callable[[FleetBook, int], list[Decision]]
 
@@ -121,24 +116,10 @@
         self._rounds = 0
         self._round_s = 0.0
         self._first_starts_ms: dict[JobId, int] = {}
-        self._book = FleetBook()
-        self._book.configure(SiteConfiguration(1, tuple(each.queue for each in site.queues)))
-        listed = [
-            ListedWorker(
-                WorkerName(f"w{number:04}"),
-                "",
-                POOL,
-                ZoneName(f"z{number % 3}"),
-                RackName(f"r{number // RACK_SIZE:03}"),
-                frozenset({"a"}),
-                site.capacity,
-                life=1,
-            )
-            for number in range(site.workers)
-        ]
-        for worker in self._book.sync_workers(listed):
-            worker.is_in_touch = worker.is_registered = worker.has_reported = True
-            self._runs[worker.name] = []
+        queues = tuple(each.queue for each in site.queues)
+        self._book = make_site_book(site.workers, site.capacity, queues)
+        for name in self._book.workers:
+            self._runs[name] = []
 
     def play(self) -> DayOutcome:
         """Plays until every job has ended, or until ``END_MS``."""
@@ -256,8 +237,7 @@
                 if kind is EndKind.STOPPED and saves:
                     checkpoint = f"{run.share_done(self._now_ms):.4f}"
                 elif kind is EndKind.STOPPED:
-                    needs = group.request.needs
-                    cores = needs.millicores / 1_000 + 8 * needs.accelerators
+                    cores = group.request.needs.millicore_equivalents / 1_000
                     self._lost_core_ms += cores * (self._now_ms - run.began_ms)
             ended = EndedTask(next(self._ends), group.task(index), placement.run, kind, checkpoint)
             self._report(worker, (ended,))
--- a/benchmarks/site_load/shapes.py
+++ b/benchmarks/site_load/shapes.py
@@ -9,16 +9,16 @@
 
 import msgspec
 
+from benchmarks.site_book import POOL
+from benchmarks.site_book import RACK_SIZE
 from jujubehall.core.fleet.configuration import Queue
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.fleet.requests import StepRequest
 from jujubehall.core.fleet.resources import Resources
 from jujubehall.identifiers import JobId
-from jujubehall.identifiers import PoolName
 from jujubehall.identifiers import QueueName
 
-POOL = PoolName("pool")
-RACK_SIZE = 8
+GANG_ACCELERATORS = (1, 2, 4, 8, 8)
 TRAFFIC_MS = 34_000
 MOST_WORK_MS = 11_000
 UNEVENNESS = 0.15
@@ -62,7 +62,6 @@
 
     workers: int
     capacity: Resources
-    checkpoint_interval_ms: int
     queues: tuple[QueueShape, ...]
 
 
@@ -88,7 +87,7 @@
     def core_ms(self) -> float:
         """Its whole work; an accelerator counts as 8 cores."""
         return sum(
-            sum(works) * (step.needs.millicores / 1_000 + 8 * step.needs.accelerators)
+            sum(works) * step.needs.millicore_equivalents / 1_000
             for step, works in zip(self.request.steps, self.work_ms, strict=True)
         )
 
@@ -106,109 +105,84 @@
     )
 
 
+def _normal(
+    name: str, jobs_per_s: float, late_worth: float, tasks: float, millicores: int, work_ms: float
+) -> QueueShape:
+    """Large gangs, of which callers have only a rough guess."""
+    return QueueShape(
+        _queue(name, 1, 3.0, 1_000, 2),
+        jobs_per_s,
+        3.0,
+        late_worth,
+        tasks,
+        Resources(millicores, 110_000),
+        GANG_ACCELERATORS,
+        work_ms,
+        0.3,
+        0.9,
+        gang_share=1.0,
+        one_rack_share=0.6,
+        checkpoint_share=0.45,
+        cancelled_share=0.05,
+    )
+
+
+def _urgent(name: str, jobs_per_s: float, tasks: float, millicores: int) -> QueueShape:
+    """Short gangs with little time to spare."""
+    return QueueShape(
+        _queue(name, 0, 1.5, 250, 3),
+        jobs_per_s,
+        4.0,
+        0.8,
+        tasks,
+        Resources(millicores, 31_000),
+        GANG_ACCELERATORS,
+        2_500,
+        0.5,
+        0.2,
+        gang_share=1.0,
+        one_rack_share=0.8,
+    )
+
+
+def _overnight(
+    name: str, jobs_per_s: float, late_worth: float, tasks: float, millicores: int
+) -> QueueShape:
+    """Many single tasks of one accelerator."""
+    return QueueShape(
+        _queue(name, 2, 3.0, 3_000, 4),
+        jobs_per_s,
+        1.0,
+        late_worth,
+        tasks,
+        Resources(millicores, 16_000),
+        (1,),
+        9_500,
+        0.3,
+        0.2,
+        checkpoint_share=0.45,
+        second_step_share=0.3,
+        cancelled_share=0.15,
+    )
+
+
 SITES = {
     "ogechi": SiteShape(
         24,
         Resources(64_000, 262_144, 8),
-        500,
         (
-            QueueShape(
-                _queue("mix-render", 1, 3.0, 1_000, 2),
-                0.314,
-                3.0,
-                0.3,
-                5.0,
-                Resources(26_000, 110_000),
-                (1, 2, 4, 8, 8),
-                8_500,
-                0.3,
-                0.9,
-                gang_share=1.0,
-                one_rack_share=0.6,
-                checkpoint_share=0.45,
-                cancelled_share=0.05,
-            ),
-            QueueShape(
-                _queue("slot-hold", 0, 1.5, 250, 3),
-                1.19,
-                4.0,
-                0.8,
-                3.4,
-                Resources(7_500, 31_000),
-                (1, 2, 4, 8, 8),
-                2_500,
-                0.5,
-                0.2,
-                gang_share=1.0,
-                one_rack_share=0.8,
-            ),
-            QueueShape(
-                _queue("stem-split", 2, 3.0, 3_000, 4),
-                0.236,
-                1.0,
-                0.1,
-                16.0,
-                Resources(5_600, 16_000),
-                (1,),
-                9_500,
-                0.3,
-                0.2,
-                checkpoint_share=0.45,
-                second_step_share=0.3,
-                cancelled_share=0.15,
-            ),
+            _normal("mix-render", 0.314, 0.3, 5.0, 26_000, 8_500),
+            _urgent("slot-hold", 1.19, 3.4, 7_500),
+            _overnight("stem-split", 0.236, 0.1, 16.0, 5_600),
         ),
     ),
     "nangolo": SiteShape(
         24,
         Resources(128_000, 262_144, 8),
-        2_000,
         (
-            QueueShape(
-                _queue("season-plan", 1, 3.0, 1_000, 2),
-                0.343,
-                3.0,
-                0.9,
-                4.0,
-                Resources(52_000, 110_000),
-                (1, 2, 4, 8, 8),
-                11_000,
-                0.3,
-                0.9,
-                gang_share=1.0,
-                one_rack_share=0.6,
-                checkpoint_share=0.45,
-                cancelled_share=0.05,
-            ),
-            QueueShape(
-                _queue("sick-swap", 0, 1.5, 250, 3),
-                0.961,
-                4.0,
-                0.8,
-                3.0,
-                Resources(15_000, 31_000),
-                (1, 2, 4, 8, 8),
-                2_500,
-                0.5,
-                0.2,
-                gang_share=1.0,
-                one_rack_share=0.8,
-            ),
-            QueueShape(
-                _queue("tonight-check", 2, 3.0, 3_000, 4),
-                0.34,
-                1.0,
-                0.3,
-                12.0,
-                Resources(11_000, 16_000),
-                (1,),
-                9_500,
-                0.3,
-                0.2,
-                checkpoint_share=0.45,
-                second_step_share=0.3,
-                cancelled_share=0.15,
-            ),
+            _normal("season-plan", 0.343, 0.9, 4.0, 52_000, 11_000),
+            _urgent("sick-swap", 0.961, 3.0, 15_000),
+            _overnight("tonight-check", 0.34, 0.3, 12.0, 11_000),
         ),
     ),
 }
--- a/benchmarks/site_rounds.py
+++ b/benchmarks/site_rounds.py
@@ -9,10 +9,11 @@
 import time
 
 from random import Random
+from typing import TYPE_CHECKING
 
-from jujubehall.core.fleet.book import FleetBook
+from benchmarks.site_book import POOL
+from benchmarks.site_book import make_site_book
 from jujubehall.core.fleet.configuration import Queue
-from jujubehall.core.fleet.configuration import SiteConfiguration
 from jujubehall.core.fleet.reconciliation import Reconciliation
 from jujubehall.core.fleet.reports import RunningTask
 from jujubehall.core.fleet.reports import WorkerReport
@@ -20,20 +21,17 @@
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.fleet.requests import StepRequest
 from jujubehall.core.fleet.resources import Resources
-from jujubehall.core.fleet.workers import ListedWorker
 from jujubehall.identifiers import JobId
-from jujubehall.identifiers import PoolName
 from jujubehall.identifiers import QueueName
-from jujubehall.identifiers import RackName
 from jujubehall.identifiers import TeamName
-from jujubehall.identifiers import WorkerName
-from jujubehall.identifiers import ZoneName
+
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.book import FleetBook
 
 SIZES = (24, 176, 816)
-RACK_SIZE = 8
 REPEATS = 5
 WAITING_JOBS_PER_WORKER = 0.5
-POOL = PoolName("pool")
+CAPACITY = Resources(64_000, 262_144, 8)
 QUEUES = tuple(
     Queue(QueueName(name), "h", f"/{name}/", POOL, priority=priority, max_failures=3)
     for priority, name in enumerate(("urgent", "normal", "overnight"))
@@ -44,23 +42,7 @@
 
 def make_book(workers: int) -> FleetBook:
     """A site whose accelerators are all in use, with work waiting."""
-    book = FleetBook()
-    book.configure(SiteConfiguration(1, QUEUES))
-    listed = [
-        ListedWorker(
-            WorkerName(f"w{number:04}"),
-            "",
-            POOL,
-            ZoneName(f"z{number % 3}"),
-            RackName(f"r{number // RACK_SIZE}"),
-            frozenset({"a"}),
-            Resources(64_000, 262_144, 8),
-            life=1,
-        )
-        for number in range(workers)
-    ]
-    for worker in book.sync_workers(listed):
-        worker.is_in_touch = worker.is_registered = worker.has_reported = True
+    book = make_site_book(workers, CAPACITY, QUEUES)
     jobs = round(workers * 8 / BATCH.tasks + workers * WAITING_JOBS_PER_WORKER)
     for number in range(jobs):
         submit(book, f"{number:016x}", "overnight", BATCH, 0)
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -125,8 +125,7 @@
     @property
     def millicore_ms_per_ms(self) -> int:
         """The core equivalents that all its tasks take together, in thousandths."""
-        needs = self.request.needs
-        return (needs.millicores + 8_000 * needs.accelerators) * len(self.indexes)
+        return self.request.needs.millicore_equivalents * len(self.indexes)
 
     def task(self, index: int) -> TaskName:
         """The full name of one of its tasks."""
--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -117,8 +117,8 @@
             return 0
         return request.first_due_unix_ms + occurrence * request.interval_ms
 
-    def make_due(self, now_ms: int, unix_ms: int) -> bool:
-        """Makes the groups of the occurrences that have become due; tells whether there are any."""
+    def make_due(self, now_ms: int, unix_ms: int) -> None:
+        """Makes the groups of the occurrences that have become due."""
         made = False
         while (
             not self.is_final
@@ -130,7 +130,6 @@
             made = True
         if made:
             self.release_steps(now_ms)
-        return made
 
     def make_known(self, occurrence: int, now_ms: int) -> None:
         """Makes the groups of an occurrence that an earlier owner has started.
--- a/src/jujubehall/core/fleet/preempting.py
+++ b/src/jujubehall/core/fleet/preempting.py
@@ -5,14 +5,17 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.placing import task_bound
 
 if TYPE_CHECKING:
+    from jujubehall.core.fleet.decisions import StopReason
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.workers import FleetWorker
+    from jujubehall.identifiers import JobId
     from jujubehall.identifiers import RackName
 
 RESTART_COST_MS = 300
@@ -36,6 +39,9 @@
 milliseconds, and progress is reported in percents."""
 
 
+MILLICORE_MS_PER_CORE_S = 1_000_000
+
+
 class Room(NamedTuple):
     """Room that stopping ``victims`` makes, and what that throws away in millicore-ms."""
 
@@ -73,6 +79,14 @@
     return lost_ms * group.millicore_ms_per_ms
 
 
+def stop_decision(
+    group: TaskGroup, reason: StopReason, now_ms: int, by: JobId | None = None
+) -> StopGroup:
+    """The decision to stop a group, with what that throws away."""
+    lost_core_s = loss_by_stopping(group, now_ms) // MILLICORE_MS_PER_CORE_S
+    return StopGroup(group, reason, by, lost_core_s)
+
+
 class RoomFinder:
     """Finds room for the urgent groups of one round.
 
--- a/src/jujubehall/core/fleet/resources.py
+++ b/src/jujubehall/core/fleet/resources.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+MILLICORES_PER_ACCELERATOR = 8_000
+"""The platform prices thrown-away work so."""
+
 
 class Resources(msgspec.Struct, frozen=True):
     """Thousandths of a core, megabytes of memory and whole accelerators.
@@ -36,6 +39,11 @@
         """The amount that ``count`` equal tasks take together."""
         return Resources(self.millicores * count, self.memory_mb * count, self.accelerators * count)
 
+    @property
+    def millicore_equivalents(self) -> int:
+        """Thousandths of a core, with the accelerators counted as cores."""
+        return self.millicores + MILLICORES_PER_ACCELERATOR * self.accelerators
+
     def fits_in(self, room: Resources) -> bool:
         """Whether ``room`` has at least this much of everything."""
         return (
--- a/src/jujubehall/core/fleet/rounds.py
+++ b/src/jujubehall/core/fleet/rounds.py
@@ -7,11 +7,10 @@
 from jujubehall.core.fleet.decisions import AwaitRoom
 from jujubehall.core.fleet.decisions import Decision
 from jujubehall.core.fleet.decisions import StartGroup
-from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.decisions import StopReason
 from jujubehall.core.fleet.placing import place
 from jujubehall.core.fleet.preempting import RoomFinder
-from jujubehall.core.fleet.preempting import loss_by_stopping
+from jujubehall.core.fleet.preempting import stop_decision
 from jujubehall.core.fleet.priorities import DEFERRABLE
 from jujubehall.core.fleet.priorities import MOST_URGENT
 from jujubehall.core.fleet.rescue import is_worth_moving
@@ -23,7 +22,6 @@
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.workers import FleetWorker
-    from jujubehall.identifiers import JobId
 
 RESERVATION_MS = 1_500
 """How long room is kept for a group while what runs there stops: the site's bound on a stop
@@ -35,8 +33,6 @@
 
 MIN_NEAR_WAIT_MS = 1_000
 
-MILLICORE_MS_PER_CORE_S = 1_000_000
-
 SOUND_WAIT_MS = 1_000
 """After this time a group takes a worker that is slow or on which it has failed."""
 
@@ -91,13 +87,7 @@
     def _stop(self, group: TaskGroup, reason: StopReason) -> None:
         self._book.note_stop(group)
         self._finder.forget(group)
-        self._decisions.append(self._stop_decision(group, reason))
-
-    def _stop_decision(
-        self, group: TaskGroup, reason: StopReason, by: JobId | None = None
-    ) -> StopGroup:
-        lost_core_s = loss_by_stopping(group, self._now_ms) // MILLICORE_MS_PER_CORE_S
-        return StopGroup(group, reason, by, lost_core_s)
+        self._decisions.append(stop_decision(group, reason, self._now_ms))
 
     def _rescue(self) -> None:
         """Stops groups that would end sooner on other workers, if there is room for them."""
@@ -273,5 +263,5 @@
                 self._book.note_stop(victim)
                 self._finder.forget(victim)
                 self._decisions.append(
-                    self._stop_decision(victim, StopReason.PREEMPTED, group.job.id)
+                    stop_decision(victim, StopReason.PREEMPTED, self._now_ms, group.job.id)
                 )
--- a/src/jujubehall/services/fleet/observed_store.py
+++ b/src/jujubehall/services/fleet/observed_store.py
@@ -9,12 +9,12 @@
 
 from result import Err
 from result import Ok
-from twisted.internet.defer import Deferred
 
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import PLATFORM_CALLS
 from jujubehall.metrics import result_label
 from jujubehall.services.fleet.latencies import Latencies
+from jujubehall.services.timing import first_of
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
 
@@ -87,15 +87,9 @@
             self._clock.now_ms - self._unanswered_ms < UNANSWERED_MEMORY_MS
         ):
             return False
-        answered: Deferred[bool] = Deferred()
-
-        def settle(is_answered: bool) -> None:
-            if not answered.called:
-                answered.callback(is_answered)
-
-        start(self.get(key)).addCallback(lambda found: settle(isinstance(found, Ok)))
-        sleep(self._reactor, PROBE_TIMEOUT_MS).addCallback(lambda _: settle(False))
-        if not await answered:
+        found = start(self.get(key)).addCallback(lambda answer: isinstance(answer, Ok))
+        silence = sleep(self._reactor, PROBE_TIMEOUT_MS).addCallback(lambda _: False)
+        if not await first_of(found, silence):
             self._unanswered_ms = self._clock.now_ms
             log.info("store does not answer", waited_ms=PROBE_TIMEOUT_MS)
             return False
--- a/src/jujubehall/services/fleet/upkeep.py
+++ b/src/jujubehall/services/fleet/upkeep.py
@@ -10,10 +10,8 @@
 
 from result import Err
 
-from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.decisions import StopReason
-from jujubehall.core.fleet.preempting import loss_by_stopping
-from jujubehall.core.fleet.rounds import MILLICORE_MS_PER_CORE_S
+from jujubehall.core.fleet.preempting import stop_decision
 from jujubehall.core.upkeep.wave import BegunUpkeep
 from jujubehall.core.upkeep.wave import WaveProgress
 from jujubehall.core.upkeep.wave_plan import plan_wave
@@ -59,6 +57,9 @@
 """An owner orders nothing this long after its election: two owners must not take turns on one
 machine within the platform's 3 s, and the earlier one may have given its last order just then."""
 
+NOTHING_LEFT_TO_DO = (UpkeepRefusal.NOT_IN_WAVE, UpkeepRefusal.NO_SUCH_MACHINE)
+"""The operators have changed the wave, or taken the machine away."""
+
 log = structlog.get_logger()
 
 
@@ -205,8 +206,8 @@
                 )
 
     def _stop(self, group: TaskGroup) -> None:
-        lost_core_s = loss_by_stopping(group, self._clock.now_ms) // MILLICORE_MS_PER_CORE_S
-        self._owner.orders.log_stop(StopGroup(group, StopReason.UPKEEP, None, lost_core_s))
+        stop = stop_decision(group, StopReason.UPKEEP, self._clock.now_ms)
+        self._owner.orders.log_stop(stop)
         self._owner.book.note_stop(group)
 
     async def _order(self, wave: Wave, begun: BegunUpkeep) -> None:
@@ -217,25 +218,22 @@
         )
         outcome = "begun" if not isinstance(answered, Err) else str(answered.err_value)
         log.info("upkeep ordered", wave=wave.number, machine=begun.machine, outcome=outcome)
-        if not isinstance(answered, Err):
-            await self._settle(wave, begun, is_confirmed=True)
+        if not isinstance(answered, Err) or answered.err_value in NOTHING_LEFT_TO_DO:
+            await self._confirm(wave, begun)
         elif answered.err_value is UpkeepRefusal.FENCED:
             self._owner.verify_ownership()
-        elif answered.err_value in (UpkeepRefusal.NOT_IN_WAVE, UpkeepRefusal.NO_SUCH_MACHINE):
-            # The operators have changed the wave or taken the machine away: nothing is left to do.
-            await self._settle(wave, begun, is_confirmed=True)
 
-    async def _settle(self, wave: Wave, begun: BegunUpkeep, is_confirmed: bool) -> None:
+    async def _confirm(self, wave: Wave, begun: BegunUpkeep) -> None:
         progress = self._progress[wave.number]
-        settled = tuple(
+        confirmed = tuple(
             (
-                msgspec.structs.replace(each, is_confirmed=is_confirmed)
+                msgspec.structs.replace(each, is_confirmed=True)
                 if each.machine == begun.machine
                 else each
             )
             for each in progress.begun
         )
-        await self._keep(wave, msgspec.structs.replace(progress, begun=settled))
+        await self._keep(wave, msgspec.structs.replace(progress, begun=confirmed))
 
     async def _keep(self, wave: Wave, progress: WaveProgress) -> bool:
         """Writes the progress and what the operators are told, under the fence of the owner's."""
--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -12,6 +12,7 @@
 from jujubehall.core.fleet.reconciliation import Reconciliation
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import RUN_ENDS
+from jujubehall.services.timing import first_of
 from jujubehall.services.timing import repeat
 from jujubehall.services.timing import sleep
 from jujubehall.services.timing import start
@@ -196,22 +197,10 @@
             kept = self._owner.writer.flushed()
             kept.addCallback(lambda _: self._confirm(report.life, highest))
             timeout = sleep(self._reactor, KEEP_TIMEOUT_MS)
-            await _first(kept, timeout)
+            await first_of(kept, timeout)
         else:
             self._has_pending_ends = False
 
     def _confirm(self, life: int, number: int) -> None:
         if life == self._confirmed_life:
             self._confirmed_ends = max(self._confirmed_ends, number)
-
-
-def _first(kept: Deferred[None], timeout: Deferred[None]) -> Deferred[None]:
-    done: Deferred[None] = Deferred()
-
-    def fire(_: object) -> None:
-        if not done.called:
-            done.callback(None)
-
-    kept.addCallback(fire)
-    timeout.addCallback(fire)
-    return done
--- a/src/jujubehall/services/timing.py
+++ b/src/jujubehall/services/timing.py
@@ -41,6 +41,19 @@
     return Deferred.fromCoroutine(coroutine)
 
 
+def first_of(*deferreds: Deferred[Any]) -> Deferred[Any]:
+    """Fires with the result of the first that fires; those of the others are dropped."""
+    first: Deferred[Any] = Deferred()
+
+    def fire(result: Any) -> None:
+        if not first.called:
+            first.callback(result)
+
+    for each in deferreds:
+        each.addCallback(fire)
+    return first
+
+
 async def gather(coroutines: Iterable[Coroutine[Any, Any, Any]]) -> list[Any]:
     """Runs coroutines side by side and returns their results in order."""
     return [await each for each in [start(coroutine) for coroutine in coroutines]]
