Failing tests: a successor on a slow link never loads the records

- an owner that can't load the records retries for good and keeps its lease, since small calls still succeed; no other host takes over within 5 s.

--- a/src/jujubehall/testing/virtual/fleet/store.py
+++ b/src/jujubehall/testing/virtual/fleet/store.py
@@ -187,6 +187,9 @@
         self.drops_watch_events = False
         """Whether watches deliver no changes and fail with ``NOT_FOUND`` when their time is up."""
 
+        self.are_lists_unanswered = False
+        """Whether lists time out while all other calls are answered."""
+
         self.call_counts: dict[str, int] = {}
         """Number of calls by kind."""
 
@@ -196,6 +199,9 @@
 
     async def list_items(self, prefix: str) -> Result[StoredItems, Failure]:
         """Reads all items whose keys start with ``prefix``."""
+        if self.are_lists_unanswered:
+            await sleep(self._reactor, CALL_TIMEOUT_MS)
+            return _timed_out("list")
         return await self._call("list", lambda: self._store.list_items(prefix))
 
     async def watch(
--- /dev/null
+++ b/tests/services/fleet/test_takeover_loading.py
@@ -0,0 +1,54 @@
+"""Tests takeovers by an entry host that can't load the records although it can renew its lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jujubehall.core.fleet.requests import JobRequest
+from jujubehall.core.jobs.job import JobState
+from jujubehall.identifiers import JobId
+from jujubehall.testing.virtual.fleet.store import StoreFaultMode
+from tests.core.fleet.small_site import step
+
+if TYPE_CHECKING:
+    from jujubehall.testing.virtual.fleet.site import VirtualFleet
+    from jujubehall.testing.virtual.fleet.site import VirtualHost
+
+JOB = JobId("0000000000000001")
+SHORT_TASK = JobRequest("spec", (step(expected_ms=500),))
+MAX_TIME_WITHOUT_OWNER_S = 5.0
+
+
+def is_loaded(host: VirtualHost) -> bool:
+    owner = host.site_host.owner
+    return owner is not None and owner.is_loaded
+
+
+def elect_host_that_cannot_list(site: VirtualFleet) -> tuple[VirtualHost, VirtualHost]:
+    """Returns the elected host and another one, which can list."""
+    former = site.owner
+    assert former is not None
+    candidate, other = (host for host in site.hosts if host is not former)
+    candidate.store.are_lists_unanswered = True
+    other.store.fault_mode = StoreFaultMode.UNAVAILABLE
+    site.kill(former)
+    assert site.run_until(lambda: candidate.site_host.owner is not None, 3.0)
+    other.store.fault_mode = StoreFaultMode.NONE
+    return candidate, other
+
+
+def test_owner_that_cannot_load_the_records_gives_way_to_another_host(site: VirtualFleet) -> None:
+    assert site.submit(JOB, SHORT_TASK, host=1).outcome.name == "ACCEPTED"
+    candidate, other = elect_host_that_cannot_list(site)
+    assert site.run_until(lambda: is_loaded(other), MAX_TIME_WITHOUT_OWNER_S)
+    assert candidate.site_host.owner is None
+    site.run(3.0)
+    assert site.job_state(JOB, host=site.hosts.index(other)).state is JobState.SUCCEEDED
+
+
+def test_only_remaining_host_keeps_trying_to_load_the_records(site: VirtualFleet) -> None:
+    candidate, other = elect_host_that_cannot_list(site)
+    site.kill(other)
+    site.run(8.0)
+    candidate.store.are_lists_unanswered = False
+    assert site.run_until(lambda: is_loaded(candidate), MAX_TIME_WITHOUT_OWNER_S)
