Close the connection of a response that is abandoned midway

A call that timed out while the body arrived cancelled Twisted's readBody, which needs abortConnection to close the connection; the transport of a response has none in the Twisted release in use, as the DeprecationWarning of the tests said. So the rest of each abandoned page was still received, into memory, beside the next attempt.

A reader of our own collects the body and closes the connection at the time limit. test_abandoned_page_does_not_go_on_using_the_link failed before ("assert False" on was_closed_by_client) and passes now.

--- a/src/jujubehall/http/client.py
+++ b/src/jujubehall/http/client.py
@@ -15,13 +15,14 @@
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import Agent
 from twisted.web.client import HTTPConnectionPool
-from twisted.web.client import readBody
 from twisted.web.http_headers import Headers
 
+from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import to_seconds
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.http.body import BytesBodyProducer
+from jujubehall.http.body_reader import BodyReader
 from jujubehall.http.tcp_endpoint_factory import TcpEndpointFactory
 
 if TYPE_CHECKING:
@@ -89,13 +90,17 @@
         headers = Headers({b"Content-Type": [b"application/json"]})
         for name, value in (extra_headers or {}).items():
             headers.addRawHeader(name.encode(), value.encode())
+        end_s = self._reactor.seconds() + to_seconds(timeout_ms)
         deferred: Deferred[Any] = self._agent.request(
             method.encode(), url.encode(), headers, producer
         )
-        deferred.addCallback(_read_response)
         deferred.addTimeout(to_seconds(timeout_ms), self._reactor)
         try:
-            return Ok(await deferred)
+            response = await deferred
+            remaining_s = max(0.0, end_s - self._reactor.seconds())
+            reader = BodyReader(self._reactor, int(remaining_s * MS_PER_SECOND))
+            response.deliverBody(reader)
+            return Ok(ClientResponse(response.code, await reader.body))
         except (ConnectError, DNSLookupError, RequestNotSent) as error:
             return Err(Failure(FailureKind.NOT_SENT, step, peer, _describe(error)))
         except Exception as error:
@@ -107,11 +112,6 @@
         return closed
 
 
-def _read_response(response: Any) -> Deferred[ClientResponse]:
-    body: Deferred[Any] = readBody(response)
-    return body.addCallback(lambda content: ClientResponse(response.code, content))
-
-
 def _describe(error: Exception) -> str:
     text = str(error)
     return f"{type(error).__name__}: {text}" if text else type(error).__name__
