Limit pauses instead of the total time when pages of the store are read

A page of the store holds up to 1 MB.

Lists and watches now fail if the response pauses for longer than the limit, and take as long as the link needs otherwise. A silent store is noticed as soon as before: the limit still applies to the start of a response and to each of its parts. test_page_that_takes_longer_than_a_call_is_read_while_bytes_arrive failed before ("TimeoutError: (1.0, 'Deferred')") and passes now; test_page_that_stops_midway_fails_within_the_limit_of_a_call passes as before.

--- a/src/jujubehall/http/body_reader.py
+++ b/src/jujubehall/http/body_reader.py
@@ -19,20 +19,25 @@
 class BodyReader(Protocol):
     """Collects a body and closes the connection when the time limit has passed.
 
+    With ``is_timeout_per_read``, the limit applies to each part of the body instead of the whole.
+
     ``readBody`` of Twisted leaves the connection open, and the rest of a large body then goes on
     using the link.
     """
 
-    def __init__(self, reactor: Any, timeout_ms: int) -> None:
+    def __init__(self, reactor: Any, timeout_ms: int, is_timeout_per_read: bool) -> None:
         self._timeout_ms = timeout_ms
+        self._is_timeout_per_read = is_timeout_per_read
         self._parts: list[bytes] = []
         self._timeout: Any = reactor.callLater(to_seconds(timeout_ms), self._abandon)
         self.body: Deferred[bytes] = Deferred()
         """Fires with the complete body, or fails."""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Collects a part of the body."""
+        """Collects a part of the body, which restarts the limit for a part."""
         self._parts.append(data)
+        if self._is_timeout_per_read and self._timeout.active():
+            self._timeout.reset(to_seconds(self._timeout_ms))
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
         """Completes the body, or fails if the connection was lost before its end."""
--- a/src/jujubehall/http/client.py
+++ b/src/jujubehall/http/client.py
@@ -78,9 +78,13 @@
         timeout_ms: int,
         peer: str | None = None,
         extra_headers: dict[str, str] | None = None,
+        is_timeout_per_read: bool = False,
     ) -> Result[ClientResponse, Failure]:
         """Sends a request and waits up to ``timeout_ms`` milliseconds for the complete response.
 
+        With ``is_timeout_per_read``, ``timeout_ms`` applies to the start of the response and then
+        to each of its parts, so that a large response may take as long as the link needs for it.
+
         Returns ``Ok`` for every status code. Returns a ``NOT_SENT`` failure only if no byte can
         have reached the peer, and ``NO_ANSWER`` for every other error, including an expired
         ``timeout_ms``.
@@ -97,8 +101,10 @@
         deferred.addTimeout(to_seconds(timeout_ms), self._reactor)
         try:
             response = await deferred
-            remaining_s = max(0.0, end_s - self._reactor.seconds())
-            reader = BodyReader(self._reactor, int(remaining_s * MS_PER_SECOND))
+            if not is_timeout_per_read:
+                remaining_s = max(0.0, end_s - self._reactor.seconds())
+                timeout_ms = int(remaining_s * MS_PER_SECOND)
+            reader = BodyReader(self._reactor, timeout_ms, is_timeout_per_read)
             response.deliverBody(reader)
             return Ok(ClientResponse(response.code, await reader.body))
         except (ConnectError, DNSLookupError, RequestNotSent) as error:
--- a/src/jujubehall/platform/adapter/store.py
+++ b/src/jujubehall/platform/adapter/store.py
@@ -71,7 +71,10 @@
         while True:
             query = {"prefix": prefix} | ({"after": after} if after else {})
             path = "/kv-range?" + urlencode(query)
-            result = await self._call("list", "GET", path, type_=wire.RangePage)
+            # A page of up to 1 MB may take seconds on a slow link.
+            result = await self._call(
+                "list", "GET", path, type_=wire.RangePage, is_timeout_per_read=True
+            )
             if isinstance(result, Err):
                 return result
             page: wire.RangePage = result.ok_value
@@ -91,7 +94,12 @@
         query = urlencode({"prefix": prefix, "after": after, "waitMs": wait_ms})
         timeout_ms = wait_ms + CALL_TIMEOUT_MS
         result = await self._call(
-            "watch", "GET", f"/kv-watch?{query}", type_=wire.WatchEvents, timeout_ms=timeout_ms
+            "watch",
+            "GET",
+            f"/kv-watch?{query}",
+            type_=wire.WatchEvents,
+            timeout_ms=timeout_ms,
+            is_timeout_per_read=True,
         )
         return result.map(
             lambda watched: StoredItems(
@@ -148,14 +156,28 @@
         *,
         type_: Any = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
+        is_timeout_per_read: bool = False,
     ) -> Result[Any, Failure]:
-        result = await self._send(step, method, path, body, timeout_ms)
+        result = await self._send(step, method, path, body, timeout_ms, is_timeout_per_read)
         return result.and_then(lambda response: _parse_response(step, response, type_))
 
     async def _send(
-        self, step: str, method: str, path: str, body: object | None, timeout_ms: int
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: object | None,
+        timeout_ms: int,
+        is_timeout_per_read: bool = False,
     ) -> Result[ClientResponse, Failure]:
-        return await self._http.call(step, method, self._base + path, body, timeout_ms=timeout_ms)
+        return await self._http.call(
+            step,
+            method,
+            self._base + path,
+            body,
+            timeout_ms=timeout_ms,
+            is_timeout_per_read=is_timeout_per_read,
+        )
 
 
 def _parse_response(step: str, response: ClientResponse, type_: Any) -> Result[Any, Failure]:
