Give up the ownership when the records can't be loaded

After two failed attempts the owner now resigns and stands back for 3 s. A host with a better connection to the store takes over meanwhile; if there is none, the host tries again. Whatever keeps one host from loading the records no longer stops the site.

test_owner_that_cannot_load_the_records_gives_way_to_another_host failed before (no other owner within 5 s) and passes now.

--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -63,6 +63,10 @@
 """How long an owner keeps acting without the store: the longest lease of a worker. After its
 election, a successor waits this long, plus that lease, for workers that it can't reach."""
 
+STAND_BACK_MS = 3_000
+"""How long an entry host that gave up the ownership leaves it to the others: time for a campaign
+and the first load of another one."""
+
 PROCESS_PAUSE_THRESHOLD_MS = 600
 """A gap of this length between two pause checks shows that the process was suspended."""
 
@@ -116,6 +120,7 @@
         # No owner has been heard of, so an owner record found after the start is checked at once.
         self._owner_heard_ms = clock.now_ms - OWNER_SUSPICION_TIMEOUT_MS
         self._resigned_token = FencingToken(0)
+        self._stands_back_until_ms = 0
         self._peers: ElectionPeers | None = None
         self.term: Term | None = None
         self.highest_token = FencingToken(0)
@@ -165,6 +170,11 @@
         if self.term is not None:
             self._end_term(reason)
 
+    async def give_up(self, reason: str) -> None:
+        """Resigns and leaves the ownership to the other entry hosts for a while."""
+        self._stands_back_until_ms = self._clock.now_ms + STAND_BACK_MS
+        await self._resign(reason)
+
     async def run(self) -> None:
         """Campaigns for the ownership and renews the lease until ``stop`` is called."""
         self._check_for_pause()
@@ -173,7 +183,7 @@
     async def _step(self) -> None:
         if self.term is not None:
             await self._renew()
-        elif self._is_owner_alive():
+        elif self._is_owner_alive() or self._clock.now_ms < self._stands_back_until_ms:
             await sleep(self._reactor, OWNER_CHECK_INTERVAL_MS)
         else:
             await self._campaign()
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -43,6 +43,7 @@
     from jujubehall.identifiers import FencingToken
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import WorkerName
+    from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteAdvice
     from jujubehall.platform.site_store import SiteDirectory
     from jujubehall.platform.site_store import SiteStore
@@ -68,6 +69,10 @@
 has announced that it is draining."""
 
 LOAD_RETRY_INTERVAL_MS = 200
+MAX_LOAD_ATTEMPTS = 2
+"""Failed attempts to load the records after which the ownership is left to another entry host, which
+may have a better connection to the store."""
+
 CLEANUP_INTERVAL_MS = 10_000
 DELETE_TIMEOUT_MS = 1_000
 
@@ -173,23 +178,15 @@
 
     async def run(self) -> None:
         """Takes over: loads the stored records, fences the registered workers, then schedules."""
-        while not self.is_closed:
-            loaded = await self._intake_watcher.load()
-            if not isinstance(loaded, Err):
-                break
-            log.warning(
-                "loading records for takeover failed; retrying", failure=str(loaded.err_value)
-            )
-            await sleep(self._reactor, LOAD_RETRY_INTERVAL_MS)
-        if self.is_closed:
+        revisions = await self._load_records()
+        if self.is_closed or revisions is None:
             return
-        assert not isinstance(loaded, Err)
         self.writer = ProgressWriter(
             self._reactor,
             self._store,
             self.fleet_state,
             self._term.owner_revision,
-            loaded.ok_value,
+            revisions,
             self.yield_to_later_owner,
         )
         await self._load_registered_workers()
@@ -310,6 +307,24 @@
         log.info("worker listed", worker=worker.name, rack=worker.listed.rack)
         run_in_background(session.run())
 
+    async def _load_records(self) -> dict[JobId, Revision] | None:
+        """Loads the stored records; gives up the ownership and returns None if that fails."""
+        for attempt in range(1, MAX_LOAD_ATTEMPTS + 1):
+            loaded = await self._intake_watcher.load()
+            if self.is_closed:
+                return None
+            if not isinstance(loaded, Err):
+                return loaded.ok_value
+            log.warning(
+                "loading records for takeover failed",
+                attempt=attempt,
+                failure=str(loaded.err_value),
+            )
+            await sleep(self._reactor, LOAD_RETRY_INTERVAL_MS)
+        if not self.is_closed:
+            await self._ownership.give_up("the records could not be loaded")
+        return None
+
     async def _load_registered_workers(self) -> None:
         """Opens sessions with the workers of earlier owners, including those no longer listed.
 
