Limit pauses instead of the total time when one key is read

The record of registered workers has 65 kB for 176 workers and about 300 kB for 816, and is read with the same limit of 1.0 s that pages had: on a link of 5 Mbit/s beside other traffic a takeover could never read it, and the loop that reads it has no end. The value of a key may have 1 MB.

--- a/src/jujubehall/platform/adapter/store.py
+++ b/src/jujubehall/platform/adapter/store.py
@@ -58,7 +58,7 @@
     async def get(self, key: str) -> Result[StoredItem | None, Failure]:
         """Reads a key; returns None if it is absent."""
         path = "/kv-key?" + urlencode({"key": key})
-        result = await self._call("get", "GET", path, type_=wire.Item)
+        result = await self._call("get", "GET", path, type_=wire.Item, is_timeout_per_read=True)
         if isinstance(result, Err) and result.err_value.kind is FailureKind.NOT_FOUND:
             return Ok(None)
         return result.and_then(lambda item: _to_item("get", item))
