Remove jobs that failed or were cancelled under an earlier owner

A new owner did not know when such a job had ended and never removed it or its records, so that with each takeover the store grew and the next takeover read more.

A restored job that has ended is now kept for the full retention time, counted from the takeover.

--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -108,6 +108,8 @@
             self.create_occurrences_through(int(key.partition(".")[0]), now_ms)
         if stored.state.is_final:
             self.state = stored.state
+            # The time of the end is not stored, so its state is kept for the full time once more.
+            self.ended_ms = now_ms
 
     def progress(self) -> JobProgress:
         """Returns the progress to write to the store."""
