--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -112,7 +112,12 @@
             self.ended_ms = now_ms
 
     def progress(self) -> JobProgress:
-        """Returns the progress to write to the store."""
+        """Returns the progress to write to the store.
+
+        A job that has ended needs only its state: a new owner stops all runs of it that it finds.
+        """
+        if self.state.is_final:
+            return JobProgress(self.state)
         groups = {group.key: group.progress() for group in self.all_groups() if group.run}
         return JobProgress(self.state, self._stored_progress.groups | groups)
 
