Failing tests of ends that are never confirmed on a slow store

Seen on a site of 176 workers: an owner on a slow host logged 3,090 ends of runs for 1,001 distinct ones. The virtual site shows the same with a store whose calls take 254 ms, more than the 150 ms within which the worker counts as the same incarnation.

The virtual workers count the reports that list each end.

--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -151,6 +151,9 @@
         """
 
         self._end_count = 0
+        self.end_listing_counts: dict[tuple[int, int], int] = {}
+        """Number of reports that listed each end, by incarnation and number of the end."""
+
         self.is_listed = True
         self.is_down = False
         self.fails_all_tasks = False
@@ -255,6 +258,9 @@
             if self._last_end_before_expiry < end.number <= confirmed and end.kind is EndKind.DONE:
                 self._recorder.confirm_done(end.task, self._end_times_ms[end.number])
         self._unconfirmed_ends = [end for end in self._unconfirmed_ends if end.number > confirmed]
+        for end in self._unconfirmed_ends:
+            key = (self.listed.incarnation, end.number)
+            self.end_listing_counts[key] = self.end_listing_counts.get(key, 0) + 1
         return Ok(
             WorkerReport(
                 self.listed.incarnation,
--- a/tests/core/fleet/test_reconciliation.py
+++ b/tests/core/fleet/test_reconciliation.py
@@ -249,3 +249,31 @@
     successor.report(worker, ended=(ended,))
     assert restored.state is JobState.QUEUED
     assert [each.failures for each in restored.all_groups()] == [1]
+
+
+def test_end_listed_again_leaves_no_unsaved_job() -> None:
+    site = SmallSite()
+    job = site.submit("job", step(saves_checkpoints=True))
+    (group,) = site.start_groups()
+    worker = int(group.placements[0].worker.name[1:])
+    ended = EndedTask(1, TaskId(job.id, 0, 0, 0), 1, EndKind.STOPPED, "c1")
+    assert site.report(worker, ended=(ended,)).ends == [ended]
+    assert site.fleet_state.unsaved_jobs == {job}
+    site.fleet_state.unsaved_jobs.clear()
+    assert site.report(worker, ended=(ended,)).ends == []
+    assert site.fleet_state.unsaved_jobs == set()
+
+
+def test_end_listed_again_does_not_replace_the_checkpoint_of_a_later_run() -> None:
+    site = SmallSite(workers=2)
+    job = site.submit("job", step(saves_checkpoints=True))
+    task = TaskId(job.id, 0, 0, 0)
+    (group,) = site.start_groups()
+    former = group.placements[0].worker
+    first = EndedTask(1, task, 1, EndKind.STOPPED, "c1")
+    site.report(int(former.name[1:]), ended=(first,))
+    former.is_reachable = False
+    assert site.start_groups() == [group]
+    site.end(group, EndKind.STOPPED, checkpoint="c2")
+    site.report(int(former.name[1:]), ended=(first,))
+    assert group.checkpoint == "c2"
