Keep jobs unsaved when writing their progress raises an exception

A job whose placement was being written when an exception was raised stayed "running" for good: its start was never sent. A job whose end was being written recovered only because the worker listed the end again.

Cause: the writer took all unsaved jobs and flush waiters before writing, and an exception lost both. A later flush then counted the jobs as stored.

The writer now returns the jobs and waiters to their lists and writes again after a delay. If the write had been applied, the revisions conflict, and the known path reads them and writes again. So an end is confirmed only after its write, even if nothing marks its job unsaved a second time.

--- a/src/jujubehall/services/fleet/progress_writer.py
+++ b/src/jujubehall/services/fleet/progress_writer.py
@@ -16,6 +16,7 @@
 from jujubehall.platform.site_store import Conflict
 from jujubehall.platform.site_store import Precondition
 from jujubehall.platform.site_store import Write
+from jujubehall.services.async_utils import ERROR_RETRY_DELAY_MS
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import sleep
 from jujubehall.services.fleet.records import OWNER_KEY
@@ -110,8 +111,16 @@
             waiters, self._flush_waiters = self._flush_waiters, []
             pending = list(self._fleet_state.unsaved_jobs)
             self._fleet_state.unsaved_jobs.clear()
-            for first in range(0, len(pending), JOBS_PER_COMMIT):
-                await self._write(pending[first : first + JOBS_PER_COMMIT])
+            try:
+                for first in range(0, len(pending), JOBS_PER_COMMIT):
+                    await self._write(pending[first : first + JOBS_PER_COMMIT])
+            except Exception as error:
+                log.error("writing job progress failed unexpectedly", error=repr(error))
+                # A later flush must include these jobs, or their ends would be confirmed unstored.
+                self._fleet_state.unsaved_jobs.update(pending)
+                self._flush_waiters[:0] = waiters
+                await sleep(self._reactor, ERROR_RETRY_DELAY_MS)
+                continue
             if self._is_closed:
                 return
             for waiter in waiters:
