Confirm stored ends at once after the report that identifies the incarnation

Ends of runs were never confirmed once writes took longer than 150 ms: each report carried all ends, which were logged and stored again for good. A slow store, or a slow host on a large site, started this, and it did not stop when no more runs ended.

Cause: an end is confirmed only within 150 ms after a report, since a worker that restarted later numbers its ends from 1 again. But after each report with ends the session waited until they were stored, even if it had stored them before. So the wait for a slow write used up the 150 ms each time.

A report that lists ends which are already stored for its incarnation is now followed by the next request without a wait, and that request confirms them. Ends that are not stored yet are stored meanwhile. The conditions of a confirmation are unchanged: the ends are stored, the incarnation is the one of the last report, and that report came less than 150 ms ago.

test_ends_are_confirmed_while_writes_take_longer_than_the_incarnation_gap failed before (unconfirmed after 15 s; up to 28 reports per end) and passes now with at most 3. New tests of the conditions, with the code changed for a trial: skipping the limit of 150 ms gives the confirmations [0, 1, 1, 1], ignoring the incarnation [0, 0, 1, 1], instead of [0, 0, 0, 1]; confirming without waiting for the write gives violations "is not stored".

--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -65,6 +65,8 @@
         self._longest_lease_ms = longest_lease_ms
         self._clock_offset_ms: int | None = None
         self._confirmed_ends = 0
+        """Ends up to this number of ``_confirmed_incarnation`` are stored and may be confirmed."""
+
         self._confirmed_incarnation = 0
         self._is_closed = False
         self._wake_signal: Deferred[None] | None = None
@@ -206,15 +208,22 @@
                 worker=self._worker.name,
             )
         self._owner.handle_report()
-        if report.ended:
-            self._has_pending_ends = True
-            last_number = max(ended.number for ended in report.ended)
+        await self._await_storage(report)
+
+    async def _await_storage(self, report: WorkerReport) -> None:
+        """Waits until the ends in a report are stored, unless some can be confirmed already."""
+        self._has_pending_ends = bool(report.ended)
+        if not report.ended:
+            return
+        numbers = [ended.number for ended in report.ended]
+        # Any wait could exceed SAME_INCARNATION_GAP_MS, so that the next request confirms nothing.
+        can_confirm = min(numbers) <= self._confirmed_ends
+        if max(numbers) > self._confirmed_ends:
             stored = self._owner.writer.flushed()
-            stored.addCallback(lambda _: self._confirm_ends(report.incarnation, last_number))
-            timeout = sleep(self._reactor, PROGRESS_FLUSH_TIMEOUT_MS)
-            await first_result(stored, timeout)
-        else:
-            self._has_pending_ends = False
+            stored.addCallback(lambda _: self._confirm_ends(report.incarnation, max(numbers)))
+            if not can_confirm:
+                timeout = sleep(self._reactor, PROGRESS_FLUSH_TIMEOUT_MS)
+                await first_result(stored, timeout)
 
     def _confirm_ends(self, incarnation: int, number: int) -> None:
         if incarnation == self._confirmed_incarnation:
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -278,6 +278,11 @@
             )
         )
 
+    @property
+    def unconfirmed_ends(self) -> list[EndedTask]:
+        """The ends that the scheduler has not confirmed yet."""
+        return list(self._unconfirmed_ends)
+
     @property
     def has_unconfirmed_ends(self) -> bool:
         """Whether there are unconfirmed ends."""
--- a/tests/services/fleet/test_worker_session.py
+++ b/tests/services/fleet/test_worker_session.py
@@ -3,18 +3,36 @@
 from __future__ import annotations
 
 from itertools import pairwise
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
 from typing import Any
 
+import msgspec
 import pytest
 
+from result import Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from jujubehall.clock import reactor_clock
+from jujubehall.clock import to_seconds
+from jujubehall.core.fleet.jobs import JobProgress
+from jujubehall.core.fleet.reports import EndedTask
+from jujubehall.core.fleet.reports import EndKind
+from jujubehall.core.fleet.reports import TaskId
+from jujubehall.core.fleet.reports import WorkerReport
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.jobs.job import JobState
 from jujubehall.identifiers import JobId
+from jujubehall.services.async_utils import run_in_background
+from jujubehall.services.async_utils import sleep
 from jujubehall.services.fleet.records import PROGRESS_PREFIX
+from jujubehall.services.fleet.records import progress_key
 from jujubehall.services.fleet.worker_session import REPORT_RETRY_INTERVAL_MS
 from jujubehall.services.fleet.worker_session import SAME_INCARNATION_GAP_MS
+from jujubehall.services.fleet.worker_session import WorkerSession
 from jujubehall.testing.virtual.fleet.workers import VirtualWorker
+from tests.core.fleet.small_site import SmallSite
 from tests.core.fleet.small_site import step
 
 if TYPE_CHECKING:
@@ -23,6 +41,7 @@
 JOBS = [JobId(f"{number:016x}") for number in range(2)]
 TASKS_PER_JOB = 16
 END_INTERVAL_MS = 150
+RESTART_INTERVAL_S = 0.13
 SLOW_STORE_LATENCY_MS = SAME_INCARNATION_GAP_MS + 100
 
 MAX_LISTINGS_PER_END = 3
@@ -57,6 +76,19 @@
     return written
 
 
+def is_stored(site: VirtualFleet, ended: EndedTask) -> bool:
+    item = site.store.get(progress_key(ended.task.job))
+    if item is None:
+        return False
+    stored = msgspec.json.decode(item.value, type=JobProgress)
+    group = stored.groups.get(f"{ended.task.occurrence}.{ended.task.step}.{ended.task.position}")
+    return (
+        group is not None
+        and group.run >= ended.run
+        and (group.is_done or ended.kind is not EndKind.DONE)
+    )
+
+
 def test_ends_are_confirmed_while_writes_take_longer_than_the_incarnation_gap(
     site: VirtualFleet,
 ) -> None:
@@ -85,6 +117,76 @@
     assert site.run_recorder.violations == []
 
 
+def test_confirmation_does_not_reach_a_later_incarnation_that_lists_the_same_numbers() -> None:
+    small_site = SmallSite(workers=1)
+    small_site.worker(0).has_reported = False
+    job = small_site.submit("job", step(tasks=2))
+    reactor = Clock()
+    clock = reactor_clock(reactor)
+    incarnations = iter([1, 2, 2, 2])
+    confirmed: list[int] = []
+
+    async def poll(
+        _worker: Any, _token: Any, confirmed_ends: int, _until_ms: Any, _wait_ms: Any
+    ) -> Any:
+        confirmed.append(confirmed_ends)
+        incarnation = next(incarnations, None)
+        if incarnation is None:
+            return await Deferred()
+        ended = EndedTask(1, TaskId(job.id, 0, 0, incarnation - 1), 1, EndKind.FAILED)
+        return Ok(WorkerReport(incarnation, clock.now_ms, (), (ended,)))
+
+    owner: Any = SimpleNamespace(
+        may_act=True,
+        token=1,
+        workers_api=SimpleNamespace(poll=poll),
+        writer=SimpleNamespace(flushed=lambda: sleep(reactor, SLOW_STORE_LATENCY_MS)),
+        fleet_state=small_site.fleet_state,
+        handle_report=lambda: None,
+    )
+    session = WorkerSession(owner, reactor, clock, small_site.worker(0), 6_000)
+    run_in_background(session.run())
+    reactor.pump([to_seconds(10)] * 200)
+    # The third report identifies the incarnation after the write; the fourth request confirms.
+    assert confirmed[:4] == [0, 0, 0, 1]
+
+
+@pytest.mark.parametrize("extra_latency_ms", [0, SLOW_STORE_LATENCY_MS])
+def test_only_stored_ends_of_the_same_incarnation_are_confirmed_to_restarting_workers(
+    site: VirtualFleet, monkeypatch: pytest.MonkeyPatch, extra_latency_ms: int
+) -> None:
+    report = VirtualWorker.report
+    confirmed_ends: list[EndedTask] = []
+    violations: list[str] = []
+
+    def check_and_report(
+        worker: VirtualWorker, token: int, confirmed: int, until_ms: int | None
+    ) -> Any:
+        incarnation = worker.listed.incarnation
+        for ended in worker.unconfirmed_ends:
+            if ended.number > confirmed:
+                continue
+            confirmed_ends.append(ended)
+            if (incarnation, ended.number) not in worker.end_listing_counts:
+                violations.append(f"{ended} was not listed by incarnation {incarnation}")
+            if not is_stored(site, ended):
+                violations.append(f"{ended} is not stored")
+        return report(worker, token, confirmed, until_ms)
+
+    monkeypatch.setattr(VirtualWorker, "report", check_and_report)
+    for host in site.hosts:
+        host.store.extra_latency_ms = extra_latency_ms
+    submit_jobs_with_spread_ends(site)
+    workers = list(site.workers.values())
+    for number in range(40):
+        site.run(RESTART_INTERVAL_S)
+        workers[number % len(workers)].restart()
+    assert site.run_until(lambda: all_ends_are_confirmed(site), 15.0)
+    assert confirmed_ends
+    assert violations == []
+    assert [site.job_state(job).state for job in JOBS] == [JobState.SUCCEEDED] * len(JOBS)
+
+
 @pytest.mark.parametrize("failed_write", [0, 1])
 def test_progress_is_stored_after_a_write_raised_an_exception(
     site: VirtualFleet, monkeypatch: pytest.MonkeyPatch, failed_write: int
