Poll a worker that keeps listing confirmed ends only every 300 ms

A worker that went on listing ends after their confirmation was polled in a tight loop: requests with pending ends ask for a report without a delay, and a write of unchanged progress takes a few milliseconds. While ends wait for their write there is no such loop, since the session waits for the write for up to 1.5 s.

If the request that follows a report at once, to confirm stored ends, gets a report that still lists stored ends, the session now waits for the interval of retries. The request after it identifies the incarnation and the next one confirms again, so there are at most two reports per interval.

--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -11,6 +11,7 @@
 
 from result import Err
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
 
 from jujubehall.core.fleet.reconciliation import Reconciliation
 from jujubehall.errors import FailureKind
@@ -73,6 +74,9 @@
         self._has_pending_ends = False
         """Whether the last report listed ends of runs that were not confirmed yet."""
 
+        self._is_confirming = False
+        """Whether the present request follows the last report at once, to confirm stored ends."""
+
         self._consecutive_failures = 0
         self._last_report_ms = -SAME_INCARNATION_GAP_MS
         self.leases_end_ms = 0
@@ -212,18 +216,28 @@
 
     async def _await_storage(self, report: WorkerReport) -> None:
         """Waits until the ends in a report are stored, unless some can be confirmed already."""
+        was_confirming, self._is_confirming = self._is_confirming, False
         self._has_pending_ends = bool(report.ended)
         if not report.ended:
             return
         numbers = [ended.number for ended in report.ended]
-        # Any wait could exceed SAME_INCARNATION_GAP_MS, so that the next request confirms nothing.
-        can_confirm = min(numbers) <= self._confirmed_ends
-        if max(numbers) > self._confirmed_ends:
-            stored = self._owner.writer.flushed()
-            stored.addCallback(lambda _: self._confirm_ends(report.incarnation, max(numbers)))
-            if not can_confirm:
-                timeout = sleep(self._reactor, PROGRESS_FLUSH_TIMEOUT_MS)
-                await first_result(stored, timeout)
+        has_stored_ends = min(numbers) <= self._confirmed_ends
+        stored = self._store_ends(report.incarnation, max(numbers))
+        if not has_stored_ends:
+            await first_result(stored, sleep(self._reactor, PROGRESS_FLUSH_TIMEOUT_MS))
+        elif was_confirming:
+            # The confirmation had no effect, so another one at once is unlikely to.
+            await sleep(self._reactor, REPORT_RETRY_INTERVAL_MS)
+        else:
+            # Any wait could exceed SAME_INCARNATION_GAP_MS; the request would confirm nothing.
+            self._is_confirming = True
+
+    def _store_ends(self, incarnation: int, last_number: int) -> Deferred[None]:
+        """Returns a deferred that fires once the ends up to a number may be confirmed."""
+        if last_number <= self._confirmed_ends:
+            return succeed(None)
+        stored = self._owner.writer.flushed()
+        return stored.addCallback(lambda _: self._confirm_ends(incarnation, last_number))
 
     def _confirm_ends(self, incarnation: int, number: int) -> None:
         if incarnation == self._confirmed_incarnation:
