Apply each end of a run once, however often a worker lists it

An end that a worker listed again was logged as "run ended" again if its group was not done, counted again in the metric and, if it was a success, in the worker's failure history; its job was written again without a change. An end that another worker listed again could also replace the checkpoint of a later run.

Cause: _apply_end relied on being idempotent and marked the job unsaved each time. A worker lists an end until it is confirmed, at least twice if writing takes longer than 150 ms.

The state of a worker now contains the ends of its last report that have been applied, with its incarnation, and these are skipped. The first listing to an owner always marks the job unsaved. Comparing the progress before and after instead would be unsafe: run numbers and placements adopted from reports of running tasks are in memory without having been written. Waiting for the write is unaffected, since a flush covers jobs that are unsaved or being written. After a takeover the successor applies each listed end once, and failures are still counted by run number.

--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -66,8 +66,7 @@
         """Applies ended runs, then active runs, then removes runs that are no longer reported."""
         if self._report.incarnation != self._worker.listed.incarnation:
             self._remove_runs_of_previous_incarnation()
-        for ended in self._report.ended:
-            self._apply_end(ended)
+        self._apply_new_ends()
         untracked = NO_RESOURCES
         reported = set()
         for running in self._report.running:
@@ -96,10 +95,19 @@
             else:
                 self._remove_placement(group, index)
 
-    def _apply_end(self, ended: EndedTask) -> None:
+    def _apply_new_ends(self) -> None:
+        applied = set()
+        for ended in self._report.ended:
+            key = (self._report.incarnation, ended)
+            if key in self._worker.applied_ends or self._apply_end(ended):
+                applied.add(key)
+        self._worker.applied_ends = frozenset(applied)
+
+    def _apply_end(self, ended: EndedTask) -> bool:
+        """Applies an end; returns False if its job is unknown."""
         group = self._fleet_state.find_group(ended.task, self._now_ms)
         if group is None:
-            return
+            return False
         index = ended.task.position
         placement = group.placements.get(index)
         is_current = (
@@ -128,6 +136,7 @@
                 # The other members stop by themselves, unless they can no longer reach this one.
                 self._fleet_state.mark_stopping(group)
         self._fleet_state.unsaved_jobs.add(group.job)
+        return True
 
     def _complete(self, group: TaskGroup) -> None:
         if group.is_done or group.request.runs_until_cancelled:
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.reports import EndedTask
 
 
 SLOW_FACTOR = 2.0
@@ -64,6 +65,12 @@
         self._untracked_usage: Resources = NO_RESOURCES
         self.failure_history = FailureHistory()
         self.has_reported = False
+        self.applied_ends: frozenset[tuple[int, EndedTask]] = frozenset()
+        """The ends in its last report, with its incarnation, that have been applied.
+
+        A worker lists an end in each report until the end is confirmed.
+        """
+
         self.previous_leases_end_ms = 0
         """Until the worker's first report, runs of an earlier owner may be active on it up to this
         time."""
