--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -11,6 +11,7 @@
 
 from result import Err
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
 
 from jujubehall.core.fleet.reconciliation import Reconciliation
 from jujubehall.errors import FailureKind
@@ -65,12 +66,17 @@
         self._longest_lease_ms = longest_lease_ms
         self._clock_offset_ms: int | None = None
         self._confirmed_ends = 0
+        """Ends up to this number of ``_confirmed_incarnation`` are stored and may be confirmed."""
+
         self._confirmed_incarnation = 0
         self._is_closed = False
         self._wake_signal: Deferred[None] | None = None
         self._has_pending_ends = False
         """Whether the last report listed ends of runs that were not confirmed yet."""
 
+        self._is_confirming = False
+        """Whether the present request follows the last report at once, to confirm stored ends."""
+
         self._consecutive_failures = 0
         self._last_report_ms = -SAME_INCARNATION_GAP_MS
         self.leases_end_ms = 0
@@ -206,15 +212,32 @@
                 worker=self._worker.name,
             )
         self._owner.handle_report()
-        if report.ended:
-            self._has_pending_ends = True
-            last_number = max(ended.number for ended in report.ended)
-            stored = self._owner.writer.flushed()
-            stored.addCallback(lambda _: self._confirm_ends(report.incarnation, last_number))
-            timeout = sleep(self._reactor, PROGRESS_FLUSH_TIMEOUT_MS)
-            await first_result(stored, timeout)
+        await self._await_storage(report)
+
+    async def _await_storage(self, report: WorkerReport) -> None:
+        """Waits until the ends in a report are stored, unless some can be confirmed already."""
+        was_confirming, self._is_confirming = self._is_confirming, False
+        self._has_pending_ends = bool(report.ended)
+        if not report.ended:
+            return
+        numbers = [ended.number for ended in report.ended]
+        has_stored_ends = min(numbers) <= self._confirmed_ends
+        stored = self._store_ends(report.incarnation, max(numbers))
+        if not has_stored_ends:
+            await first_result(stored, sleep(self._reactor, PROGRESS_FLUSH_TIMEOUT_MS))
+        elif was_confirming:
+            # The confirmation had no effect, so another one at once is unlikely to.
+            await sleep(self._reactor, REPORT_RETRY_INTERVAL_MS)
         else:
-            self._has_pending_ends = False
+            # Any wait could exceed SAME_INCARNATION_GAP_MS; the request would confirm nothing.
+            self._is_confirming = True
+
+    def _store_ends(self, incarnation: int, last_number: int) -> Deferred[None]:
+        """Returns a deferred that fires once the ends up to a number may be confirmed."""
+        if last_number <= self._confirmed_ends:
+            return succeed(None)
+        stored = self._owner.writer.flushed()
+        return stored.addCallback(lambda _: self._confirm_ends(incarnation, last_number))
 
     def _confirm_ends(self, incarnation: int, number: int) -> None:
         if incarnation == self._confirmed_incarnation:
