Show that a new owner is replaced although it is healthy

A third test, of a new owner that crashes before its first heartbeat, passes: it bounds what a fix may cost.

The virtual network can delay messages by their type.

--- a/src/jujubehall/testing/virtual/mesh.py
+++ b/src/jujubehall/testing/virtual/mesh.py
@@ -66,6 +66,7 @@
         pending_response.addTimeout(to_seconds(timeout_ms), self._reactor)  # type: ignore[arg-type]
         content = msgspec.msgpack.encode(message)
         latency_s = self._network.latency_s(self._member.name, target._member.name)
+        latency_s += to_seconds(self._network.message_delays_ms.get(type(message), 0))
         self._reactor.callLater(latency_s, self._deliver, target, content, pending_response)
         try:
             return Ok(msgspec.msgpack.decode(await pending_response, type=Message))
--- a/src/jujubehall/testing/virtual/network.py
+++ b/src/jujubehall/testing/virtual/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import to_seconds
@@ -41,6 +42,9 @@
         message has a random latency. Calls to workers and the platform always have a random one.
         """
 
+        self.message_delays_ms: dict[type[Any], int] = {}
+        """Delay of messages between hosts by their type, in addition to their latency."""
+
         self.response_loss_rate = 0.0
         """Fraction (0 to 1) of the successful platform writes whose responses are lost."""
 
--- a/tests/services/fleet/test_ownership.py
+++ b/tests/services/fleet/test_ownership.py
@@ -4,15 +4,39 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
+from jujubehall.clock import to_seconds
+from jujubehall.entry_hosts.messages import SiteHeartbeat
 from jujubehall.platform.site_store import ABSENT
 from jujubehall.services.async_utils import run_in_background
+from jujubehall.services.fleet.peers import MEMBER_TIMEOUT_MS
 from jujubehall.services.fleet.worker_registry import WorkerRegistry
+from jujubehall.testing.virtual.fleet.site import VirtualFleet
 from jujubehall.testing.virtual.fleet.store import StoreFaultMode
+from tests.core.fleet.small_site import CONFIGURATION
+from tests.core.fleet.small_site import SmallSite
 
 if TYPE_CHECKING:
-    from jujubehall.testing.virtual.fleet.site import VirtualFleet
+    from jujubehall.identifiers import FencingToken
     from jujubehall.testing.virtual.fleet.site import VirtualHost
 
+LATE_HEARTBEAT_DELAY_MS = 600
+"""Shorter than the timeout of a heartbeat; longer than a few reads of the owner record."""
+
+
+@pytest.fixture(params=range(5))
+def larger_site(request: pytest.FixtureRequest) -> VirtualFleet:
+    """Returns a site of eight entry hosts, most of which are not consulted about an owner."""
+    fleet = VirtualFleet(CONFIGURATION, SmallSite().listed, hosts=8, seed=request.param)
+    assert fleet.run_until(lambda: fleet.owner is not None, 5.0)
+    fleet.run(1.0)
+    return fleet
+
+
+def highest_token(site: VirtualFleet) -> FencingToken:
+    return max(host.site_host.ownership.highest_token for host in site.hosts)
+
 
 def current_owner(site: VirtualFleet) -> VirtualHost:
     assert site.owner is not None
@@ -88,3 +112,49 @@
             site.network.disconnect(isolated_host.name, host.name)
     site.run(6.0)
     assert site.owner is owner
+
+
+def test_owner_elected_after_long_term_sends_heartbeats_to_all_hosts(
+    larger_site: VirtualFleet,
+) -> None:
+    site, former = larger_site, current_owner(larger_site)
+    site.run(to_seconds(MEMBER_TIMEOUT_MS))
+    run_in_background(former.site_host.stop())
+    seconds_until_other_owner(site, former)
+    successor = current_owner(site)
+    token = highest_token(site)
+    site.run(0.5)
+    for host in site.hosts:
+        if host is not successor:
+            owner_member = host.site_host.peers.owner_member
+            assert owner_member is not None
+            assert owner_member.name == successor.name
+    site.kill(former)
+    site.run(3.0)
+    assert (site.owner, highest_token(site)) == (successor, token)
+
+
+def test_new_owner_whose_first_heartbeats_are_late_is_not_replaced(
+    larger_site: VirtualFleet,
+) -> None:
+    site, former = larger_site, current_owner(larger_site)
+    site.kill(former)
+    site.network.message_delays_ms[SiteHeartbeat] = LATE_HEARTBEAT_DELAY_MS
+    seconds_until_other_owner(site, former)
+    successor = current_owner(site)
+    token = highest_token(site)
+    site.run(3.0)
+    assert (site.owner, highest_token(site)) == (successor, token)
+
+
+def test_new_owner_that_crashes_before_its_first_heartbeat_is_replaced(
+    larger_site: VirtualFleet,
+) -> None:
+    site, former = larger_site, current_owner(larger_site)
+    site.kill(former)
+    site.network.message_delays_ms[SiteHeartbeat] = LATE_HEARTBEAT_DELAY_MS
+    seconds_until_other_owner(site, former)
+    crashed = current_owner(site)
+    site.kill(crashed)
+    site.network.message_delays_ms.clear()
+    assert seconds_until_other_owner(site, crashed) < 1.6
