Send heartbeats to all members at the start of a term

Cause: a host that does not own the site gets responses from the owner only, so the times of the last responses of the others date from its start. Once these were over 30 s old, a newly elected owner took those hosts for gone and sent them no heartbeats at all.

The others could not tell it from a dead owner and replaced it when khomas-b-2 stopped (19.4996).

--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -60,8 +60,8 @@
 """How many other entry hosts are consulted before an owner is replaced or resigns."""
 
 MEMBER_TIMEOUT_MS = 30_000
-"""A member that has not responded for this long gets no heartbeats until it restarts or becomes
-the owner itself."""
+"""A member that has not responded to the owner of this term for this long gets no heartbeats until
+it restarts or becomes the owner itself."""
 
 Response = TypeVar("Response")
 
@@ -95,6 +95,7 @@
         self._configuration = configuration
         self._ownership: Ownership
         self._owner: SiteOwner | None = None
+        self._term_began_ms = 0
         self._owner_member: Member | None = None
         self._owner_heard_ms = -OWNER_HEARTBEAT_TIMEOUT_MS
         self._members: dict[EntryHostName, Member] = {}
@@ -159,6 +160,7 @@
     def begin_term(self, owner: SiteOwner) -> None:
         """Starts sending heartbeats to all other entry hosts."""
         self._owner = owner
+        self._term_began_ms = self._clock.now_ms
         self._owner_member = None
         run_in_background(self._send_heartbeats(owner))
 
@@ -254,7 +256,9 @@
             return
         now_ms = self._clock.now_ms
         for name, member in self._members.items():
-            if now_ms - self._last_response_ms.get(name, 0) < MEMBER_TIMEOUT_MS:
+            # Only the owner gets responses of all members, so earlier silence shows nothing.
+            silent_since_ms = max(self._last_response_ms.get(name, 0), self._term_began_ms)
+            if now_ms - silent_since_ms < MEMBER_TIMEOUT_MS:
                 run_in_background(self._send_heartbeat(owner, member, is_resigning))
 
     async def _send_heartbeat(
