--- a/tests/services/fleet/test_ownership.py
+++ b/tests/services/fleet/test_ownership.py
@@ -8,6 +8,7 @@
 
 from jujubehall.clock import to_seconds
 from jujubehall.entry_hosts.messages import SiteHeartbeat
+from jujubehall.identifiers import FencingToken
 from jujubehall.platform.site_store import ABSENT
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.fleet.peers import MEMBER_TIMEOUT_MS
@@ -18,7 +19,6 @@
 from tests.core.fleet.small_site import SmallSite
 
 if TYPE_CHECKING:
-    from jujubehall.identifiers import FencingToken
     from jujubehall.testing.virtual.fleet.site import VirtualHost
 
 LATE_HEARTBEAT_DELAY_MS = 600
@@ -158,3 +158,25 @@
     site.kill(crashed)
     site.network.message_delays_ms.clear()
     assert seconds_until_other_owner(site, crashed) < 1.6
+
+
+def test_restarted_host_that_has_not_heard_owner_is_no_evidence_against_it(
+    site: VirtualFleet,
+) -> None:
+    owner = current_owner(site)
+    token = highest_token(site)
+    disconnected_host, restarted_host = (host for host in site.hosts if host is not owner)
+    site.network.disconnect(disconnected_host.name, owner.name)
+    site.run(2.0)
+    site.kill(restarted_host)
+    site.network.message_delays_ms[SiteHeartbeat] = LATE_HEARTBEAT_DELAY_MS
+    site.restart(restarted_host)
+    site.run(3.0)
+    assert (site.owner, highest_token(site)) == (owner, token)
+
+
+def test_peers_that_do_not_know_an_owner_give_no_vote_against_it(site: VirtualFleet) -> None:
+    host = next(host for host in site.hosts if host is not site.owner)
+    site.kill(current_owner(site))
+    later = FencingToken(highest_token(site) + 1)
+    assert site.await_result(host.site_host.peers.query_owner_silence_ms(later)) is None
