Count the silence of an owner from its discovery

Cause: a host that read the record of a new owner went on counting the silence since the predecessor's last heartbeat, and so did the peers that it consulted. An owner elected after a silence of 1 s was suspected by everybody from its first moment, before a heartbeat could arrive.

The silence now counts from the later of the last heartbeat and the first read of the owner's record, on the candidate and on the peers that it consults. The takeover from a known owner that dies is as fast as before. A new owner that dies before its first heartbeat is replaced after 1 s plus the reads, within its lease of 2 s.

--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -3,7 +3,8 @@
 An owner whose heartbeats stop is replaced before its lease expires if the other entry hosts don't
 receive them either: its record is then replaced by compare-and-swap. This is safe at any time,
 since workers refuse lower fencing tokens and the owner's commits to the store are conditional on
-its record. The waiting time only prevents needless changes of the owner.
+its record. The waiting time only prevents needless changes of the owner. It starts anew for each
+owner, since the silence of its predecessor shows nothing about it.
 """
 
 from __future__ import annotations
@@ -113,8 +114,9 @@
         self._last_pause_check_ms = clock.now_ms
         self._must_verify_lease = False
         self._is_stopping = False
-        # No owner has been heard of, so an owner record found after the start is checked at once.
+        # No owner has been heard of, so the owner record is read at once after the start.
         self._owner_heard_ms = clock.now_ms - OWNER_SUSPICION_TIMEOUT_MS
+        self._owner_discovered_ms = self._owner_heard_ms
         self._resigned_token = FencingToken(0)
         self._peers: ElectionPeers | None = None
         self.term: Term | None = None
@@ -135,8 +137,8 @@
 
     @property
     def owner_silence_ms(self) -> int:
-        """The time since a heartbeat of another owner was received."""
-        return self._clock.now_ms - self._owner_heard_ms
+        """The time since a heartbeat of another owner, or a later owner's record, was received."""
+        return self._clock.now_ms - max(self._owner_heard_ms, self._owner_discovered_ms)
 
     def set_peers(self, peers: ElectionPeers) -> None:
         """Sets the peers to consult about a silent owner and about the store."""
@@ -244,8 +246,9 @@
         """
         record: OwnerRecord | None = decode_record(item.key, item.value, OwnerRecord)
         token = FencingToken(item.revision)
-        if record is None or token > self.highest_token:
-            self.highest_token = max(self.highest_token, token)
+        if token > self.highest_token:
+            self.highest_token = token
+            self._owner_discovered_ms = self._clock.now_ms
         if record is not None and record.member.incarnation == self._member.incarnation:
             if self._lease is not None and record.lease == self._lease:
                 # An earlier election was won, but the answer to its commit was lost.
