Give peers that never heard of an owner no vote against it

Cause: such a peer reports the longest silence, which the asking host took as evidence like any other.

The asking host now leaves these reports out. The message is unchanged, so hosts of both versions understand each other.

--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -77,7 +77,7 @@
     """The other entry hosts, which are consulted before the owner changes."""
 
     async def query_owner_silence_ms(self, token: FencingToken) -> int | None:
-        """Returns the shortest time since a peer heard of the owner; None if no peer answers."""
+        """Returns the shortest time since a peer heard of the owner; None if no peer knows it."""
 
     async def can_any_reach_store(self) -> bool:
         """Returns whether any peer can reach the store now."""
--- a/src/jujubehall/services/fleet/peer_request_handlers.py
+++ b/src/jujubehall/services/fleet/peer_request_handlers.py
@@ -24,6 +24,7 @@
 from jujubehall.entry_hosts.messages import StoreWriteWanted
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.fleet.peers import CONTACT_CHECK_TIMEOUT_MS
+from jujubehall.services.fleet.peers import NEVER_HEARD_MS
 from jujubehall.services.fleet.peers import make_job_state_response
 from jujubehall.services.fleet.records import OWNER_KEY
 
@@ -39,9 +40,6 @@
     from jujubehall.services.fleet.peers import Peers
     from jujubehall.services.fleet.site_owner import SiteOwner
 
-NEVER_HEARD_MS = 10**9
-"""Reported as the time since contact with an owner that this entry host has never heard of."""
-
 
 class PeerRequestHandlers:
     """Handles requests to the owner of the site and requests that serve the election of an owner.
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -63,6 +63,9 @@
 """A member that has not responded to the owner of this term for this long gets no heartbeats until
 it restarts or becomes the owner itself."""
 
+NEVER_HEARD_MS = 10**9
+"""Reported as the time since contact with an owner that this entry host has never heard of."""
+
 Response = TypeVar("Response")
 
 log = structlog.get_logger()
@@ -131,7 +134,8 @@
     async def query_owner_silence_ms(self, token: FencingToken) -> int | None:
         """Returns the shortest time since a consulted peer heard of the owner.
 
-        Returns None if no peer responds.
+        Returns None if no peer responds that knows the owner. A peer learns of an owner without
+        heartbeats by reading its record.
         """
         requests = [
             self._mesh.request(member, OwnerContactWanted(token), CONTACT_CHECK_TIMEOUT_MS)
@@ -139,7 +143,9 @@
         ]
         responses = [each.ok_value for each in await gather(requests) if not isinstance(each, Err)]
         silences_ms = [
-            each.last_contact_age_ms for each in responses if isinstance(each, OwnerContactKnown)
+            each.last_contact_age_ms
+            for each in responses
+            if isinstance(each, OwnerContactKnown) and each.last_contact_age_ms < NEVER_HEARD_MS
         ]
         return min(silences_ms, default=None)
 
