--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -60,8 +60,11 @@
 """How many other entry hosts are consulted before an owner is replaced or resigns."""
 
 MEMBER_TIMEOUT_MS = 30_000
-"""A member that has not responded for this long gets no heartbeats until it restarts or becomes
-the owner itself."""
+"""A member that has not responded to the owner of this term for this long gets no heartbeats until
+it restarts or becomes the owner itself."""
+
+NEVER_HEARD_MS = 10**9
+"""Reported as the time since contact with an owner that this entry host has never heard of."""
 
 Response = TypeVar("Response")
 
@@ -95,6 +98,7 @@
         self._configuration = configuration
         self._ownership: Ownership
         self._owner: SiteOwner | None = None
+        self._term_began_ms = 0
         self._owner_member: Member | None = None
         self._owner_heard_ms = -OWNER_HEARTBEAT_TIMEOUT_MS
         self._members: dict[EntryHostName, Member] = {}
@@ -130,7 +134,8 @@
     async def query_owner_silence_ms(self, token: FencingToken) -> int | None:
         """Returns the shortest time since a consulted peer heard of the owner.
 
-        Returns None if no peer responds.
+        Returns None if no peer responds that knows the owner. A peer learns of an owner without
+        heartbeats by reading its record.
         """
         requests = [
             self._mesh.request(member, OwnerContactWanted(token), CONTACT_CHECK_TIMEOUT_MS)
@@ -138,7 +143,9 @@
         ]
         responses = [each.ok_value for each in await gather(requests) if not isinstance(each, Err)]
         silences_ms = [
-            each.last_contact_age_ms for each in responses if isinstance(each, OwnerContactKnown)
+            each.last_contact_age_ms
+            for each in responses
+            if isinstance(each, OwnerContactKnown) and each.last_contact_age_ms < NEVER_HEARD_MS
         ]
         return min(silences_ms, default=None)
 
@@ -159,6 +166,7 @@
     def begin_term(self, owner: SiteOwner) -> None:
         """Starts sending heartbeats to all other entry hosts."""
         self._owner = owner
+        self._term_began_ms = self._clock.now_ms
         self._owner_member = None
         run_in_background(self._send_heartbeats(owner))
 
@@ -254,7 +262,9 @@
             return
         now_ms = self._clock.now_ms
         for name, member in self._members.items():
-            if now_ms - self._last_response_ms.get(name, 0) < MEMBER_TIMEOUT_MS:
+            # Only the owner gets responses of all members, so earlier silence shows nothing.
+            silent_since_ms = max(self._last_response_ms.get(name, 0), self._term_began_ms)
+            if now_ms - silent_since_ms < MEMBER_TIMEOUT_MS:
                 run_in_background(self._send_heartbeat(owner, member, is_resigning))
 
     async def _send_heartbeat(
