Let a test of confirmations accept the record of an ended job as stored

test_only_stored_ends_of_the_same_incarnation_are_confirmed_to_restarting_workers looked for the row of each confirmed task in the stored progress. Since records of ended jobs hold only the state, the row of the last task is never written: the record that says "succeeded" is what stores its end. Such a record now counts as stored; a job that has not ended still needs the row, as before.

--- a/tests/services/fleet/test_worker_session.py
+++ b/tests/services/fleet/test_worker_session.py
@@ -81,6 +81,8 @@
     if item is None:
         return False
     stored = msgspec.json.decode(item.value, type=JobProgress)
+    if stored.state.is_final:
+        return True
     group = stored.groups.get(f"{ended.task.occurrence}.{ended.task.step}.{ended.task.position}")
     return (
         group is not None
