Prefer entry hosts with more processor time and bandwidth as owner

Any host could own the site.

- Entry hosts register their processor time and bandwidth, taken from the platform's settings, and read the list of hosts at their start.
- A host that knows a host with at least twice as much leaves it 400 ms to take over after it has noticed that the owner is missing, then campaigns itself.
- A small owner hands over, at most every 5 s, once a larger host responds and can reach the store.

Hosts of similar or unknown capacity don't wait for each other, so nothing changes on even sites. A takeover by a small host after the loss of all large ones stays below 2.0 s in the tests.

--- a/src/jujubehall/core/ownership/record.py
+++ b/src/jujubehall/core/ownership/record.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from jujubehall.core.ownership.capacity import HostCapacity
 from jujubehall.identifiers import EntryHostName
 from jujubehall.identifiers import Epoch
 from jujubehall.identifiers import Incarnation
@@ -25,6 +26,8 @@
     started_unix_ms: int = 0
     """Start time by the host's wall clock; orders the incarnations of the same name."""
 
+    capacity: HostCapacity = HostCapacity()
+
     def is_later_than(self, other: Member) -> bool:
         """Returns whether this incarnation started after ``other``, which has the same name."""
         own_start = (self.started_unix_ms, self.incarnation)
--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -10,6 +10,7 @@
 
 from result import Err
 
+from jujubehall.core.ownership.record import Member
 from jujubehall.platform.site_store import Write
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import run_loop
@@ -23,7 +24,9 @@
 from jujubehall.services.fleet.ownership import Ownership
 from jujubehall.services.fleet.peer_request_handlers import PeerRequestHandlers
 from jujubehall.services.fleet.peers import Peers
+from jujubehall.services.fleet.records import HOST_PREFIX
 from jujubehall.services.fleet.records import OWNER_KEY
+from jujubehall.services.fleet.records import decode_record
 from jujubehall.services.fleet.records import host_key
 from jujubehall.services.fleet.site_owner import SiteOwner
 
@@ -34,7 +37,6 @@
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.configuration import SiteConfiguration
-    from jujubehall.core.ownership.record import Member
     from jujubehall.entry_hosts.mesh import Mesh
     from jujubehall.platform.site_machines import SiteMachines
     from jujubehall.platform.site_machines import SiteWaves
@@ -152,7 +154,7 @@
     def start(self) -> None:
         """Starts the services."""
         run_in_background(self.configuration.run())
-        run_in_background(self.ownership.run())
+        run_in_background(self._run_for_ownership())
         run_in_background(self._register())
         run_in_background(run_loop(self._reactor, "store probe", self._probe_store, lambda: False))
 
@@ -202,6 +204,18 @@
             await self.store.get(OWNER_KEY)
         await sleep(self._reactor, STORE_PROBE_INTERVAL_MS)
 
+    async def _run_for_ownership(self) -> None:
+        """Campaigns for the ownership, knowing the entry hosts that are registered already."""
+        registered = await self.store.list_items(HOST_PREFIX)
+        if isinstance(registered, Err):
+            log.warning("reading the entry hosts failed", failure=str(registered.err_value))
+        else:
+            for item in registered.ok_value.items:
+                member = decode_record(item.key, item.value, Member)
+                if member is not None:
+                    self.peers.note_member(member)
+        await self.ownership.run()
+
     async def _register(self) -> None:
         """Registers this entry host in the store, where the owner looks it up."""
         registration = Write(host_key(self._member.name), msgspec.json.encode(self._member))
--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -152,6 +152,7 @@
         f"http://{settings.listen.front}",
         f"tcp://{settings.ip}:{settings.port_range[0]}",
         started_unix_ms=unix_time_ms(),
+        capacity=settings.limits.capacity,
     )
     mesh = ZmqMesh(reactor, settings.name, incarnation)
     try:
--- a/src/jujubehall/platform/adapter/settings.py
+++ b/src/jujubehall/platform/adapter/settings.py
@@ -14,11 +14,13 @@
 from result import Ok
 from result import Result
 
+from jujubehall.core.ownership.capacity import HostCapacity
 from jujubehall.identifiers import EntryHostName
 from jujubehall.identifiers import ZoneName
 
 SETTINGS_PATH_VARIABLE = "JUJUBEHALL_BOOT"
 DEFAULT_SETTINGS_PATH = "/etc/jujubehall/local.toml"
+MILLICORES_PER_CORE = 1000
 
 
 class ListenAddresses(msgspec.Struct, frozen=True):
@@ -47,6 +49,25 @@
     """Time between SIGTERM and SIGKILL."""
 
 
+class HostLimits(msgspec.Struct, frozen=True):
+    """Resources of the machine; 0 if the platform doesn't say."""
+
+    cpu_share: float = field(name="cpuShare", default=0.0)
+    """Share of the processor's time that the machine may use."""
+
+    speed_factor: float = field(name="cores", default=0.0)
+    """Speed of the processor in relation to one core; not a number of processors."""
+
+    link_mbps: float = field(name="linkMbps", default=0.0)
+
+    @property
+    def capacity(self) -> HostCapacity:
+        """The limits as the capacity of an entry host."""
+        return HostCapacity(
+            round(self.cpu_share * self.speed_factor * MILLICORES_PER_CORE), round(self.link_mbps)
+        )
+
+
 class StoreAddress(msgspec.Struct, frozen=True):
     """Address of the platform's store."""
 
@@ -69,6 +90,7 @@
     listen: ListenAddresses
     store: StoreAddress = field(name="platform")
     bounds: SiteLimits = SiteLimits()
+    limits: HostLimits = HostLimits()
     cloud: CloudAddress = CloudAddress()
     advice: str = ""
     """Address of the service that decides which workers may run a step; empty if there is none."""
--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -52,6 +52,14 @@
 
 STORE_RETRY_INTERVAL_MS = 200
 MAX_ELECTION_JITTER_MS = 30
+LARGER_HOST_PRECEDENCE_MS = 400
+"""How long an entry host leaves an election to larger ones, which notice a missing owner within a
+check interval, a campaign interval and a few store calls."""
+
+HANDOVER_CHECK_INTERVAL_MS = 5_000
+"""How often an owner looks for a larger entry host. A takeover takes about a second, so it must stay
+rare even if the larger host soon fails again."""
+
 OWNER_CHECK_INTERVAL_MS = 100
 CAMPAIGN_INTERVAL_MS = 250
 """How often an entry host that knows of no owner reads the owner record. Bounds the time for which
@@ -86,6 +94,12 @@
     async def can_any_reach_store(self) -> bool:
         """Returns whether any peer can reach the store now."""
 
+    def knows_larger_host(self) -> bool:
+        """Returns whether an entry host with a larger capacity is registered."""
+
+    async def can_larger_host_take_over(self) -> bool:
+        """Returns whether a larger entry host responds and can reach the store."""
+
     def announce_resignation(self) -> None:
         """Tells all peers that this entry host resigns as the owner of the site."""
 
@@ -123,6 +137,10 @@
         self._owner_discovered_ms = self._owner_heard_ms
         self._resigned_token = FencingToken(0)
         self._stands_back_until_ms = 0
+        self._next_handover_check_ms = 0
+        self._campaigning_since_ms: int | None = None
+        """When this entry host noticed that there is no owner; None while there is one."""
+
         self._peers: ElectionPeers | None = None
         self.term: Term | None = None
         self.highest_token = FencingToken(0)
@@ -184,10 +202,14 @@
 
     async def _step(self) -> None:
         if self.term is not None:
+            self._campaigning_since_ms = None
             await self._renew()
         elif self._is_owner_alive() or self._clock.now_ms < self._stands_back_until_ms:
+            self._campaigning_since_ms = None
             await sleep(self._reactor, OWNER_CHECK_INTERVAL_MS)
         else:
+            if self._campaigning_since_ms is None:
+                self._campaigning_since_ms = self._clock.now_ms
             await self._campaign()
 
     async def stop(self) -> None:
@@ -230,7 +252,10 @@
         if not isinstance(renewed, Err):
             self._lease_renewed_ms = requested_ms
             self._must_verify_lease = False
-            await sleep(self._reactor, LEASE_RENEWAL_INTERVAL_MS)
+            if await self._should_hand_over():
+                await self.give_up("a larger entry host can take over")
+            else:
+                await sleep(self._reactor, LEASE_RENEWAL_INTERVAL_MS)
         elif renewed.err_value.kind is FailureKind.NOT_FOUND:
             self._end_term("lease expired")
         elif self._clock.now_ms - self._lease_renewed_ms >= STORE_OUTAGE_GRACE_MS:
@@ -240,6 +265,13 @@
         else:
             await sleep(self._reactor, STORE_RETRY_INTERVAL_MS)
 
+    async def _should_hand_over(self) -> bool:
+        now_ms = self._clock.now_ms
+        if self._peers is None or now_ms < self._next_handover_check_ms:
+            return False
+        self._next_handover_check_ms = now_ms + HANDOVER_CHECK_INTERVAL_MS
+        return await self._peers.can_larger_host_take_over()
+
     async def _campaign(self) -> None:
         found = await self._store.get(OWNER_KEY)
         if isinstance(found, Err):
@@ -276,6 +308,15 @@
             return
         await sleep(self._reactor, CAMPAIGN_INTERVAL_MS)
 
+    def _must_leave_precedence(self) -> bool:
+        """Returns whether a larger entry host may still take over before this one."""
+        return (
+            self._campaigning_since_ms is not None
+            and self._clock.now_ms - self._campaigning_since_ms < LARGER_HOST_PRECEDENCE_MS
+            and self._peers is not None
+            and self._peers.knows_larger_host()
+        )
+
     async def _is_unheard_by_peers(self, token: FencingToken) -> bool:
         if self._peers is None:
             return False
@@ -285,6 +326,9 @@
     async def _run_for_election(
         self, existing: StoredItem | None, record: OwnerRecord | None
     ) -> None:
+        if self._must_leave_precedence():
+            await sleep(self._reactor, OWNER_CHECK_INTERVAL_MS)
+            return
         # The random delay spreads candidates that detect a missing owner at the same time.
         await sleep(self._reactor, self._random.randint(0, MAX_ELECTION_JITTER_MS))
         granted = await self._store.grant_lease(OWNER_LEASE_MS)
@@ -318,6 +362,7 @@
         self.term = term
         self.highest_token = max(self.highest_token, term.token)
         self._must_verify_lease = False
+        self._next_handover_check_ms = self._clock.now_ms + HANDOVER_CHECK_INTERVAL_MS
         OWNER_CHANGES.inc({"change": "won"})
         log.info("elected owner", token=term.token)
         self._on_elected(term)
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -151,13 +151,34 @@
 
     async def can_any_reach_store(self) -> bool:
         """Returns whether any consulted peer can reach the store now."""
+        return await self._can_any_reach_store(self.others)
+
+    async def _can_any_reach_store(self, members: list[Member]) -> bool:
         requests = [
             self._mesh.request(member, StoreContactWanted(), CONTACT_CHECK_TIMEOUT_MS)
-            for member in self.others[:MAX_PEERS_CONSULTED]
+            for member in members[:MAX_PEERS_CONSULTED]
         ]
         responses = [each.ok_value for each in await gather(requests) if not isinstance(each, Err)]
         return any(isinstance(each, StoreContactKnown) and each.is_reachable for each in responses)
 
+    def knows_larger_host(self) -> bool:
+        """Returns whether an entry host with a larger capacity is registered."""
+        return bool(self._larger_hosts())
+
+    async def can_larger_host_take_over(self) -> bool:
+        """Returns whether a larger entry host responds and can reach the store."""
+        now_ms = self._clock.now_ms
+        responsive_hosts = [
+            member
+            for member in self._larger_hosts()
+            if now_ms - self._last_response_ms.get(member.name, 0) < OWNER_HEARTBEAT_TIMEOUT_MS
+        ]
+        return await self._can_any_reach_store(responsive_hosts)
+
+    def _larger_hosts(self) -> list[Member]:
+        own_capacity = self._member.capacity
+        return [each for each in self.others if each.capacity.is_larger_than(own_capacity)]
+
     def announce_resignation(self) -> None:
         """Tells all other entry hosts that this one resigns as the owner of the site."""
         if self._owner is not None:
--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 
 from jujubehall.clock import reactor_clock
+from jujubehall.core.ownership.capacity import HostCapacity
 from jujubehall.core.ownership.record import Member
 from jujubehall.daemon.site_host import SiteClients
 from jujubehall.daemon.site_host import SiteHost
@@ -123,6 +124,7 @@
             f"http://{name}",
             f"tcp://{name}:1",
             started_unix_ms=incarnation,
+            capacity=site.capacities.get(name, HostCapacity()),
         )
         mesh = VirtualMesh(self.reactor, site.network, member, site.meshes)
         clock = reactor_clock(self.reactor)
@@ -159,7 +161,11 @@
         listed: list[ListedWorker],
         hosts: int = 3,
         seed: int = 0,
+        capacities: dict[str, HostCapacity] | None = None,
     ) -> None:
+        self.capacities = capacities or {}
+        """The capacity of each entry host by its name; unknown if it is missing."""
+
         self.time = VirtualTime()
         self.time.advance(1_000)
         self.random = Random(seed)
--- a/tests/platform/adapter/test_settings.py
+++ b/tests/platform/adapter/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from jujubehall.core.ownership.capacity import HostCapacity
 from jujubehall.platform.adapter.settings import load_site_settings
 
 if TYPE_CHECKING:
@@ -37,6 +38,14 @@
     assert settings.bounds.revocation_deadline_ms == 5_000
 
 
+def test_capacity_is_computed_from_the_limits_of_the_machine(tmp_path: Path) -> None:
+    path = tmp_path / "local.toml"
+    path.write_text(VALID_SETTINGS)
+    assert load_site_settings(path).unwrap().limits.capacity == HostCapacity()
+    path.write_text(VALID_SETTINGS + "[limits]\ncpuShare = 0.717\ncores = 3\nlinkMbps = 200.0\n")
+    assert load_site_settings(path).unwrap().limits.capacity == HostCapacity(2_151, 200)
+
+
 @pytest.mark.parametrize(
     ("before", "after", "expected_text"),
     [
--- /dev/null
+++ b/tests/services/fleet/test_owner_capacity.py
@@ -0,0 +1,118 @@
+"""Tests which of uneven entry hosts owns the site."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from jujubehall.core.fleet.requests import JobRequest
+from jujubehall.core.jobs.job import JobState
+from jujubehall.core.ownership.capacity import HostCapacity
+from jujubehall.identifiers import JobId
+from jujubehall.services.async_utils import run_in_background
+from jujubehall.services.fleet.ownership import HANDOVER_CHECK_INTERVAL_MS
+from jujubehall.testing.virtual.fleet.site import VirtualFleet
+from jujubehall.testing.virtual.fleet.store import StoreFaultMode
+from tests.core.fleet.small_site import CONFIGURATION
+from tests.core.fleet.small_site import SmallSite
+from tests.core.fleet.small_site import step
+
+if TYPE_CHECKING:
+    from jujubehall.testing.virtual.fleet.site import VirtualHost
+
+LARGE = HostCapacity(2_150, 200)
+SMALL = HostCapacity(516, 10)
+HOSTS = 8
+LARGE_HOSTS = ("entry-3", "entry-6")
+CAPACITIES = {
+    name: LARGE if name in LARGE_HOSTS else SMALL
+    for name in (f"entry-{number}" for number in range(HOSTS))
+}
+MAX_HANDOVER_S = HANDOVER_CHECK_INTERVAL_MS / 1000 + 2.0
+
+
+@pytest.fixture(params=range(5))
+def uneven_site(request: pytest.FixtureRequest) -> VirtualFleet:
+    """Returns a site of two large and six small entry hosts."""
+    site = VirtualFleet(
+        CONFIGURATION, SmallSite().listed, HOSTS, seed=request.param, capacities=CAPACITIES
+    )
+    assert site.run_until(lambda: site.owner is not None, 5.0)
+    site.run(MAX_HANDOVER_S)
+    return site
+
+
+def owner_of(site: VirtualFleet) -> VirtualHost:
+    assert site.run_until(lambda: site.owner is not None, 5.0)
+    assert site.owner is not None
+    return site.owner
+
+
+def large_hosts(site: VirtualFleet) -> list[VirtualHost]:
+    return [host for host in site.hosts if host.name in LARGE_HOSTS]
+
+
+def replace_owner(site: VirtualFleet) -> VirtualHost:
+    former = owner_of(site)
+    site.kill(former)
+    assert site.run_until(lambda: site.owner not in (None, former), 2.0)
+    return owner_of(site)
+
+
+def test_large_host_takes_over_before_small_ones(uneven_site: VirtualFleet) -> None:
+    assert replace_owner(uneven_site).name in LARGE_HOSTS
+
+
+def test_large_host_takes_over_on_planned_stop_before_small_ones(
+    uneven_site: VirtualFleet,
+) -> None:
+    former = owner_of(uneven_site)
+    run_in_background(former.site_host.stop())
+    assert uneven_site.run_until(lambda: uneven_site.owner not in (None, former), 0.3)
+    assert owner_of(uneven_site).name in LARGE_HOSTS
+
+
+def test_small_host_takes_over_if_no_large_one_is_left(uneven_site: VirtualFleet) -> None:
+    replace_owner(uneven_site)
+    assert replace_owner(uneven_site).name not in LARGE_HOSTS
+
+
+def test_large_host_owns_the_site_after_all_hosts_have_restarted(
+    uneven_site: VirtualFleet,
+) -> None:
+    for host in list(uneven_site.hosts):
+        uneven_site.kill(host)
+    uneven_site.run(9.0)
+    for host in sorted(uneven_site.hosts, key=lambda host: host.name in LARGE_HOSTS):
+        uneven_site.restart(host)
+    assert owner_of(uneven_site).name in LARGE_HOSTS
+
+
+def test_small_owner_hands_over_once_a_large_host_reaches_the_store(
+    uneven_site: VirtualFleet,
+) -> None:
+    job = JobId("0000000000000001")
+    for host in large_hosts(uneven_site):
+        host.store.fault_mode = StoreFaultMode.UNAVAILABLE
+    uneven_site.run(3.0)
+    interim_owner = owner_of(uneven_site)
+    assert interim_owner.name not in LARGE_HOSTS
+    uneven_site.submit(job, JobRequest("spec", (step(tasks=4, expected_ms=9_000),)))
+    uneven_site.run(3 * HANDOVER_CHECK_INTERVAL_MS / 1000)
+    assert owner_of(uneven_site) is interim_owner
+    for host in large_hosts(uneven_site):
+        host.store.fault_mode = StoreFaultMode.NONE
+    uneven_site.run(MAX_HANDOVER_S)
+    assert owner_of(uneven_site).name in LARGE_HOSTS
+    assert uneven_site.job_state(job).state is JobState.SUCCEEDED
+    assert set(uneven_site.run_recorder.start_counts.values()) == {1}
+
+
+def test_hosts_of_similar_or_unknown_capacity_do_not_defer_to_each_other() -> None:
+    assert LARGE.is_larger_than(SMALL)
+    assert not SMALL.is_larger_than(LARGE)
+    assert not HostCapacity(900, 15).is_larger_than(SMALL)
+    assert not HostCapacity(2_150, 5).is_larger_than(SMALL)
+    assert not LARGE.is_larger_than(HostCapacity())
+    assert not HostCapacity().is_larger_than(SMALL)
