Don't run a removed job again when its record is received late

A caller's job could run a second time 120 s after its end. The owner removes an ended job from its state and then deletes its records one by one; a list or notice that was under way, or any list after a delete had failed, brought the job back without its progress, and its tasks were started anew. Failed deletes were not repeated either.

Removed jobs are now remembered until a retention time after their records have been deleted, and deletes are repeated every 10 s. The removal has a module of its own.

--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -13,20 +13,16 @@
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.state import FleetState
-from jujubehall.platform.site_store import Precondition
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import run_loop
 from jujubehall.services.async_utils import sleep
 from jujubehall.services.fleet.advisor import Advisor
 from jujubehall.services.fleet.intake_watcher import IntakeWatcher
+from jujubehall.services.fleet.job_retention import JobRetention
 from jujubehall.services.fleet.latencies import LatencyHistogram
 from jujubehall.services.fleet.maintenance import MaintenanceController
 from jujubehall.services.fleet.ownership import STORE_OUTAGE_GRACE_MS
 from jujubehall.services.fleet.progress_writer import ProgressWriter
-from jujubehall.services.fleet.records import OWNER_KEY
-from jujubehall.services.fleet.records import cancellation_key
-from jujubehall.services.fleet.records import job_key
-from jujubehall.services.fleet.records import progress_key
 from jujubehall.services.fleet.worker_commands import WorkerCommands
 from jujubehall.services.fleet.worker_registry import WorkerRegistry
 from jujubehall.services.fleet.worker_session import MAX_CLOCK_DRIFT_FACTOR
@@ -74,7 +70,6 @@
 may have a better connection to the store."""
 
 CLEANUP_INTERVAL_MS = 10_000
-DELETE_TIMEOUT_MS = 1_000
 
 log = structlog.get_logger()
 
@@ -109,7 +104,6 @@
         self._ownership = ownership
         self._term = term
         self._longest_lease_ms = longest_lease_ms
-        self._ended_job_retention_ms = ended_job_retention_ms
         self._sessions: dict[WorkerName, WorkerSession] = {}
         self._is_round_scheduled = False
         self._last_round_duration_ms = 0
@@ -120,6 +114,9 @@
         self.peers = peers
         self.workers_api = workers
         self.fleet_state = FleetState()
+        self._job_retention = JobRetention(
+            clock, store, self.fleet_state, term.owner_revision, ended_job_retention_ms
+        )
         self.worker_commands = WorkerCommands(self, reactor, clock)
         self._advisor = Advisor(self, clock, advice)
         self._maintenance_controller = (
@@ -208,6 +205,8 @@
 
     def accept(self, accepted: AcceptedJob, progress: JobProgress | None) -> None:
         """Adds an accepted job, with the progress that an earlier owner stored."""
+        if self._job_retention.is_removed(accepted.id):
+            return
         if accepted.id not in self.fleet_state.jobs:
             log.info("job added", job=accepted.id, queue=accepted.queue, team=accepted.team)
         self.fleet_state.add_job(accepted, progress, self._clock.now_ms, self._wall_clock.now_ms)
@@ -284,7 +283,7 @@
         self.schedule_round()
         if self._clock.now_ms - self._last_cleanup_ms >= CLEANUP_INTERVAL_MS:
             self._last_cleanup_ms = self._clock.now_ms
-            await self._delete_ended_jobs()
+            await self._job_retention.clean_up()
         await sleep(self._reactor, ROUND_INTERVAL_MS)
 
     async def _poll_workers(self) -> None:
@@ -372,19 +371,3 @@
             + STORE_OUTAGE_GRACE_MS
             + int(self._longest_lease_ms * MAX_CLOCK_DRIFT_FACTOR)
         )
-
-    async def _delete_ended_jobs(self) -> None:
-        before_ms = self._clock.now_ms - self._ended_job_retention_ms
-        for job in self.fleet_state.remove_ended_jobs(before_ms):
-            log.info("ended job removed", job=job.id)
-            await self._delete_records(job.accepted.id)
-
-    async def _delete_records(self, job: JobId) -> None:
-        deleted = await self._store.commit(
-            [Precondition(OWNER_KEY, self._term.owner_revision)],
-            [],
-            [job_key(job), cancellation_key(job), progress_key(job)],
-            DELETE_TIMEOUT_MS,
-        )
-        if isinstance(deleted, Err):
-            log.warning("deleting job records failed", job=job, failure=str(deleted.err_value))
