Limit the number of starts that are sent at once

The time limit of a command, 700 ms, ran from the decision, whatever the link still had to carry: 200 starts of 5 kB take 1.6 s on 5 Mbit/s. At most 64 starts are now in flight, and the time limit runs from the sending. A start that waits behind a worker that has stopped responding is withdrawn unsent, so that such workers delay the others by one time limit at most.

test_burst_of_starts_on_a_slow_link_does_not_time_out failed before (the job was still "running" 6 s after its last start should have been sent) and passes now. test_starts_wait_little_for_workers_that_do_not_respond passes on both.

--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -7,6 +7,7 @@
 import structlog
 
 from result import Err
+from twisted.internet.defer import DeferredSemaphore
 
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.errors import FailureKind
@@ -30,6 +31,10 @@
     from jujubehall.errors import Failure
     from jujubehall.services.fleet.site_owner import SiteOwner
 
+MAX_STARTS_IN_FLIGHT = 64
+"""Starts of up to 5 kB each take 0.5 s on a link of 5 Mbit/s, less than the time limit of a command,
+which runs from the moment a start is sent."""
+
 STOP_RETRY_INTERVAL_MS = 300
 UNHEALTHY_BACKOFF_MS = 1_500
 """How long no task is started on a worker that has refused a start as unhealthy."""
@@ -55,6 +60,7 @@
         self._reactor = reactor
         self._clock = clock
         self._stops_in_flight: set[Placement] = set()
+        self._start_slots = DeferredSemaphore(MAX_STARTS_IN_FLIGHT)
 
     def log_stop(self, decision: StopGroup) -> None:
         """Logs and counts a decision to stop a group."""
@@ -141,7 +147,18 @@
         )
 
     async def _start(self, group: TaskGroup, index: int, placement: Placement) -> None:
+        await self._start_slots.acquire()
+        try:
+            if group.placements.get(index) is placement and placement.phase is Phase.STARTING:
+                await self._send_start(group, index, placement)
+        finally:
+            self._start_slots.release()
+
+    async def _send_start(self, group: TaskGroup, index: int, placement: Placement) -> None:
         worker = placement.worker
+        if not worker.is_reachable:
+            self._abandon_start(group, index, placement, "the worker is unreachable")
+            return
         session = self._owner.session(worker)
         until_ms = session.lease_until_ms() if session is not None else None
         if until_ms is None or not self._owner.may_act:
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -371,6 +371,11 @@
         self.late_command_probability = 0.0
         """Probability (0 to 1) that a command times out and takes effect seconds later."""
 
+        self.commands_per_s: float | None = None
+        """How many commands the link of this entry host carries; None for an unlimited link."""
+
+        self._link_free_s = 0.0
+
     async def start(
         self, worker: ListedWorker, token: FencingToken, command: StartCommand
     ) -> Result[None, StartRefusal | Failure]:
@@ -436,6 +441,13 @@
         if target is None or target.is_down or worker.name in self.unreachable_workers:
             await sleep(self._reactor, CALL_TIMEOUT_MS)
             return Err(Failure(FailureKind.NO_ANSWER, step, worker.name, "timed out"))
+        if may_be_late and self.commands_per_s is not None:
+            delay_s = self._queue_on_link(self.commands_per_s)
+            if delay_s > to_seconds(CALL_TIMEOUT_MS):
+                self._reactor.callLater(delay_s, lambda: action(target))
+                await sleep(self._reactor, CALL_TIMEOUT_MS)
+                return Err(Failure(FailureKind.NO_ANSWER, step, worker.name, "timed out"))
+            await sleep(self._reactor, round(delay_s * MS_PER_SECOND))
         if may_be_late and self._random.random() < self.late_command_probability:
             delay_s = to_seconds(self._random.randint(*LATE_COMMAND_DELAY_MS))
             self._reactor.callLater(delay_s, lambda: action(target))
@@ -447,3 +459,9 @@
             await sleep(self._reactor, CALL_TIMEOUT_MS)
             return Err(Failure(FailureKind.NO_ANSWER, step, worker.name, "timed out"))
         return result
+
+    def _queue_on_link(self, commands_per_s: float) -> float:
+        """Returns the time in seconds until the link has carried one more command."""
+        now_s: float = self._reactor.seconds()
+        self._link_free_s = max(now_s, self._link_free_s) + 1 / commands_per_s
+        return self._link_free_s - now_s
