Write the site file once, not at the start of each stand-in

A stand-in that read the site file at the wrong time exited with "msgspec.DecodeError: Input data was truncated", and its site was never ready: "workers stand-ins respond" wasn't met. Each start of a stand-in truncated and rewrote the file while the stand-ins started before could be reading it.

The file is now complete before the first process starts and never changes.

--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -56,6 +56,9 @@
         self._limits = limits or HttpLimits()
         self._http = httpx.Client(trust_env=False, verify=False)
         self._directory = TemporaryDirectory(prefix="jujubehall-")
+        # Written only once, because a stand-in may read the file while the next one is started.
+        self._site_path = Path(self._directory.name) / "site.json"
+        self._site_path.write_bytes(msgspec.json.encode(site))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
     @property
@@ -89,10 +92,8 @@
 
     def start_stand_in(self, kind: str) -> None:
         """Starts all stand-ins of a kind (one of ``STAND_IN_KINDS``) in one process."""
-        site_file = Path(self._directory.name) / "site.json"
-        site_file.write_bytes(msgspec.json.encode(self.site))
         module = "jujubehall.testing.stand_in"
-        self._start(kind, [sys.executable, "-m", module, kind, "--site", str(site_file)])
+        self._start(kind, [sys.executable, "-m", module, kind, "--site", str(self._site_path)])
 
     def start_entry_host(self, name: str) -> None:
         """Starts one entry host."""
