Reserve a block of ports for a site until the site is closed

A run of the tests at load 11.7 on 8 cores, beside other runs, had an error in the set-up of tests/http/test_metrics.py: "condition not met within 30000 ms: platform stand-ins respond". Ports were probed and released, and bound up to seconds later by the processes of the site. Another test process could choose the same block meanwhile; stand-ins that couldn't bind their ports exited, or two sites shared a platform.

The run that had the error kept no log, so whether this was its cause is not known. Both tests failed before.

The first port of a block is now a lock, bound without SO_REUSEADDR: only one process can hold it, the kernel frees it when a process is killed, and the probes of versions without the lock find it in use.

--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -36,6 +36,8 @@
 STOP_TIMEOUT_MS = 20_000
 STAND_IN_KINDS = ("platform", "workers", "endpoints")
 
+_lock_by_first_port: dict[int, socket.socket] = {}
+
 
 class LocalSite:
     """Context manager that starts the processes of a site and kills them all on exit.
@@ -186,6 +188,7 @@
                 process.wait()
         self._http.close()
         self._directory.cleanup()
+        release_port_block(self.site.first_port)
 
     def _start(self, name: str, command: list[str]) -> None:
         with self._log_path(name).open("ab") as log:
@@ -234,19 +237,46 @@
 
 
 def find_free_port_block() -> int:
-    """Returns the first port of a block of ``PORT_BLOCK_SIZE`` ports that are all unused.
+    """Reserves a block of unused ports and returns the first port for a site.
+
+    The first port of the block is its lock: it stays bound until the site is closed, or this
+    process ends in any way, so that no other search chooses the block before the processes of the
+    site have bound their ports. The ``PORT_BLOCK_SIZE - 1`` ports after it are for the site.
 
-    The search starts at a block derived from the process ID, so that parallel test processes start
-    at different blocks. Raises ``OSError`` if every block has a port in use.
+    The search starts at a block derived from the process ID, so that parallel test processes rarely
+    compete. Raises ``OSError`` if every block has a port in use.
     """
     for attempt in range(PORT_BLOCK_COUNT):
         block = (os.getpid() + attempt) % PORT_BLOCK_COUNT
-        first = FIRST_CANDIDATE_PORT + block * PORT_BLOCK_SIZE
-        if all(_is_unused(first + offset) for offset in range(PORT_BLOCK_SIZE)):
-            return first
+        lock_port = FIRST_CANDIDATE_PORT + block * PORT_BLOCK_SIZE
+        lock = _bind_lock(lock_port)
+        if lock is None:
+            continue
+        if all(_is_unused(lock_port + offset) for offset in range(1, PORT_BLOCK_SIZE)):
+            _lock_by_first_port[lock_port + 1] = lock
+            return lock_port + 1
+        lock.close()
     raise OSError("every block of candidate ports has a port in use")
 
 
+def release_port_block(first_port: int) -> None:
+    """Ends the reservation of a block, if this process has reserved it."""
+    lock = _lock_by_first_port.pop(first_port, None)
+    if lock is not None:
+        lock.close()
+
+
+def _bind_lock(port: int) -> socket.socket | None:
+    # Without SO_REUSEADDR, unlike the probes: only one process can bind the port.
+    lock = socket.socket()
+    try:
+        lock.bind((LOOPBACK, port))
+    except OSError:
+        lock.close()
+        return None
+    return lock
+
+
 def _is_unused(port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/testing/test_local_site.py
+++ b/tests/testing/test_local_site.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
+import sys
 
 from pathlib import Path
-from typing import TYPE_CHECKING
 from unittest.mock import Mock
 
+import pytest
+
+from jujubehall.testing import local_site
 from jujubehall.testing.local_site import LocalSite
 from jujubehall.testing.local_site import find_free_port_block
 from jujubehall.testing.site_file import SiteFile
 from jujubehall.workers.messages import Resources
 
-if TYPE_CHECKING:
-    import pytest
+SEARCH_FROM_THE_SAME_BLOCK = """
+import os, sys
+os.getpid = lambda: int(sys.argv[1])
+from jujubehall.testing.local_site import find_free_port_block
+print(find_free_port_block())
+"""
 
 
 def make_site_file() -> SiteFile:
@@ -33,3 +41,21 @@
         read_by_platform.write_text("unchanged")
         site.start_stand_in("workers")
         assert read_by_platform.read_text() == "unchanged"
+
+
+def test_another_process_does_not_choose_the_ports_of_a_site_that_has_not_bound_them() -> None:
+    with LocalSite(make_site_file(), autostart=False) as site:
+        command = [sys.executable, "-c", SEARCH_FROM_THE_SAME_BLOCK, str(os.getpid())]
+        other = subprocess.run(command, check=True, capture_output=True, text=True)
+        assert int(other.stdout) != site.site.first_port
+
+
+def test_block_is_free_again_once_its_site_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    with LocalSite(make_site_file(), autostart=False) as site:
+        first_port = site.site.first_port
+        monkeypatch.setattr(local_site, "FIRST_CANDIDATE_PORT", first_port - 1)
+        monkeypatch.setattr(local_site, "PORT_BLOCK_COUNT", 1)
+        with pytest.raises(OSError, match="every block"):
+            find_free_port_block()
+    assert find_free_port_block() == first_port
+    local_site.release_port_block(first_port)
