Report at once that a process of a starting site has exited

wait_until_ready polled for 30 s although a stand-in had exited, and its output was deleted with the site, so the cause of a failed start couldn't be seen. It also accepted a response from another program at the stand-in's address.

It now raises ProcessExited with the output of the process, if one of the started stand-ins or awaited entry hosts has exited; jujubehall demo reports it like a timeout.

--- a/src/jujubehall/console/commands/demo.py
+++ b/src/jujubehall/console/commands/demo.py
@@ -22,6 +22,7 @@
 from jujubehall.console.site_command import JSON_OPTION
 from jujubehall.console.site_command import SiteCommand
 from jujubehall.testing.local_site import LocalSite
+from jujubehall.testing.local_site import ProcessExited
 from jujubehall.testing.local_site import find_free_port_block
 
 if TYPE_CHECKING:
@@ -76,7 +77,7 @@
                 if self.option("serve"):
                     return self._serve(local_site)
                 return self._run_demo(local_site, inputs.ok_value)
-            except (TimeoutError, UnwrapError) as error:
+            except (TimeoutError, ProcessExited, UnwrapError) as error:
                 return self._report_abort(local_site, error)
 
     def _run_demo(self, site: LocalSite, inputs: DemoInputs) -> int:
--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -39,6 +39,13 @@
 _lock_by_first_port: dict[int, socket.socket] = {}
 
 
+class ProcessExited(RuntimeError):
+    """A process of a site exited before the site was ready."""
+
+    def __init__(self, name: str, exit_code: int, output: str) -> None:
+        super().__init__(f"{name} exited with code {exit_code}; its output:\n{output}")
+
+
 class LocalSite:
     """Context manager that starts the processes of a site and kills them all on exit.
 
@@ -120,13 +127,16 @@
         """Waits until the started stand-ins respond and the named entry hosts are ready.
 
         Without ``names`` it waits for all entry hosts. Raises ``TimeoutError`` if one of them takes
-        longer than ``START_TIMEOUT_MS``.
+        longer than ``START_TIMEOUT_MS``, or ``ProcessExited`` if one of their processes has exited.
         """
+        names = names or self.entry_hosts
+        needed = [name for name in (*STAND_IN_KINDS, *names) if name in self._processes]
         for kind, address in self._last_address_by_kind().items():
-            if kind in self._processes:
-                wait_until(partial(self._responds, address), f"{kind} stand-ins respond")
-        for name in names or self.entry_hosts:
-            wait_until(partial(self._is_ready, name), f"{name} is ready")
+            if kind in needed:
+                responds = partial(self._responds, address)
+                self._wait_while_running(needed, responds, f"{kind} stand-ins respond")
+        for name in names:
+            self._wait_while_running(needed, partial(self._is_ready, name), f"{name} is ready")
 
     def wait_until_workers_known(self) -> None:
         """Waits until every entry host lists all workers in the published zone summaries.
@@ -196,6 +206,24 @@
                 command, stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT
             )
 
+    def _wait_while_running(
+        self, needed: list[str], condition: Callable[[], bool], description: str
+    ) -> None:
+        # The processes are checked after the condition, because another program may respond at the
+        # address of one that couldn't bind it.
+        def holds_while_running() -> bool:
+            holds = condition()
+            self._check_running(needed)
+            return holds
+
+        wait_until(holds_while_running, description)
+
+    def _check_running(self, names: list[str]) -> None:
+        for name in names:
+            exit_code = self._processes[name].poll()
+            if exit_code is not None:
+                raise ProcessExited(name, exit_code, self.read_log(name))
+
     def _log_path(self, name: str) -> Path:
         return Path(self._directory.name) / f"{name}.log"
 
--- a/tests/testing/test_local_site.py
+++ b/tests/testing/test_local_site.py
@@ -9,13 +9,17 @@
 from pathlib import Path
 from unittest.mock import Mock
 
+import httpx
 import pytest
 
 from jujubehall.testing import local_site
 from jujubehall.testing.local_site import LocalSite
+from jujubehall.testing.local_site import ProcessExited
 from jujubehall.testing.local_site import find_free_port_block
+from jujubehall.testing.local_site import wait_until
 from jujubehall.testing.site_file import SiteFile
 from jujubehall.workers.messages import Resources
+from tests.end_to_end.calls import CLIENT
 
 SEARCH_FROM_THE_SAME_BLOCK = """
 import os, sys
@@ -59,3 +63,28 @@
             find_free_port_block()
     assert find_free_port_block() == first_port
     local_site.release_port_block(first_port)
+
+
+def test_wait_until_ready_fails_at_once_if_a_stand_in_has_exited() -> None:
+    with LocalSite(make_site_file(), autostart=False) as site:
+        site.start_stand_in("platform")
+        site.kill("platform")
+        with pytest.raises(ProcessExited, match="platform exited with code -9"):
+            site.wait_until_ready(["entry-0"])
+
+
+def test_wait_until_ready_reports_a_stand_in_whose_port_another_program_serves() -> None:
+    with LocalSite(make_site_file(), autostart=False) as site:
+        site.start_stand_in("platform")
+        with LocalSite(site.site, autostart=False) as other:
+            wait_until(lambda: _responds(site), "the first platform responds")
+            other.start_stand_in("platform")
+            with pytest.raises(ProcessExited, match=r"(?s)platform exited.*Address already in use"):
+                other.wait_until_ready(["entry-0"])
+
+
+def _responds(site: LocalSite) -> bool:
+    try:
+        return bool(CLIENT.get(site.site.platform_address).status_code)
+    except httpx.TransportError:
+        return False
