--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -36,6 +36,15 @@
 STOP_TIMEOUT_MS = 20_000
 STAND_IN_KINDS = ("platform", "workers", "endpoints")
 
+_lock_by_first_port: dict[int, socket.socket] = {}
+
+
+class ProcessExited(RuntimeError):
+    """A process of a site exited before the site was ready."""
+
+    def __init__(self, name: str, exit_code: int, output: str) -> None:
+        super().__init__(f"{name} exited with code {exit_code}; its output:\n{output}")
+
 
 class LocalSite:
     """Context manager that starts the processes of a site and kills them all on exit.
@@ -56,6 +65,9 @@
         self._limits = limits or HttpLimits()
         self._http = httpx.Client(trust_env=False, verify=False)
         self._directory = TemporaryDirectory(prefix="jujubehall-")
+        # Written only once, because a stand-in may read the file while the next one is started.
+        self._site_path = Path(self._directory.name) / "site.json"
+        self._site_path.write_bytes(msgspec.json.encode(site))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
     @property
@@ -89,10 +101,8 @@
 
     def start_stand_in(self, kind: str) -> None:
         """Starts all stand-ins of a kind (one of ``STAND_IN_KINDS``) in one process."""
-        site_file = Path(self._directory.name) / "site.json"
-        site_file.write_bytes(msgspec.json.encode(self.site))
         module = "jujubehall.testing.stand_in"
-        self._start(kind, [sys.executable, "-m", module, kind, "--site", str(site_file)])
+        self._start(kind, [sys.executable, "-m", module, kind, "--site", str(self._site_path)])
 
     def start_entry_host(self, name: str) -> None:
         """Starts one entry host."""
@@ -117,13 +127,16 @@
         """Waits until the started stand-ins respond and the named entry hosts are ready.
 
         Without ``names`` it waits for all entry hosts. Raises ``TimeoutError`` if one of them takes
-        longer than ``START_TIMEOUT_MS``.
+        longer than ``START_TIMEOUT_MS``, or ``ProcessExited`` if one of their processes has exited.
         """
+        names = names or self.entry_hosts
+        needed = [name for name in (*STAND_IN_KINDS, *names) if name in self._processes]
         for kind, address in self._last_address_by_kind().items():
-            if kind in self._processes:
-                wait_until(partial(self._responds, address), f"{kind} stand-ins respond")
-        for name in names or self.entry_hosts:
-            wait_until(partial(self._is_ready, name), f"{name} is ready")
+            if kind in needed:
+                responds = partial(self._responds, address)
+                self._wait_while_running(needed, responds, f"{kind} stand-ins respond")
+        for name in names:
+            self._wait_while_running(needed, partial(self._is_ready, name), f"{name} is ready")
 
     def wait_until_workers_known(self) -> None:
         """Waits until every entry host lists all workers in the published zone summaries.
@@ -185,6 +198,7 @@
                 process.wait()
         self._http.close()
         self._directory.cleanup()
+        release_port_block(self.site.first_port)
 
     def _start(self, name: str, command: list[str]) -> None:
         with self._log_path(name).open("ab") as log:
@@ -192,6 +206,24 @@
                 command, stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT
             )
 
+    def _wait_while_running(
+        self, needed: list[str], condition: Callable[[], bool], description: str
+    ) -> None:
+        # The processes are checked after the condition, because another program may respond at the
+        # address of one that couldn't bind it.
+        def holds_while_running() -> bool:
+            holds = condition()
+            self._check_running(needed)
+            return holds
+
+        wait_until(holds_while_running, description)
+
+    def _check_running(self, names: list[str]) -> None:
+        for name in names:
+            exit_code = self._processes[name].poll()
+            if exit_code is not None:
+                raise ProcessExited(name, exit_code, self.read_log(name))
+
     def _log_path(self, name: str) -> Path:
         return Path(self._directory.name) / f"{name}.log"
 
@@ -233,19 +265,46 @@
 
 
 def find_free_port_block() -> int:
-    """Returns the first port of a block of ``PORT_BLOCK_SIZE`` ports that are all unused.
+    """Reserves a block of unused ports and returns the first port for a site.
+
+    The first port of the block is its lock: it stays bound until the site is closed, or this
+    process ends in any way, so that no other search chooses the block before the processes of the
+    site have bound their ports. The ``PORT_BLOCK_SIZE - 1`` ports after it are for the site.
 
-    The search starts at a block derived from the process ID, so that parallel test processes start
-    at different blocks. Raises ``OSError`` if every block has a port in use.
+    The search starts at a block derived from the process ID, so that parallel test processes rarely
+    compete. Raises ``OSError`` if every block has a port in use.
     """
     for attempt in range(PORT_BLOCK_COUNT):
         block = (os.getpid() + attempt) % PORT_BLOCK_COUNT
-        first = FIRST_CANDIDATE_PORT + block * PORT_BLOCK_SIZE
-        if all(_is_unused(first + offset) for offset in range(PORT_BLOCK_SIZE)):
-            return first
+        lock_port = FIRST_CANDIDATE_PORT + block * PORT_BLOCK_SIZE
+        lock = _bind_lock(lock_port)
+        if lock is None:
+            continue
+        if all(_is_unused(lock_port + offset) for offset in range(1, PORT_BLOCK_SIZE)):
+            _lock_by_first_port[lock_port + 1] = lock
+            return lock_port + 1
+        lock.close()
     raise OSError("every block of candidate ports has a port in use")
 
 
+def release_port_block(first_port: int) -> None:
+    """Ends the reservation of a block, if this process has reserved it."""
+    lock = _lock_by_first_port.pop(first_port, None)
+    if lock is not None:
+        lock.close()
+
+
+def _bind_lock(port: int) -> socket.socket | None:
+    # Without SO_REUSEADDR, unlike the probes: only one process can bind the port.
+    lock = socket.socket()
+    try:
+        lock.bind((LOOPBACK, port))
+    except OSError:
+        lock.close()
+        return None
+    return lock
+
+
 def _is_unused(port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
