Close the connection when reading a response is cancelled

The reader of a body had no way to be cancelled: the connection of a cancelled call stayed open, and with a limit for each part its timer went on.

--- a/src/jujubehall/http/body_reader.py
+++ b/src/jujubehall/http/body_reader.py
@@ -30,8 +30,8 @@
         self._is_timeout_per_read = is_timeout_per_read
         self._parts: list[bytes] = []
         self._timeout: Any = reactor.callLater(to_seconds(timeout_ms), self._abandon)
-        self.body: Deferred[bytes] = Deferred()
-        """Fires with the complete body, or fails."""
+        self.body: Deferred[bytes] = Deferred(lambda _: self._close())
+        """Fires with the complete body, or fails. Cancelling it closes the connection."""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Collects a part of the body, which restarts the limit for a part."""
@@ -43,7 +43,8 @@
         """Completes the body, or fails if the connection was lost before its end."""
         if self.body.called:
             return
-        self._timeout.cancel()
+        if self._timeout.active():
+            self._timeout.cancel()
         if reason.check(ResponseDone):
             self.body.callback(b"".join(self._parts))
         else:
@@ -54,5 +55,11 @@
         self.body.errback(
             TimeoutError(f"body incomplete after {self._timeout_ms} ms, {received} bytes read")
         )
+        self._close()
+
+    def _close(self) -> None:
+        if self._timeout.active():
+            self._timeout.cancel()
         connection: Any = self.transport
-        connection.loseConnection()
+        if connection is not None:
+            connection.loseConnection()
--- a/tests/platform/adapter/test_slow_store_link.py
+++ b/tests/platform/adapter/test_slow_store_link.py
@@ -141,6 +141,21 @@
     assert silent_s < to_seconds(2 * CALL_TIMEOUT_MS)
 
 
+def test_cancelled_read_closes_its_connection(make_store: Callable[[int], SlowStore]) -> None:
+    store = make_store(3)
+    make_reactor: Any = EPollReactor
+    reactor = make_reactor()
+    listed = Deferred.fromCoroutine(StoreClient(reactor, store.address).list_items("jobs/"))
+    listed.addErrback(lambda _: None)
+    end_s = reactor.seconds() + to_seconds(2 * PIECE_INTERVAL_MS)
+    while reactor.seconds() < end_s:
+        reactor.iterate(0.01)
+    listed.cancel()
+    for _ in range(5):
+        reactor.iterate(0.01)
+    assert store.was_closed_by_client.wait(to_seconds(CALL_TIMEOUT_MS))
+
+
 def test_abandoned_page_does_not_go_on_using_the_link(
     make_store: Callable[[int], SlowStore],
 ) -> None:
