Campaign for the ownership even if the list of hosts can't be read

An unexpected error while an entry host read the list of hosts at its start ended its candidacy for good; with all hosts affected the site had no owner. The error is logged now, and the host campaigns without the list.

--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -206,15 +206,21 @@
 
     async def _run_for_ownership(self) -> None:
         """Campaigns for the ownership, knowing the entry hosts that are registered already."""
+        try:
+            await self._read_members()
+        except Exception as error:
+            log.error("reading the entry hosts failed unexpectedly", error=repr(error))
+        await self.ownership.run()
+
+    async def _read_members(self) -> None:
         registered = await self.store.list_items(HOST_PREFIX)
         if isinstance(registered, Err):
             log.warning("reading the entry hosts failed", failure=str(registered.err_value))
-        else:
-            for item in registered.ok_value.items:
-                member = decode_record(item.key, item.value, Member)
-                if member is not None:
-                    self.peers.note_member(member)
-        await self.ownership.run()
+            return
+        for item in registered.ok_value.items:
+            member = decode_record(item.key, item.value, Member)
+            if member is not None:
+                self.peers.note_member(member)
 
     async def _register(self) -> None:
         """Registers this entry host in the store, where the owner looks it up."""
