Learn the capacity of a host that an older build has relayed

During a rolling update an owner of the earlier build relays the members without their capacity, and a later record of the same incarnation was ignored, so that small hosts took none for larger until it restarted. A record of the same incarnation that adds the capacity is taken over now. test_capacity_is_learned_after_an_older_build_has_relayed_the_host_without_it failed before and passes now.

--- a/src/jujubehall/core/ownership/capacity.py
+++ b/src/jujubehall/core/ownership/capacity.py
@@ -14,6 +14,11 @@
     millicores: int = 0
     link_mbps: int = 0
 
+    @property
+    def is_known(self) -> bool:
+        """Whether both resources are known."""
+        return self.millicores > 0 and self.link_mbps > 0
+
     def is_larger_than(self, other: HostCapacity) -> bool:
         """Returns whether this host is better suited to own the site than ``other``.
 
@@ -22,6 +27,8 @@
         """
         own = (self.millicores, self.link_mbps)
         others = (other.millicores, other.link_mbps)
-        if not all(others) or any(mine < theirs for mine, theirs in zip(own, others, strict=True)):
+        if not other.is_known or any(
+            mine < theirs for mine, theirs in zip(own, others, strict=True)
+        ):
             return False
         return any(mine >= LARGER_FACTOR * theirs for mine, theirs in zip(own, others, strict=True))
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -200,7 +200,7 @@
         if member.name == self._member.name:
             return
         known = self._members.get(member.name)
-        if known is None or member.is_later_than(known):
+        if known is None or member.is_later_than(known) or _completes(member, known):
             self._members[member.name] = member
             self._last_response_ms[member.name] = self._clock.now_ms
             self._mesh.connect(self._members.values())
@@ -337,6 +337,11 @@
         )
 
 
+def _completes(member: Member, known: Member) -> bool:
+    """Returns whether ``member`` adds the capacity, which older builds drop when relaying it."""
+    return member.incarnation == known.incarnation and not known.capacity.is_known
+
+
 def make_job_state_response(owner: SiteOwner, job_id: JobId) -> JobStateKnown:
     """Returns the owner's response to a request for a job's state."""
     job = owner.fleet_state.jobs.get(job_id)
--- a/tests/services/fleet/test_owner_capacity.py
+++ b/tests/services/fleet/test_owner_capacity.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
+import msgspec
 import pytest
 
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.jobs.job import JobState
 from jujubehall.core.ownership.capacity import HostCapacity
+from jujubehall.identifiers import Incarnation
 from jujubehall.identifiers import JobId
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.fleet.ownership import HANDOVER_CHECK_INTERVAL_MS
+from jujubehall.services.fleet.records import HOST_PREFIX
 from jujubehall.testing.virtual.fleet.site import VirtualFleet
 from jujubehall.testing.virtual.fleet.store import StoreFaultMode
+from jujubehall.testing.virtual.fleet.store import VirtualStore
 from tests.core.fleet.small_site import CONFIGURATION
 from tests.core.fleet.small_site import SmallSite
 from tests.core.fleet.small_site import step
@@ -109,6 +114,34 @@
     assert set(uneven_site.run_recorder.start_counts.values()) == {1}
 
 
+def test_capacity_is_learned_after_an_older_build_has_relayed_the_host_without_it() -> None:
+    site = VirtualFleet(CONFIGURATION, SmallSite().listed, HOSTS, capacities=CAPACITIES)
+    site.run(1.0)
+    peers = site.hosts[0].site_host.peers
+    known = next(each for each in peers.others if each.name in LARGE_HOSTS)
+    restarted = msgspec.structs.replace(known, incarnation=Incarnation("x"), started_unix_ms=99)
+    peers.note_member(msgspec.structs.replace(restarted, capacity=HostCapacity()))
+    peers.note_member(restarted)
+    assert restarted in peers.others
+
+
+def test_hosts_that_fail_to_read_the_list_of_hosts_still_elect_an_owner(
+    uneven_site: VirtualFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    list_items = VirtualStore.list_items
+
+    async def list_or_raise(store: VirtualStore, prefix: str) -> Any:
+        if prefix == HOST_PREFIX:
+            raise RuntimeError("injected")
+        return await list_items(store, prefix)
+
+    monkeypatch.setattr(VirtualStore, "list_items", list_or_raise)
+    for host in list(uneven_site.hosts):
+        uneven_site.kill(host)
+        uneven_site.restart(host)
+    assert owner_of(uneven_site)
+
+
 def test_hosts_of_similar_or_unknown_capacity_do_not_defer_to_each_other() -> None:
     assert LARGE.is_larger_than(SMALL)
     assert not SMALL.is_larger_than(LARGE)
