Give up the ownership when the registered workers can't be loaded either

Reading the registered workers counts its attempts like the records, and an owner that is still loading after 60 s leaves the ownership to another host. Both new tests failed before ("assert False": no other owner within 5 s and 60 s). The existing test of the registry calls it with the number of attempts and expects None instead of an empty list when the term ends: an empty list also means that no worker is registered.

--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -64,6 +64,10 @@
 """How often the workers are listed. A draining worker must get no new tasks later than 2 s after it
 has announced that it is draining."""
 
+MAX_LOAD_MS = 60_000
+"""Time after which an owner that is still loading leaves the ownership to another host: about 40 MB
+on a link of 5 Mbit/s, the records of 2,900 jobs of 200 tasks."""
+
 LOAD_RETRY_INTERVAL_MS = 200
 MAX_LOAD_ATTEMPTS = 2
 """Failed attempts to load the records after which the ownership is left to another entry host, which
@@ -175,6 +179,7 @@
 
     async def run(self) -> None:
         """Takes over: loads the stored records, fences the registered workers, then schedules."""
+        self._reactor.callLater(to_seconds(MAX_LOAD_MS), self._give_up_loading)
         revisions = await self._load_records()
         if self.is_closed or revisions is None:
             return
@@ -186,8 +191,7 @@
             revisions,
             self.yield_to_later_owner,
         )
-        await self._load_registered_workers()
-        if self.is_closed:
+        if not await self._load_registered_workers():
             return
         self.is_loaded = True
         log.info("took over", jobs=len(self.fleet_state.jobs), token=self.token)
@@ -324,17 +328,29 @@
             await self._ownership.give_up("the records could not be loaded")
         return None
 
-    async def _load_registered_workers(self) -> None:
+    def _give_up_loading(self) -> None:
+        if not self.is_loaded and not self.is_closed:
+            run_in_background(self._ownership.give_up("loading takes too long"))
+
+    async def _load_registered_workers(self) -> bool:
         """Opens sessions with the workers of earlier owners, including those no longer listed.
 
+        Returns False if the term ends before.
+
         A worker that is disconnected from the store loses its entry there, but its tasks continue
         until their leases expire.
         """
-        registered = await self._worker_registry.load(lambda: self.is_closed)
+        registered = await self._worker_registry.load(MAX_LOAD_ATTEMPTS, lambda: self.is_closed)
+        if self.is_closed:
+            return False
+        if registered is None:
+            await self._ownership.give_up("the registered workers could not be loaded")
+            return False
         for worker in self.fleet_state.sync_workers(registered):
             worker.is_listed = False
             worker.is_registered = True
             self._ensure_session(worker)
+        return True
 
     async def _update_workers(self, listed: list[ListedWorker]) -> None:
         fresh = self.fleet_state.sync_workers(listed, self._clock.now_ms)
--- a/src/jujubehall/services/fleet/worker_registry.py
+++ b/src/jujubehall/services/fleet/worker_registry.py
@@ -41,16 +41,25 @@
         self._owner_revision = owner_revision
         self._revision: Revision = ABSENT
 
-    async def load(self, is_closed: Callable[[], bool]) -> list[ListedWorker]:
-        """Returns the workers that the last owner stored, retrying until the store answers.
+    async def load(
+        self, max_attempts: int, is_closed: Callable[[], bool]
+    ) -> list[ListedWorker] | None:
+        """Returns the workers that the last owner stored.
 
-        Returns an empty list if the term ends before that.
+        Returns None if that fails ``max_attempts`` times or the term ends before.
         """
-        while isinstance(found := await self._store.get(WORKERS_KEY), Err):
-            if is_closed():
-                return []
-            log.warning("loading registered workers failed; retrying", failure=str(found.err_value))
+        for attempt in range(1, max_attempts + 1):
+            found = await self._store.get(WORKERS_KEY)
+            if not isinstance(found, Err):
+                break
+            log.warning(
+                "loading registered workers failed", attempt=attempt, failure=str(found.err_value)
+            )
             await sleep(self._reactor, STORE_RETRY_INTERVAL_MS)
+            if is_closed():
+                return None
+        if isinstance(found, Err):
+            return None
         item = found.ok_value
         if item is None:
             return []
--- a/tests/services/fleet/test_takeover_loading.py
+++ b/tests/services/fleet/test_takeover_loading.py
@@ -3,14 +3,28 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
+from result import Err
+from twisted.internet.defer import Deferred
+
+from jujubehall.clock import to_seconds
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.jobs.job import JobState
+from jujubehall.errors import Failure
+from jujubehall.errors import FailureKind
 from jujubehall.identifiers import JobId
+from jujubehall.services.async_utils import sleep
+from jujubehall.services.fleet.records import WORKERS_KEY
+from jujubehall.services.fleet.site_owner import MAX_LOAD_MS
+from jujubehall.testing.virtual.fleet.store import CALL_TIMEOUT_MS
 from jujubehall.testing.virtual.fleet.store import StoreFaultMode
+from jujubehall.testing.virtual.fleet.store import VirtualStore
 from tests.core.fleet.small_site import step
 
 if TYPE_CHECKING:
+    import pytest
+
     from jujubehall.testing.virtual.fleet.site import VirtualFleet
     from jujubehall.testing.virtual.fleet.site import VirtualHost
 
@@ -46,6 +60,41 @@
     assert site.job_state(JOB, host=site.hosts.index(other)).state is JobState.SUCCEEDED
 
 
+def test_owner_that_cannot_load_the_registered_workers_gives_way_to_another_host(
+    site: VirtualFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    get = VirtualStore.get
+    candidates: list[VirtualStore] = []
+
+    async def get_or_time_out(store: VirtualStore, key: str) -> Any:
+        if key == WORKERS_KEY and store in candidates:
+            await sleep(candidate.reactor, CALL_TIMEOUT_MS)
+            return Err(Failure(FailureKind.NO_ANSWER, "get", "store", "timed out"))
+        return await get(store, key)
+
+    monkeypatch.setattr(VirtualStore, "get", get_or_time_out)
+    former = site.owner
+    assert former is not None
+    candidate, other = (host for host in site.hosts if host is not former)
+    candidates.append(candidate.store)
+    other.store.fault_mode = StoreFaultMode.UNAVAILABLE
+    site.kill(former)
+    assert site.run_until(lambda: candidate.site_host.owner is not None, 3.0)
+    other.store.fault_mode = StoreFaultMode.NONE
+    assert site.run_until(lambda: is_loaded(other), MAX_TIME_WITHOUT_OWNER_S)
+
+
+def test_owner_that_is_still_loading_after_a_minute_gives_way_to_another_host(
+    site: VirtualFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    candidate, other = elect_host_that_cannot_list(site)
+    endless: Deferred[None] = Deferred()
+    monkeypatch.setattr(candidate.store, "list_items", lambda prefix: endless)
+    site.run(2.0)
+    assert candidate.site_host.owner is not None
+    assert site.run_until(lambda: is_loaded(other), to_seconds(MAX_LOAD_MS))
+
+
 def test_only_remaining_host_keeps_trying_to_load_the_records(site: VirtualFleet) -> None:
     candidate, other = elect_host_that_cannot_list(site)
     site.kill(other)
