Don't hand over to a host that is stopping or fails as owner

A host that is stopping was offered the ownership too.

The answer whether a host reaches the store now also says whether it can take over: not while it is stopping, and not for 3 s after a term that it gave up, twice as long after each further one, up to 5 min. A completed takeover ends this. The field is optional, so that builds without it can answer.

--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -164,6 +164,8 @@
     """Response to ``StoreContactWanted``."""
 
     is_reachable: bool
+    can_take_over: bool = True
+    """Whether a smaller owner may hand over to the responder."""
 
 
 class IntakeKept(msgspec.Struct, frozen=True, tag="intake-kept"):
--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -76,6 +76,10 @@
 """How long an entry host that gave up the ownership leaves it to the others: time for a campaign
 and the first load of another one."""
 
+MAX_UNFIT_MS = 300_000
+"""Longest time for which an entry host that failed as owner is offered no ownership. The time
+doubles from ``STAND_BACK_MS`` with each failure, so that hand-overs to a broken host become rare."""
+
 PROCESS_PAUSE_THRESHOLD_MS = 600
 """A gap of this length between two pause checks shows that the process was suspended."""
 
@@ -137,6 +141,10 @@
         self._owner_discovered_ms = self._owner_heard_ms
         self._resigned_token = FencingToken(0)
         self._stands_back_until_ms = 0
+        self._failed_terms = 0
+        """Terms in a row that this entry host gave up before it had taken over."""
+
+        self._unfit_until_ms = 0
         self._next_handover_check_ms = 0
         self._campaigning_since_ms: int | None = None
         """When this entry host noticed that there is no owner; None while there is one."""
@@ -163,6 +171,11 @@
         """The time since a heartbeat of another owner, or a later owner's record, was received."""
         return self._clock.now_ms - max(self._owner_heard_ms, self._owner_discovered_ms)
 
+    @property
+    def can_take_over(self) -> bool:
+        """Whether a smaller owner may hand over to this entry host."""
+        return not self._is_stopping and self._clock.now_ms >= self._unfit_until_ms
+
     def set_peers(self, peers: ElectionPeers) -> None:
         """Sets the peers to consult about a silent owner and about the store."""
         self._peers = peers
@@ -190,8 +203,19 @@
         if self.term is not None:
             self._end_term(reason)
 
+    def note_taken_over(self) -> None:
+        """Records that this entry host has loaded the records of its term."""
+        self._failed_terms = 0
+        self._unfit_until_ms = 0
+
     async def give_up(self, reason: str) -> None:
-        """Resigns and leaves the ownership to the other entry hosts for a while."""
+        """Resigns a term that could not take over and leaves the ownership to the other hosts."""
+        unfit_ms = min(STAND_BACK_MS * 2**self._failed_terms, MAX_UNFIT_MS)
+        self._failed_terms += 1
+        self._unfit_until_ms = self._clock.now_ms + unfit_ms
+        await self._stand_back(reason)
+
+    async def _stand_back(self, reason: str) -> None:
         self._stands_back_until_ms = self._clock.now_ms + STAND_BACK_MS
         await self._resign(reason)
 
@@ -253,7 +277,7 @@
             self._lease_renewed_ms = requested_ms
             self._must_verify_lease = False
             if await self._should_hand_over():
-                await self.give_up("a larger entry host can take over")
+                await self._stand_back("a larger entry host can take over")
             else:
                 await sleep(self._reactor, LEASE_RENEWAL_INTERVAL_MS)
         elif renewed.err_value.kind is FailureKind.NOT_FOUND:
--- a/src/jujubehall/services/fleet/peer_request_handlers.py
+++ b/src/jujubehall/services/fleet/peer_request_handlers.py
@@ -117,7 +117,8 @@
         read = run_in_background(self._store.get(OWNER_KEY))
         read.addTimeout(to_seconds(CONTACT_CHECK_TIMEOUT_MS), self._reactor)
         try:
-            return StoreContactKnown(not isinstance(await read, Err))
+            is_reachable = not isinstance(await read, Err)
+            return StoreContactKnown(is_reachable, self._ownership.can_take_over)
         except TimeoutError:
             return StoreContactKnown(False)
 
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -151,15 +151,16 @@
 
     async def can_any_reach_store(self) -> bool:
         """Returns whether any consulted peer can reach the store now."""
-        return await self._can_any_reach_store(self.others)
+        contacts = await self._query_store_contacts(self.others)
+        return any(each.is_reachable for each in contacts)
 
-    async def _can_any_reach_store(self, members: list[Member]) -> bool:
+    async def _query_store_contacts(self, members: list[Member]) -> list[StoreContactKnown]:
         requests = [
             self._mesh.request(member, StoreContactWanted(), CONTACT_CHECK_TIMEOUT_MS)
             for member in members[:MAX_PEERS_CONSULTED]
         ]
         responses = [each.ok_value for each in await gather(requests) if not isinstance(each, Err)]
-        return any(isinstance(each, StoreContactKnown) and each.is_reachable for each in responses)
+        return [each for each in responses if isinstance(each, StoreContactKnown)]
 
     def knows_larger_host(self) -> bool:
         """Returns whether an entry host with a larger capacity is registered."""
@@ -173,7 +174,8 @@
             for member in self._larger_hosts()
             if now_ms - self._last_response_ms.get(member.name, 0) < OWNER_HEARTBEAT_TIMEOUT_MS
         ]
-        return await self._can_any_reach_store(responsive_hosts)
+        contacts = await self._query_store_contacts(responsive_hosts)
+        return any(each.is_reachable and each.can_take_over for each in contacts)
 
     def _larger_hosts(self) -> list[Member]:
         own_capacity = self._member.capacity
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -194,6 +194,7 @@
         if not await self._load_registered_workers():
             return
         self.is_loaded = True
+        self._ownership.note_taken_over()
         log.info("took over", jobs=len(self.fleet_state.jobs), token=self.token)
         run_in_background(self._intake_watcher.run())
         if self._maintenance_controller is not None:
--- a/tests/services/fleet/test_owner_capacity.py
+++ b/tests/services/fleet/test_owner_capacity.py
@@ -34,6 +34,14 @@
     name: LARGE if name in LARGE_HOSTS else SMALL
     for name in (f"entry-{number}" for number in range(HOSTS))
 }
+CHECK_INTERVAL_S = 0.1
+CHECKS = 600
+MAX_FAILED_TERMS = 5
+"""Terms that begin 3, 6, 12 and 24 s after the one before fill the minute of the checks."""
+
+MIN_LOADED_SHARE = 0.7
+"""Each of these terms costs at most 3.6 s: two attempts to load and an election."""
+
 MAX_HANDOVER_S = HANDOVER_CHECK_INTERVAL_MS / 1000 + 2.0
 
 
@@ -114,6 +122,40 @@
     assert set(uneven_site.run_recorder.start_counts.values()) == {1}
 
 
+def test_hand_overs_to_a_large_host_that_fails_as_owner_become_rare(
+    uneven_site: VirtualFleet,
+) -> None:
+    broken, removed = large_hosts(uneven_site)
+    uneven_site.kill(removed)
+    broken.store.are_lists_unanswered = True
+    if uneven_site.owner is broken:
+        run_in_background(broken.site_host.ownership.give_up("injected"))
+    loaded = 0
+    owners: set[tuple[str, int]] = set()
+    for _ in range(CHECKS):
+        uneven_site.run(CHECK_INTERVAL_S)
+        for host in uneven_site.hosts:
+            owner = host.site_host.owner
+            if owner is not None and not host.reactor.is_killed:
+                owners.add((host.name, owner.token))
+                loaded += owner.is_loaded
+    assert sum(name == broken.name for name, _ in owners) <= MAX_FAILED_TERMS
+    assert loaded >= MIN_LOADED_SHARE * CHECKS
+
+
+def test_small_owner_does_not_hand_over_to_a_host_that_is_stopping(
+    uneven_site: VirtualFleet,
+) -> None:
+    for host in large_hosts(uneven_site):
+        run_in_background(host.site_host.stop())
+    uneven_site.run(2.0)
+    owner = owner_of(uneven_site)
+    token = owner.site_host.ownership.highest_token
+    uneven_site.run(3 * HANDOVER_CHECK_INTERVAL_MS / 1000)
+    assert owner_of(uneven_site) is owner
+    assert owner.site_host.ownership.highest_token == token
+
+
 def test_capacity_is_learned_after_an_older_build_has_relayed_the_host_without_it() -> None:
     site = VirtualFleet(CONFIGURATION, SmallSite().listed, HOSTS, capacities=CAPACITIES)
     site.run(1.0)
