Test that entry host processes register their capacity

Without capacity=settings.limits.capacity in start_site_process, the test fails: both hosts register HostCapacity(0, 0). The mutation was tried and reverted.

--- a/tests/platform/adapter/test_site_processes.py
+++ b/tests/platform/adapter/test_site_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import os
 import signal
@@ -13,10 +14,15 @@
 from typing import Any
 
 import httpx
+import msgspec
 import pytest
 
 from jujubehall.console.job_history import job_history
 from jujubehall.console.job_history import read_events
+from jujubehall.core.ownership.capacity import HostCapacity
+from jujubehall.core.ownership.record import Member
+from jujubehall.identifiers import EntryHostName
+from jujubehall.services.fleet.records import host_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -37,9 +43,11 @@
         # Parallel test workers need separate addresses, because the metrics port is fixed.
         xdist_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
         self.ip = f"127.1.{xdist_worker}.{20 + number}"
+        self.name = EntryHostName(f"front-{number}")
+        self.store = store
         self._log = (directory / f"{number}.log").open("w+")
         settings = directory / f"{number}.toml"
-        settings.write_text(f"""nodeName = "front-{number}"
+        settings.write_text(f"""nodeName = "{self.name}"
 ip = "{self.ip}"
 zone = "a"
 portRange = [{MESH_PORT}, {MESH_PORT + 10}]
@@ -55,6 +63,10 @@
 strictRevoke = true
 graceS = 6
 status_s = 120
+[limits]
+cpuShare = 0.5
+cores = 3.0
+linkMbps = 200.0
 """)
         self.process = subprocess.Popen(
             [sys.executable, "-m", "jujubehall.daemon.site_main"],
@@ -81,6 +93,10 @@
         except httpx.TransportError:
             return False
 
+    def registration(self) -> Member:
+        item = httpx.get(f"http://{self.store}/kv-key", params={"key": host_key(self.name)}).json()
+        return msgspec.json.decode(base64.b64decode(item["value"]), type=Member)
+
     def kill(self) -> None:
         if self.process.poll() is None:
             self.process.kill()
@@ -159,3 +175,8 @@
     job = "00000000000000d1"
     assert other.call("POST", f"/hold/{job}", json=JOB).status_code == 200
     wait_until(lambda: job_state(other, job) == "succeeded")
+
+
+def test_entry_hosts_register_the_capacity_of_their_settings(hosts: list[EntryHostProcess]) -> None:
+    capacities = [host.registration().capacity for host in hosts]
+    assert capacities == [HostCapacity(millicores=1_500, link_mbps=200)] * len(hosts)
