Test that a page of the store cut off before its end fails at once

With BodyReader.connectionLost completing the body for every reason, the variant that closes before the last byte of the body fails: the list counts as complete. The variant that closes within the JSON passes with it, as the cut JSON is refused with the same kind.

--- a/tests/platform/adapter/test_slow_store_link.py
+++ b/tests/platform/adapter/test_slow_store_link.py
@@ -51,10 +51,15 @@
 
 
 class SlowStore:
-    """HTTP server that sends one page in equal pieces and goes silent after ``pieces`` of them."""
+    """HTTP server that sends one page in equal pieces and goes silent after ``pieces`` of them.
 
-    def __init__(self, pieces: int) -> None:
+    With ``closes_midway``, it closes the connection instead of going silent, at the latest before
+    the last byte, a line feed.
+    """
+
+    def __init__(self, pieces: int, closes_midway: bool = False) -> None:
         self._pieces = pieces
+        self._closes_midway = closes_midway
         self.was_closed_by_client = threading.Event()
         self._connections: list[socket.socket] = []
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -82,24 +87,26 @@
             connection.recv(65_536)
             connection.sendall(
                 b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                b"Content-Length: %d\r\n\r\n" % len(PAGE)
+                b"Content-Length: %d\r\n\r\n" % (len(PAGE) + self._closes_midway)
             )
             for number in range(self._pieces):
                 time.sleep(to_seconds(PIECE_INTERVAL_MS))
                 connection.sendall(PAGE[number * size : (number + 1) * size])
-            if not connection.recv(65_536):
+            if self._closes_midway:
+                connection.shutdown(socket.SHUT_RDWR)
+            elif not connection.recv(65_536):
                 self.was_closed_by_client.set()
         except OSError:
             return
 
 
 @pytest.fixture
-def make_store() -> Iterator[Callable[[int], SlowStore]]:
+def make_store() -> Iterator[Callable[..., SlowStore]]:
     """Returns a function that starts a ``SlowStore``."""
     stores: list[SlowStore] = []
 
-    def start(pieces: int) -> SlowStore:
-        stores.append(SlowStore(pieces))
+    def start(pieces: int, closes_midway: bool = False) -> SlowStore:
+        stores.append(SlowStore(pieces, closes_midway))
         return stores[-1]
 
     yield start
@@ -122,7 +129,7 @@
 
 
 def test_page_that_takes_longer_than_a_call_is_read_while_bytes_arrive(
-    make_store: Callable[[int], SlowStore],
+    make_store: Callable[..., SlowStore],
 ) -> None:
     assert PIECES * PIECE_INTERVAL_MS > CALL_TIMEOUT_MS
     listed = list_items(make_store(PIECES))
@@ -131,7 +138,7 @@
 
 
 def test_page_that_stops_midway_fails_within_the_limit_of_a_call(
-    make_store: Callable[[int], SlowStore],
+    make_store: Callable[..., SlowStore],
 ) -> None:
     began_s = time.monotonic()
     listed = list_items(make_store(3))
@@ -142,8 +149,20 @@
 
 
 def test_abandoned_page_does_not_go_on_using_the_link(
-    make_store: Callable[[int], SlowStore],
+    make_store: Callable[..., SlowStore],
 ) -> None:
     store = make_store(3)
     assert isinstance(list_items(store), Err)
     assert store.was_closed_by_client.wait(to_seconds(CALL_TIMEOUT_MS))
+
+
+@pytest.mark.parametrize("pieces", [3, PIECES])
+def test_page_whose_connection_is_closed_before_its_end_fails_at_once(
+    make_store: Callable[..., SlowStore], pieces: int
+) -> None:
+    began_s = time.monotonic()
+    listed = list_items(make_store(pieces, closes_midway=True))
+    assert isinstance(listed, Err), "the JSON is complete after all pieces, the body is not"
+    assert listed.err_value.kind is FailureKind.NO_ANSWER
+    silent_s = time.monotonic() - began_s - to_seconds(pieces * PIECE_INTERVAL_MS)
+    assert silent_s < to_seconds(CALL_TIMEOUT_MS) / 2
