--- a/tests/services/fleet/test_worker_session.py
+++ b/tests/services/fleet/test_worker_session.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from result import Err
 from result import Ok
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -23,11 +24,14 @@
 from jujubehall.core.fleet.reports import WorkerReport
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.jobs.job import JobState
+from jujubehall.errors import Failure
+from jujubehall.errors import FailureKind
 from jujubehall.identifiers import JobId
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import sleep
 from jujubehall.services.fleet.records import PROGRESS_PREFIX
 from jujubehall.services.fleet.records import progress_key
+from jujubehall.services.fleet.worker_session import PROGRESS_FLUSH_TIMEOUT_MS
 from jujubehall.services.fleet.worker_session import REPORT_RETRY_INTERVAL_MS
 from jujubehall.services.fleet.worker_session import SAME_INCARNATION_GAP_MS
 from jujubehall.services.fleet.worker_session import WorkerSession
@@ -153,6 +157,76 @@
     assert confirmed[:4] == [0, 0, 0, 1]
 
 
+class ScriptedWorker:
+    """Lists end 1 with the incarnation of each poll in turn; polls without one get no answer.
+
+    ``flushes`` are the flushes that the session awaits; each one fires when the test says so.
+    """
+
+    def __init__(self, incarnations: list[int | None]) -> None:
+        self._incarnations = iter(incarnations)
+        small_site = SmallSite(workers=1)
+        small_site.worker(0).has_reported = False
+        self._job = small_site.submit("job", step(tasks=2))
+        self.reactor = Clock()
+        self._clock = reactor_clock(self.reactor)
+        self.confirmed: list[int] = []
+        self.flushes: list[Deferred[None]] = []
+        owner: Any = SimpleNamespace(
+            may_act=True,
+            token=1,
+            workers_api=SimpleNamespace(poll=self._poll),
+            writer=SimpleNamespace(flushed=self._flush),
+            fleet_state=small_site.fleet_state,
+            handle_report=lambda: None,
+            expire_leases=lambda _session: None,
+        )
+        session = WorkerSession(owner, self.reactor, self._clock, small_site.worker(0), 6_000)
+        run_in_background(session.run())
+
+    def _flush(self) -> Deferred[None]:
+        self.flushes.append(Deferred())
+        return self.flushes[-1]
+
+    async def _poll(
+        self, _worker: Any, _token: Any, confirmed_ends: int, _until_ms: Any, _wait_ms: Any
+    ) -> Any:
+        self.confirmed.append(confirmed_ends)
+        try:
+            incarnation = next(self._incarnations)
+        except StopIteration:
+            return await Deferred()
+        if incarnation is None:
+            return Err(Failure(FailureKind.NO_ANSWER, "poll", "worker"))
+        ended = EndedTask(1, TaskId(self._job.id, 0, 0, incarnation - 1), 1, EndKind.FAILED)
+        return Ok(WorkerReport(incarnation, self._clock.now_ms, (), (ended,)))
+
+
+def test_flush_that_completes_after_a_restart_confirms_nothing_to_the_new_incarnation() -> None:
+    worker = ScriptedWorker([1, 2, 2])
+    worker.reactor.advance(to_seconds(PROGRESS_FLUSH_TIMEOUT_MS))
+    assert len(worker.flushes) == 2
+    worker.flushes[0].callback(None)
+    worker.reactor.pump([to_seconds(PROGRESS_FLUSH_TIMEOUT_MS), 0, 0])
+    assert worker.confirmed == [0, 0, 0]
+    worker.flushes[1].callback(None)
+    worker.flushes[2].callback(None)
+    worker.reactor.pump([0, 0])
+    assert worker.confirmed == [0, 0, 0, 1]
+
+
+def test_ends_listed_after_a_failed_poll_are_not_confirmed_before_another_flush() -> None:
+    worker = ScriptedWorker([1, None, 1])
+    worker.flushes[0].callback(None)
+    worker.reactor.pump([0, 0])
+    assert worker.confirmed == [0, 1]
+    worker.reactor.pump([to_seconds(REPORT_RETRY_INTERVAL_MS), 0, 0])
+    assert worker.confirmed == [0, 1, 0]
+    worker.flushes[1].callback(None)
+    worker.reactor.pump([0, 0])
+    assert worker.confirmed == [0, 1, 0, 1]
+
+
 @pytest.mark.parametrize("extra_latency_ms", [0, SLOW_STORE_LATENCY_MS])
 def test_only_stored_ends_of_the_same_incarnation_are_confirmed_to_restarting_workers(
     site: VirtualFleet, monkeypatch: pytest.MonkeyPatch, extra_latency_ms: int
