Test that ends are told apart by incarnation and kept for jobs not known yet

With applied ends keyed without the incarnation, the first test fails; with ends of unknown jobs counted as applied, the second. Both mutations were tried and reverted.

--- a/tests/core/fleet/test_reconciliation.py
+++ b/tests/core/fleet/test_reconciliation.py
@@ -277,3 +277,24 @@
     site.end(group, EndKind.STOPPED, checkpoint="c2")
     site.report(int(former.name[1:]), ended=(first,))
     assert group.checkpoint == "c2"
+
+
+def test_end_is_not_mistaken_for_an_equal_one_of_the_previous_incarnation() -> None:
+    site = SmallSite()
+    job = site.submit("job", step())
+    (group,) = site.start_groups()
+    worker = int(group.placements[0].worker.name[1:])
+    ended = EndedTask(1, TaskId(job.id, 0, 0, 0), 1, EndKind.STOPPED)
+    assert site.report(worker, ended=(ended,)).ends == [ended]
+    site.fleet_state.unsaved_jobs.clear()
+    assert site.report(worker, ended=(ended,), incarnation=2).ends == [ended]
+    assert site.fleet_state.unsaved_jobs == {job}
+
+
+def test_end_listed_before_its_job_was_known_is_applied_once_it_is() -> None:
+    site = SmallSite()
+    ended = EndedTask(1, TaskId(JobId("late"), 0, 0, 0), 1, EndKind.DONE)
+    assert site.report(0, ended=(ended,)).ends == []
+    job = site.submit("late", step())
+    assert site.report(0, ended=(ended,)).ends == [ended]
+    assert job.state is JobState.SUCCEEDED
