--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -102,7 +102,7 @@
         """Returns whether an entry host with a larger capacity is registered."""
 
     async def can_larger_host_take_over(self) -> bool:
-        """Returns whether a larger entry host responds and can reach the store."""
+        """Returns whether a larger entry host responds, reaches the store and accepts the ownership."""
 
     def announce_resignation(self) -> None:
         """Tells all peers that this entry host resigns as the owner of the site."""
@@ -332,7 +332,7 @@
             return
         await sleep(self._reactor, CAMPAIGN_INTERVAL_MS)
 
-    def _must_leave_precedence(self) -> bool:
+    def _must_wait_for_larger_host(self) -> bool:
         """Returns whether a larger entry host may still take over before this one."""
         return (
             self._campaigning_since_ms is not None
@@ -350,7 +350,7 @@
     async def _run_for_election(
         self, existing: StoredItem | None, record: OwnerRecord | None
     ) -> None:
-        if self._must_leave_precedence():
+        if self._must_wait_for_larger_host():
             await sleep(self._reactor, OWNER_CHECK_INTERVAL_MS)
             return
         # The random delay spreads candidates that detect a missing owner at the same time.
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -167,7 +167,7 @@
         return bool(self._larger_hosts())
 
     async def can_larger_host_take_over(self) -> bool:
-        """Returns whether a larger entry host responds and can reach the store."""
+        """Returns whether a larger entry host responds, reaches the store and accepts the ownership."""
         now_ms = self._clock.now_ms
         responsive_hosts = [
             member
