Make the runs of the request fuzzer a function of their seed and detect a missing fence

Cause: the garbage collector closed coroutines of killed hosts at times that depend on what the process did before. Their finally blocks release locks, and the next waiter draws a latency from the random source of the site.

--- a/tests/services/request_fuzzer.py
+++ b/tests/services/request_fuzzer.py
@@ -6,11 +6,18 @@
 
 from __future__ import annotations
 
+import gc
+
+from contextlib import contextmanager
+from itertools import count
 from random import Random
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from jujubehall.core.ownership.scopes import REQUEST_SHARDS
+from jujubehall.core.ownership.scopes import shard_of
+from jujubehall.core.ownership.scopes import shard_scope
 from jujubehall.core.requests.request import Outcome
 from jujubehall.core.requests.request import Request
 from jujubehall.core.requests.tickets import parse_ticket
@@ -26,8 +33,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from jujubehall.core.requests.request import Answer
+    from jujubehall.testing.virtual.site import VirtualEntryHost
 
 SITE = SiteFile(
     zones=("zone-a", "zone-b"),
@@ -42,6 +51,13 @@
 STEP_MS = 100
 RECOVERY_MS = 20_000
 DEADLINE_MS = 3_000
+CLAIM_DELAY_MS = 200
+SEND_INTERVAL_MS = 10
+REQUESTS_BEFORE_SUSPENSION = 4
+RETRIES_WHILE_SUSPENDED = 4
+SUSPENSION_MS = (6_000, 12_000)
+"""Long enough for another host to take over the shards of the suspended one."""
+
 BEHAVIOURS = (
     EndpointBehaviour(),
     EndpointBehaviour(run_ms=300),
@@ -61,6 +77,22 @@
     return site
 
 
+@contextmanager
+def no_garbage_collection() -> Iterator[None]:
+    """Disables the collection of reference cycles.
+
+    A collection closes the coroutines of killed hosts. Their ``finally`` blocks release locks, and
+    the next waiter draws from the random source of the site, so that a run would depend on when a
+    collection happens and not only on its seed.
+    """
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
 class Violation(AssertionError):
     """An invariant of the request service was violated."""
 
@@ -85,6 +117,7 @@
             self._change_endpoint_behaviour,
             self._refuse_connections,
             self._change_owners,
+            self._suspend_owner_while_claims_wait,
         )
         if outages:
             self._failures = (
@@ -98,6 +131,10 @@
 
     def run(self, steps: int) -> None:
         """Sends requests under failures, lets the site recover, and checks all invariants."""
+        with no_garbage_collection():
+            self._run(steps)
+
+    def _run(self, steps: int) -> None:
         for _ in range(steps):
             for _ in range(self.random.randint(0, 4)):
                 self._send()
@@ -135,7 +172,9 @@
         hosts = [each for each in self.site.hosts.values() if not each.reactor.is_killed]
         if not hosts:
             return
-        host = self.random.choice(hosts)
+        self._send_to(self.random.choice(hosts), request)
+
+    def _send_to(self, host: VirtualEntryHost, request: Request | None = None) -> None:
         if request is None and self._requests and self.random.random() < 0.5:
             request = self.random.choice(self._requests[-60:])
         request = request or self._new_request()
@@ -143,8 +182,8 @@
         # A suspended process handles the request only after it resumes.
         host.reactor.callLater(0, self._serve, host, request)
 
-    def _serve(self, host: object, request: Request) -> None:
-        served = run_in_background(host.entry_host.requests.serve(request))  # type: ignore[attr-defined]
+    def _serve(self, host: VirtualEntryHost, request: Request) -> None:
+        served = run_in_background(host.entry_host.requests.serve(request))
         served.addCallback(self.answers[request.id].append)
 
     def _new_request(self) -> Request:
@@ -153,6 +192,20 @@
             live_hosts = [each for each in self.site.hosts.values() if not each.reactor.is_killed]
             identifier = self.random.choice(live_hosts).entry_host.requests.issue_tickets(1)[0]
             assert parse_ticket(identifier) is not None
+        return self._add_request(identifier)
+
+    def _new_request_of(self, owner: VirtualEntryHost) -> Request:
+        """Creates a request of a shard that ``owner`` owns; it must own one."""
+        identifiers = (RequestId(f"hold-{len(self.answers)}-{number}") for number in count())
+        return self._add_request(
+            next(
+                each
+                for each in identifiers
+                if owner.entry_host.membership.owns(shard_scope(shard_of(each)))
+            )
+        )
+
+    def _add_request(self, identifier: RequestId) -> Request:
         request = Request(identifier, TEAM, "slot-hold", deadline_ms=DEADLINE_MS)
         self.answers[identifier] = []
         self._requests.append(request)
@@ -226,6 +279,30 @@
         host.entry_host.membership._member = changed
         self._undo_later(lambda: setattr(host.entry_host.membership, "_member", member), 4_000)
 
+    def _suspend_owner_while_claims_wait(self) -> None:
+        """Suspends an owner after it has accepted requests, but before it has claimed them all.
+
+        Only one write of claims is in progress at a time. On a slow platform, claims wait for it,
+        and the owner continues them when it resumes, after callers have retried elsewhere.
+        """
+        owner = self.site.hosts[self._random_host()]
+        membership = owner.entry_host.membership
+        if owner.reactor.is_killed or owner.reactor.is_suspended:
+            return
+        if not any(membership.owns(shard_scope(shard)) for shard in range(REQUEST_SHARDS)):
+            return
+        self.site.network.platform_delay_ms = CLAIM_DELAY_MS
+        for _ in range(REQUESTS_BEFORE_SUSPENSION):
+            request = self._new_request_of(owner)
+            self._send_to(owner, request)
+            self.site.run_for(SEND_INTERVAL_MS)
+            for _ in range(RETRIES_WHILE_SUSPENDED):
+                self._undo_later(lambda retried=request: self._send(retried))  # type: ignore[misc]
+        self.site.network.platform_delay_ms = 0
+        owner.reactor.suspend()
+        resume_ms = self.random.randint(*SUSPENSION_MS)
+        self.site.time.callLater(resume_ms / 1_000, owner.reactor.resume)
+
     def _end_failures(self) -> None:
         self.site.network.reconnect_all()
         self.site.network.is_platform_down = False
--- a/tests/services/test_request_fuzzing.py
+++ b/tests/services/test_request_fuzzing.py
@@ -34,6 +34,17 @@
     assert len(set(outcomes)) == 3
 
 
+def test_runs_are_determined_by_their_seed() -> None:
+    def answers() -> str:
+        fuzzer = RequestFuzzer(2)
+        fuzzer.run(STEPS)
+        return repr(fuzzer.answers)
+
+    first = answers()
+    RequestFuzzer(3).run(STEPS)
+    assert answers() == first
+
+
 def skip_claim(monkeypatch: pytest.MonkeyPatch) -> None:
     async def claim(self: ClaimLog, request: str) -> Any:
         return Ok(None)
