Test the silent connection on a clock that the test advances

Cause: the test's three calls had 200 ms of wall-clock time each, while the peer's threads shared the interpreter with the reactor. The new test also checks that the call doesn't fail before its timeout.

--- a/tests/http/test_silent_connection.py
+++ b/tests/http/test_silent_connection.py
@@ -19,6 +19,7 @@
 from jujubehall.http.client import HttpClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
@@ -26,6 +27,19 @@
 MAX_REACTOR_ITERATIONS = 2_000
 
 
+class ManualTimeReactor(EPollReactor):
+    """Does real I/O, while its time advances only when the test says so.
+
+    Timeouts then don't depend on how fast this machine is.
+    """
+
+    now_s = 0.0
+
+    def seconds(self) -> float:
+        """Returns the time in seconds."""
+        return self.now_s
+
+
 class SilentPeer:
     """HTTP server that responds to one request on its first connection, to all on later ones."""
 
@@ -33,6 +47,7 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port: int = self._listener.getsockname()[1]
         self.connections: list[socket.socket] = []
+        self.requests_received = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self) -> None:
@@ -62,6 +77,7 @@
                 return
             if not request:
                 return
+            self.requests_received += 1
             if max_responses is None or responses_sent < max_responses:
                 connection.sendall(RESPONSE)
                 responses_sent += 1
@@ -77,27 +93,41 @@
 
 def test_silent_connection_fails_one_call_and_is_not_reused(peer: SilentPeer) -> None:
     """Only the timeout of a call detects the silent connection; the next call opens a new one."""
-    make_reactor: Any = EPollReactor
+    make_reactor: Any = ManualTimeReactor
     reactor = make_reactor()
     client = HttpClient(reactor, "peer")
 
-    def call() -> Any:
+    def iterate_until(condition: Callable[[], object]) -> None:
+        for _ in range(MAX_REACTOR_ITERATIONS):
+            if condition():
+                return
+            reactor.iterate(0.01)
+        raise AssertionError("condition not met")
+
+    def start_call() -> list[Any]:
         results: list[Any] = []
         coroutine = client.call(
             "ask", "GET", f"http://127.0.0.1:{peer.port}/", timeout_ms=TIMEOUT_MS
         )
         Deferred.fromCoroutine(coroutine).addBoth(results.append)
-        for _ in range(MAX_REACTOR_ITERATIONS):
-            if results:
-                break
-            reactor.iterate(0.01)
-        return results[0]
-
-    assert isinstance(call(), Ok)
-    silent = call()
-    assert isinstance(silent, Err)
-    assert silent.err_value.kind is FailureKind.NO_ANSWER
-    assert isinstance(call(), Ok)
+        return results
+
+    first = start_call()
+    iterate_until(lambda: first)
+    assert isinstance(first[0], Ok)
+    silent = start_call()
+    iterate_until(lambda: peer.requests_received == 2)
+    reactor.now_s += (TIMEOUT_MS - 1) / 1_000
+    for _ in range(5):
+        reactor.iterate(0.01)
+    assert not silent
+    reactor.now_s += 2 / 1_000
+    iterate_until(lambda: silent)
+    assert isinstance(silent[0], Err)
+    assert silent[0].err_value.kind is FailureKind.NO_ANSWER
+    third = start_call()
+    iterate_until(lambda: third)
+    assert isinstance(third[0], Ok)
     assert len(peer.connections) == 2
     client.close()
     reactor.iterate(0.01)
