Adapt the commands in flight to the time in which workers answer

Cause: up to 64 starts, and any number of stops, were sent at once.

Change: a window in the core grows while answers are quick and is halved when one is slow; stops come first, then urgent starts; commands spread over the workers, and one to a silent worker doesn't hold up the others.

--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -7,9 +7,10 @@
 import structlog
 
 from result import Err
-from twisted.internet.defer import DeferredSemaphore
 
 from jujubehall.core.fleet.groups import Phase
+from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
+from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import GROUP_STOPS
 from jujubehall.metrics import RUN_STARTS
@@ -18,8 +19,12 @@
 from jujubehall.platform.site_store import StartRefusal
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import sleep
+from jujubehall.services.fleet.command_slots import CommandRank
+from jujubehall.services.fleet.command_slots import CommandSlots
 
 if TYPE_CHECKING:
+    from result import Result
+
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.decisions import ReserveCapacity
@@ -27,14 +32,11 @@
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.reconciliation import OrphanedRun
+    from jujubehall.core.fleet.reports import TaskId
     from jujubehall.core.fleet.workers import FleetWorker
-    from jujubehall.errors import Failure
+    from jujubehall.services.fleet.command_slots import CommandSlot
     from jujubehall.services.fleet.site_owner import SiteOwner
 
-MAX_STARTS_IN_FLIGHT = 64
-"""Starts of up to 5 kB each take 0.5 s on a link of 5 Mbit/s, less than the time limit of a command,
-which runs from the moment a start is sent."""
-
 STOP_RETRY_INTERVAL_MS = 300
 UNHEALTHY_BACKOFF_MS = 1_500
 """How long no task is started on a worker that has refused a start as unhealthy."""
@@ -60,7 +62,7 @@
         self._reactor = reactor
         self._clock = clock
         self._stops_in_flight: set[Placement] = set()
-        self._start_slots = DeferredSemaphore(MAX_STARTS_IN_FLIGHT)
+        self._slots = CommandSlots(reactor, clock)
 
     def log_stop(self, decision: StopGroup) -> None:
         """Logs and counts a decision to stop a group."""
@@ -142,28 +144,52 @@
             worker=worker.name,
             reason=orphaned_run.reason,
         )
-        await self._owner.workers_api.stop(
-            worker.listed, self._owner.token, orphaned_run.task, orphaned_run.run
-        )
+        await self._send_stop(worker, orphaned_run.task, orphaned_run.run)
+
+    async def _send_stop(
+        self, worker: FleetWorker, task: TaskId, run: int
+    ) -> Result[None, Failure]:
+        slot = await self._slots.acquire(worker.name, CommandRank.STOP)
+        if not self._owner.may_act:
+            slot.release(is_answered=False)
+            return Err(Failure(FailureKind.NOT_SENT, "stop", worker.name, "may not act now"))
+        slot.note_sent()
+        try:
+            stopped = await self._owner.workers_api.stop(
+                worker.listed, self._owner.token, task, run
+            )
+        except Exception:
+            slot.release(is_answered=False)
+            raise
+        slot.release(is_answered=not isinstance(stopped, Err))
+        return stopped
 
     async def _start(self, group: TaskGroup, index: int, placement: Placement) -> None:
-        await self._start_slots.acquire()
+        is_urgent = group.job.priority == HIGHEST_PRIORITY
+        rank = CommandRank.URGENT_START if is_urgent else CommandRank.START
+        slot = await self._slots.acquire(placement.worker.name, rank)
+        is_answered = False
         try:
             if group.placements.get(index) is placement and placement.phase is Phase.STARTING:
-                await self._send_start(group, index, placement)
-        finally:
-            self._start_slots.release()
+                is_answered = await self._send_start(group, index, placement, slot)
+        except Exception:
+            slot.release(is_answered=False)
+            raise
+        slot.release(is_answered=is_answered)
 
-    async def _send_start(self, group: TaskGroup, index: int, placement: Placement) -> None:
+    async def _send_start(
+        self, group: TaskGroup, index: int, placement: Placement, slot: CommandSlot
+    ) -> bool:
+        """Sends a start and handles its outcome; returns whether the worker has answered."""
         worker = placement.worker
         if not worker.is_reachable:
             self._abandon_start(group, index, placement, "the worker is unreachable")
-            return
+            return False
         session = self._owner.session(worker)
         until_ms = session.lease_until_ms() if session is not None else None
         if until_ms is None or not self._owner.may_act:
             self._abandon_start(group, index, placement, "the worker's clock offset is not known")
-            return
+            return False
         assert session is not None
         session.note_lease_sent()
         command = StartCommand(
@@ -175,9 +201,11 @@
             self._find_ticket(group, worker),
         )
         sent_ms = self._clock.now_ms
+        slot.note_sent()
         outcome = await self._owner.workers_api.start(worker.listed, self._owner.token, command)
+        is_answered = not (isinstance(outcome, Err) and isinstance(outcome.err_value, Failure))
         if group.placements.get(index) is not placement:
-            return
+            return is_answered
         if not isinstance(outcome, Err):
             placement.confirmed_ms = self._clock.now_ms
             if placement.phase is Phase.STARTING:
@@ -189,6 +217,7 @@
             self._handle_refusal(group, index, placement, outcome.err_value)
         else:
             self._handle_start_failure(group, index, placement, outcome.err_value)
+        return is_answered
 
     def _find_ticket(self, group: TaskGroup, worker: FleetWorker) -> str:
         queue = group.job.queue
@@ -258,9 +287,7 @@
         task = group.task_id(index)
         while group.placements.get(index) is placement and not self._owner.is_closed:
             if self._owner.may_act:
-                stopped = await self._owner.workers_api.stop(
-                    worker.listed, self._owner.token, task, placement.run
-                )
+                stopped = await self._send_stop(worker, task, placement.run)
                 if not isinstance(stopped, Err):
                     placement.stop_confirmed_ms = self._clock.now_ms
                     session = self._owner.session(worker)
--- a/tests/services/fleet/test_worker_commands.py
+++ b/tests/services/fleet/test_worker_commands.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.jobs.job import JobState
 from jujubehall.identifiers import JobId
@@ -10,13 +12,21 @@
 from tests.core.fleet.small_site import SmallSite
 from tests.core.fleet.small_site import step
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 JOB = JobId("0000000000000001")
+OTHER_JOB = JobId("0000000000000002")
 WORKERS = 25
 TASKS = 200
 COMMANDS_PER_S = 125.0
 """Starts of 5 kB on a link of 5 Mbit/s."""
 
 
+SLOW_HOST_COMMANDS_PER_S = 20.0
+"""An eighth of a core at 1 ms for sending a command and 1 ms for its response, beside other work."""
+
+
 def make_site() -> VirtualFleet:
     site = VirtualFleet(CONFIGURATION, SmallSite(workers=WORKERS).listed)
     assert site.run_until(lambda: site.owner is not None, 5.0)
@@ -34,6 +44,33 @@
     assert set(site.run_recorder.start_counts.values()) == {1}
 
 
+def test_burst_of_starts_on_a_slow_host_does_not_time_out() -> None:
+    site = make_site()
+    for host in site.hosts:
+        host.workers.commands_per_s = SLOW_HOST_COMMANDS_PER_S
+    site.submit(JOB, JobRequest("spec", (step(tasks=TASKS, expected_ms=4_000),)))
+    site.run(TASKS / SLOW_HOST_COMMANDS_PER_S + 6.0)
+    assert site.job_state(JOB).state is JobState.SUCCEEDED
+    assert set(site.run_recorder.start_counts.values()) == {1}
+
+
+def test_cancelled_job_is_stopped_before_others_are_started_on_a_slow_host() -> None:
+    """Stops must not wait behind the starts of a burst: 100 starts take 5 s here."""
+    site = make_site()
+    site.submit(JOB, JobRequest("spec", (step(tasks=8, expected_ms=60_000),)))
+    site.run(1.0)
+    for host in site.hosts:
+        host.workers.commands_per_s = SLOW_HOST_COMMANDS_PER_S
+    site.submit(OTHER_JOB, JobRequest("spec", (step(tasks=100, expected_ms=60_000),)))
+    site.run(0.3)
+    site.cancel(JOB)
+    assert site.run_until(lambda: not any(is_running(site, JOB)), 2.0)
+
+
+def is_running(site: VirtualFleet, job: JobId) -> Iterator[bool]:
+    return (bool(holders) for task, holders in site.run_recorder.running.items() if task.job == job)
+
+
 def test_starts_wait_little_for_workers_that_do_not_respond() -> None:
     site = make_site()
     silent_workers = {worker.name for worker in SmallSite(workers=WORKERS).listed[:20]}
