Ask a worker whether a run is there before stopping a start that was not answered

Cause: a start without an answer within 0.7 s stopped the whole group at once, also if only the answer was lost: work that ran was given up and started again elsewhere. While answers to starts were lost, a gang never ended (test, failed before: still running after 6 s; now each task is started once).

Change: the worker is asked for a report first, with 0.3 s for it; a run that is there goes on. A run that isn't there, or a worker that doesn't report, is stopped as before, since the start may be carried out late.

--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -17,6 +17,7 @@
 from jujubehall.platform.site_store import RefusalReason
 from jujubehall.platform.site_store import StartCommand
 from jujubehall.platform.site_store import StartRefusal
+from jujubehall.services.async_utils import first_result
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import sleep
 from jujubehall.services.fleet.command_slots import CommandRank
@@ -44,6 +45,10 @@
 NO_ANSWER_BACKOFF_MS = 2_000
 """How long no task is started on a worker after a start that failed or got no answer."""
 
+START_CHECK_TIMEOUT_MS = 300
+"""How long a worker that has not answered a start may take to report whether the run is there. The
+other tasks of a gang wait for it meanwhile, and urgent groups have to start within 2.7 s."""
+
 REFUSAL_BACKOFF_MS = 300
 """How long no task is started on a worker that has refused a start for any other reason."""
 
@@ -216,7 +221,7 @@
         elif isinstance(outcome.err_value, StartRefusal):
             self._handle_refusal(group, index, placement, outcome.err_value)
         else:
-            self._handle_start_failure(group, index, placement, outcome.err_value)
+            await self._handle_start_failure(group, index, placement, outcome.err_value)
         return is_answered
 
     def _find_ticket(self, group: TaskGroup, worker: FleetWorker) -> str:
@@ -243,29 +248,67 @@
             worker.backoff_until_ms = self._clock.now_ms + backoff_ms
         self._abandon_start(group, index, placement, refusal.reason.value)
 
-    def _handle_start_failure(
+    async def _handle_start_failure(
         self, group: TaskGroup, index: int, placement: Placement, failure: Failure
     ) -> None:
         RUN_STARTS.inc({"result": failure.kind.value})
-        placement.worker.backoff_until_ms = self._clock.now_ms + NO_ANSWER_BACKOFF_MS
-        placement.worker.is_reachable = False
-        session = self._owner.session(placement.worker)
-        if session is not None:
-            session.wake()
+        worker = placement.worker
+        worker.backoff_until_ms = self._clock.now_ms + NO_ANSWER_BACKOFF_MS
         if failure.kind is not FailureKind.NO_ANSWER:
+            worker.is_reachable = False
+            self._wake_session(worker)
             self._abandon_start(group, index, placement, str(failure))
             return
+        has_started = await self._has_started(group.task_id(index), placement)
+        if group.placements.get(index) is not placement:
+            return
         log.warning(
             "start not answered",
             job=group.job.id,
             task=str(group.task_id(index)[1:]),
             run=placement.run,
-            worker=placement.worker.name,
+            worker=worker.name,
             failure=str(failure),
+            has_started=has_started,
         )
+        if has_started:
+            return
+        worker.is_reachable = False
+        self._wake_session(worker)
         self._owner.fleet_state.mark_stopping(group)
         self.send_stops()
 
+    async def _has_started(self, task: TaskId, placement: Placement) -> bool:
+        """Asks the worker whether a run has started although its start was not answered.
+
+        If only the answer was lost, the group can go on. A run that isn't there may still start.
+        """
+        requested_ms = self._clock.now_ms
+        if not self._owner.may_act:
+            return False
+        asked = self._owner.workers_api.poll(
+            placement.worker.listed, self._owner.token, confirmed_ends=0, until_ms=None, wait_ms=0
+        )
+        report = await first_result(
+            run_in_background(asked), sleep(self._reactor, START_CHECK_TIMEOUT_MS)
+        )
+        if report is None or isinstance(report, Err):
+            return False
+        if not any(
+            (each.task, each.run) == (task, placement.run) for each in report.ok_value.running
+        ):
+            return False
+        placement.confirmed_ms = requested_ms
+        if placement.phase is Phase.STARTING:
+            placement.phase = Phase.RUNNING
+        self._wake_session(placement.worker)
+        return True
+
+    def _wake_session(self, worker: FleetWorker) -> None:
+        session = self._owner.session(worker)
+        if session is not None:
+            session.wake()
+
     def _abandon_start(
         self, group: TaskGroup, index: int, placement: Placement, reason: str
     ) -> None:
@@ -290,9 +333,7 @@
                 stopped = await self._send_stop(worker, task, placement.run)
                 if not isinstance(stopped, Err):
                     placement.stop_confirmed_ms = self._clock.now_ms
-                    session = self._owner.session(worker)
-                    if session is not None:
-                        session.wake()
+                    self._wake_session(worker)
                     break
                 log.warning("stop not answered", worker=worker.name, failure=str(stopped.err_value))
             await sleep(self._reactor, STOP_RETRY_INTERVAL_MS)
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -366,6 +366,9 @@
         self._workers = workers
         self._random = random
         self.unreachable_workers: set[WorkerName] = set()
+        self.steps_without_answer: set[str] = set()
+        """Names of commands that are carried out but whose answers are lost."""
+
         """Workers that this entry host can't reach."""
 
         self.late_command_probability = 0.0
@@ -455,7 +458,7 @@
             return Err(Failure(FailureKind.NO_ANSWER, step, worker.name, "timed out"))
         await sleep(self._reactor, CALL_LATENCY_MS)
         result = action(target)
-        if worker.name in self.unreachable_workers:
+        if worker.name in self.unreachable_workers or step in self.steps_without_answer:
             await sleep(self._reactor, CALL_TIMEOUT_MS)
             return Err(Failure(FailureKind.NO_ANSWER, step, worker.name, "timed out"))
         return result
--- a/tests/services/fleet/test_worker_commands.py
+++ b/tests/services/fleet/test_worker_commands.py
@@ -44,6 +44,16 @@
     assert set(site.run_recorder.start_counts.values()) == {1}
 
 
+def test_gang_goes_on_if_only_the_answers_to_its_starts_were_lost() -> None:
+    site = make_site()
+    for host in site.hosts:
+        host.workers.steps_without_answer = {"start"}
+    site.submit(JOB, JobRequest("spec", (step(tasks=4, expected_ms=4_000, is_gang=True),)))
+    site.run(6.0)
+    assert site.job_state(JOB).state is JobState.SUCCEEDED
+    assert set(site.run_recorder.start_counts.values()) == {1}
+
+
 def test_burst_of_starts_on_a_slow_host_does_not_time_out() -> None:
     site = make_site()
     for host in site.hosts:
