Place guaranteed and punctual work first when more waits than can be done in time

Cause: the guarantees of teams were not used at all when jobs were placed on the operators' platform, so that a burst of urgent jobs of one team held accelerators that another is guaranteed, for as long as its jobs ran. And in a backlog, first come, first served makes each new job wait behind jobs that are late already.

Change: a queue order of its own in the core. Urgent work within its team's guarantee comes first and may preempt urgent work that other teams run beyond theirs; within a priority, work that can still be in time comes before late work, for at most 30 s.

--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -121,6 +121,26 @@
         groups = {group.key: group.progress() for group in self.all_groups() if group.run}
         return JobProgress(self.state, self._stored_progress.groups | groups)
 
+    def expected_chain_ms(self) -> int:
+        """Returns the expected duration of the longest chain of dependent steps."""
+        return self._longest_chain_ms(frozenset())
+
+    def expected_remaining_ms(self) -> int:
+        """Returns the expected duration of the longest chain of steps that are not done yet."""
+        finished = {
+            step
+            for occurrence, step in self.groups
+            if (occurrence, step) not in self._unfinished_steps
+        }
+        return self._longest_chain_ms(frozenset(finished))
+
+    def _longest_chain_ms(self, finished: frozenset[int]) -> int:
+        ends_ms: list[int] = []
+        for number, step in enumerate(self.accepted.request.steps):
+            starts_ms = max((ends_ms[earlier] for earlier in step.after), default=0)
+            ends_ms.append(starts_ms + (0 if number in finished else step.expected_ms))
+        return max(ends_ms)
+
     def due_unix_ms(self, occurrence: int) -> int:
         """Returns the earliest start of an occurrence as Unix time in ms.
 
--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -8,11 +8,13 @@
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.placement import remaining_task_limit
+from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.decisions import StopReason
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.queue_order import QueueOrder
     from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import JobId
@@ -39,6 +41,10 @@
 """Added to the expected remaining time of a task: the report of its end takes a few milliseconds,
 and progress is only reported in whole percent."""
 
+URGENT_LOSS_WEIGHT = 10
+"""Weight of urgent work that is preempted to give another team what it is guaranteed. On the sites,
+urgent jobs are worth over ten times as much for each core-second as other jobs."""
+
 MILLICORE_MS_PER_CORE_S = 1_000_000
 
 
@@ -94,8 +100,9 @@
     the round and recomputed only after a change on that worker.
     """
 
-    def __init__(self, now_ms: int) -> None:
+    def __init__(self, now_ms: int, order: QueueOrder) -> None:
         self._now_ms = now_ms
+        self._order = order
         self._occupants: dict[FleetWorker, list[_Occupant]] = {}
 
     def invalidate(self, group: TaskGroup) -> None:
@@ -187,6 +194,7 @@
             return None
         retained = worker.untracked_usage + worker.reserved_for_others(group)
         preemptible = []
+        reclaimable = []
         wait_ms = 0.0
         fits_now = required.fits_in(worker.free_for(group))
         for occupant in () if fits_now else self._occupants_of(worker):
@@ -197,16 +205,21 @@
                 continue
             retained = retained + occupant.needs
             other = occupant.group
-            if other.job.priority > group.job.priority and not other.request.runs_until_cancelled:
+            if other.request.runs_until_cancelled:
+                continue
+            if other.job.priority > group.job.priority:
                 preemptible.append(occupant)
+            elif self._order.may_reclaim(group, other):
+                reclaimable.append(occupant)
         capacity = worker.listed.capacity
         new_victims = []
         cost = 0
-        for occupant in preemptible:
+        for occupant in preemptible + reclaimable:
             if required.fits_in(capacity.minus(retained)):
                 break
             new_victims.append(occupant.group)
-            cost += occupant.loss
+            is_urgent = occupant.group.job.priority == HIGHEST_PRIORITY
+            cost += occupant.loss * (URGENT_LOSS_WEIGHT if is_urgent else 1)
             retained = retained.minus(occupant.needs)
         if not required.fits_in(capacity.minus(retained)):
             return None
--- /dev/null
+++ b/src/jujubehall/core/fleet/queue_order.py
@@ -0,0 +1,131 @@
+"""The order in which waiting groups are placed.
+
+The load that this answers: bursts and losses of workers after which more work waits than can be
+done in time. First come, first served then makes every job late, since each waits behind those that
+are late already; and one team's burst of urgent jobs takes the accelerators that other teams are
+guaranteed.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jujubehall.core.fleet.configuration import Team
+    from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.jobs import FleetJob
+    from jujubehall.core.fleet.workers import FleetWorker
+    from jujubehall.identifiers import TeamName
+
+MAX_LATE_WAIT_MS = 30_000
+"""Longest time for which late work lets work pass that can still be in time. Late jobs are still
+worth something and must end even if the overload lasts."""
+
+
+class Standing(IntEnum):
+    """Groups of the same priority are placed in this order."""
+
+    GUARANTEED = 0
+    """Urgent work within the accelerators that its team is guaranteed."""
+
+    IN_TIME = 1
+    LATE = 2
+    """Work that is expected to miss the objective of its queue even if it starts now."""
+
+
+class QueueOrder:
+    """Computes the standing of the groups of one scheduling round.
+
+    ``workers`` and ``waiting`` are the workers of the site and its waiting groups.
+    """
+
+    def __init__(
+        self,
+        teams: Iterable[Team],
+        workers: Iterable[FleetWorker],
+        waiting: Iterable[TaskGroup],
+        now_ms: int,
+    ) -> None:
+        self._now_ms = now_ms
+        self._left = {team.name: team.guaranteed_accelerators for team in teams}
+        """Guaranteed accelerators that are neither in use nor counted for a waiting group yet."""
+
+        self._borrowing: set[TaskGroup] = set()
+        self._is_late: dict[FleetJob, bool] = {}
+        self._guaranteed: set[TaskGroup] = set()
+        self._count_running(workers)
+        self._count_waiting(waiting)
+
+    def sort_key(self, group: TaskGroup) -> tuple[int, int, int, str, str]:
+        """Returns the key by which groups are sorted: first those to place first."""
+        job = group.job
+        return (
+            job.priority,
+            self.standing(group),
+            group.ready_since_ms or 0,
+            job.id,
+            group.key,
+        )
+
+    def standing(self, group: TaskGroup) -> Standing:
+        """Returns the standing of a waiting group."""
+        if group in self._guaranteed:
+            return Standing.GUARANTEED
+        if group.job not in self._is_late:
+            self._is_late[group.job] = self._is_expected_late(group.job)
+        waited_ms = self._now_ms - (group.ready_since_ms or self._now_ms)
+        if self._is_late[group.job] and waited_ms < MAX_LATE_WAIT_MS:
+            return Standing.LATE
+        return Standing.IN_TIME
+
+    def may_reclaim(self, group: TaskGroup, other: TaskGroup) -> bool:
+        """Returns whether ``group`` may preempt urgent work that uses more than its team's share."""
+        return group in self._guaranteed and other in self._borrowing
+
+    def _count_running(self, workers: Iterable[FleetWorker]) -> None:
+        running = {
+            group
+            for worker in workers
+            for group, _ in worker.placements
+            if group.job.priority == HIGHEST_PRIORITY and not group.is_stopping
+        }
+        for group in sorted(running, key=_by_start):
+            if not self._take(group):
+                self._borrowing.add(group)
+
+    def _count_waiting(self, waiting: Iterable[TaskGroup]) -> None:
+        urgent = (each for each in waiting if each.job.priority == HIGHEST_PRIORITY)
+        for group in sorted(urgent, key=lambda each: (each.ready_since_ms or 0, each.job.id)):
+            if self._take(group):
+                self._guaranteed.add(group)
+
+    def _take(self, group: TaskGroup) -> bool:
+        team: TeamName = group.job.accepted.team
+        required = group.request.needs.accelerators * len(group.indexes)
+        left = self._left.get(team, 0)
+        # What exceeds the guarantee takes nothing from it, so that smaller groups may still fit.
+        if not required or required > left:
+            return False
+        self._left[team] = left - required
+        return True
+
+    def _is_expected_late(self, job: FleetJob) -> bool:
+        queue = job.queue
+        request = job.accepted.request
+        if queue is None or request.occurrences:
+            return False
+        if any(step.runs_until_cancelled for step in request.steps):
+            return False
+        objective_ms = queue.objective_ms + queue.objective_factor * job.expected_chain_ms()
+        waited_ms = self._now_ms - job.accepted_ms
+        return waited_ms + job.expected_remaining_ms() > objective_ms
+
+
+def _by_start(group: TaskGroup) -> tuple[int, str, str]:
+    started_ms = min(each.started_ms for each in group.placements.values())
+    return (started_ms, group.job.id, group.key)
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -13,6 +13,7 @@
 from jujubehall.core.fleet.preemption import stop_decision
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
 from jujubehall.core.fleet.priorities import MIN_DEFERRABLE_PRIORITY
+from jujubehall.core.fleet.queue_order import QueueOrder
 from jujubehall.core.fleet.relocation import should_evacuate
 from jujubehall.core.fleet.relocation import should_relocate
 from jujubehall.core.fleet.worker_candidates import WorkerCandidates
@@ -62,13 +63,17 @@
         uses."""
 
         self._candidates = WorkerCandidates(fleet_state, now_ms)
-        self._planner = PreemptionPlanner(now_ms)
+        self._waiting = list(fleet_state.waiting_groups(now_ms))
+        self._order = QueueOrder(
+            fleet_state.configuration.teams, fleet_state.workers.values(), self._waiting, now_ms
+        )
+        self._planner = PreemptionPlanner(now_ms, self._order)
 
     def run(self) -> list[Decision]:
         """Runs the round and returns the decisions in the order in which to carry them out."""
         self._evacuate()
         self._relocate()
-        waiting = sorted(self._fleet_state.waiting_groups(self._now_ms), key=self._scheduling_order)
+        waiting = sorted(self._waiting, key=self._order.sort_key)
         self._headroom = self._compute_headroom(waiting)
         for group in waiting:
             if self._step_key(group) not in self._unplaceable_steps:
--- a/tests/core/fleet/small_site.py
+++ b/tests/core/fleet/small_site.py
@@ -104,11 +104,16 @@
         return self.fleet_state.workers[WorkerName(f"w{number}")]
 
     def submit(
-        self, name: str, *steps: StepRequest, queue: QueueName = NORMAL, **more: Any
+        self,
+        name: str,
+        *steps: StepRequest,
+        queue: QueueName = NORMAL,
+        team: TeamName = TEAM,
+        **more: Any,
     ) -> FleetJob:
         """Submits and accepts a job."""
         request = JobRequest(f"spec of {name}", steps, **more)
-        accepted = AcceptedJob(JobId(name), queue, TEAM, request, 0)
+        accepted = AcceptedJob(JobId(name), queue, team, request, 0)
         return self.fleet_state.add_job(accepted, None, self.now_ms, self.now_ms)
 
     def run_scheduling_round(self, after_ms: int = 10) -> list[Decision]:
