Leave accelerators to groups that wait for several at once

Overnight tasks of one accelerator take each one that becomes free, so that a gang that needs whole workers never finds them; and they are the ones that urgent gangs preempt.

Change: as with the headroom for urgent work, overnight groups leave as many accelerators free as higher groups wait for, in a share that shrinks with their own wait. Both tests failed before.

--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -58,6 +58,9 @@
         """Needs of unconstrained tasks that could not be placed, by placement class; tasks that
         need at least as much are skipped."""
 
+        self._awaited = 0
+        """Accelerators that groups which could not be placed in this round wait for."""
+
         self._headroom = 0
         """Accelerators to keep free for expected urgent work, beyond those that urgent work
         uses."""
@@ -152,6 +155,8 @@
         ):
             return
         self._unplaceable_steps.add(self._step_key(group))
+        if group.job.priority < MIN_DEFERRABLE_PRIORITY:
+            self._awaited += group.occupied_resources.accelerators * len(group.indexes)
         if placement_class is not None:
             self._unplaceable_needs.setdefault(placement_class, []).append(group.occupied_resources)
 
@@ -207,19 +212,25 @@
         return self._fleet_state.urgent_demand.headroom(in_use, self._now_ms)
 
     def _leaves_headroom(self, group: TaskGroup) -> bool:
-        """Returns whether the group may start without using capacity that urgent work may need.
+        """Returns whether the group may start without using capacity that other work needs.
+
+        That is urgent work that is expected, and work of a higher priority that waits until enough
+        accelerators are free together. Overnight tasks would take each of them as it becomes free,
+        and the groups that wait for several at once would never start.
 
         The share of the headroom that is kept free shrinks as the group waits, to prevent
         starvation.
         """
-        if not self._headroom:
+        if group.job.priority < MIN_DEFERRABLE_PRIORITY:
             return True
-        if group.job.priority < MIN_DEFERRABLE_PRIORITY or group.request.saves_checkpoints:
+        # Work with checkpoints is cheap to preempt, but only urgent work preempts.
+        headroom = self._awaited + (0 if group.request.saves_checkpoints else self._headroom)
+        if not headroom:
             return True
         max_wait_ms = max(1, group.request.expected_ms)
         share = max(0.0, 1 - self._waited_ms(group) / max_wait_ms)
         required = group.occupied_resources.accelerators * len(group.indexes)
-        return self._candidates.free_accelerators(group) - required >= self._headroom * share
+        return self._candidates.free_accelerators(group) - required >= headroom * share
 
     def _place_on_healthy_workers(self, group: TaskGroup, healthy: list[FleetWorker]) -> bool:
         """Places the group on healthy workers, near its data if it has a data rack."""
--- a/tests/core/fleet/test_scheduling_round.py
+++ b/tests/core/fleet/test_scheduling_round.py
@@ -43,6 +43,32 @@
     assert site.start_groups() == []
 
 
+def test_overnight_tasks_leave_accelerators_to_a_group_that_waits_for_several() -> None:
+    site = SmallSite(workers=2)
+    site.submit("night", step(tasks=30, expected_ms=9_000), queue=OVERNIGHT)
+    running = site.start_groups()
+    assert len(running) == 16
+    waiting = site.submit("render", step(needs=EIGHT_GPUS, expected_ms=7_000))
+    assert site.start_groups() == []
+    started = []
+    for group in [
+        each for each in running if next(iter(each.placements.values())).worker.name == "w0"
+    ]:
+        site.end(group, EndKind.DONE)
+        started += site.start_groups()
+    assert [group.job for group in started] == [waiting]
+
+
+def test_overnight_tasks_leave_accelerators_to_others_for_a_limited_time() -> None:
+    site = SmallSite(workers=2)
+    site.submit("night", step(tasks=30, expected_ms=9_000), queue=OVERNIGHT)
+    running = site.start_groups()
+    site.submit("render", step(tasks=3, needs=EIGHT_GPUS, is_gang=True, expected_ms=7_000))
+    site.end(running[0], EndKind.DONE)
+    assert site.start_groups() == []
+    assert len(site.start_groups(after_ms=10_000)) == 1
+
+
 def test_tasks_per_worker_limit_is_enforced() -> None:
     site = SmallSite(workers=2)
     site.submit("apart", step(tasks=5, tasks_per_worker=2))
