Answer a call for the state of a job that is about to end with its end

Cause: callers ask for the state of a job now and then. One that asks shortly before the end got "running" and learned of the end with its next call.

Change: the owner waits for the end of a job whose tasks should all be done within 0.8 s, or whose end is being stored; all other calls are answered at once, and so are callers whose job overruns.

--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -210,9 +210,13 @@
 
 
 class JobStateWanted(msgspec.Struct, frozen=True, tag="job-state-wanted"):
-    """Requests a job's state from the owner of the site."""
+    """Requests a job's state from the owner of the site.
+
+    The owner may wait up to ``wait_ms`` for the end of a job that is about to end.
+    """
 
     job: JobId
+    wait_ms: int = 0
 
 
 class JobStateKnown(msgspec.Struct, frozen=True, tag="job-state-known"):
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -20,6 +20,7 @@
 from jujubehall.identifiers import TeamName
 from jujubehall.metrics import SUBMISSIONS
 from jujubehall.services.async_utils import sleep
+from jujubehall.services.fleet.peers import MAX_JOB_END_WAIT_MS
 from jujubehall.services.fleet.records import cancellation_key
 from jujubehall.services.fleet.records import job_key
 
@@ -214,8 +215,13 @@
         return response
 
     async def show(self, admitted: AdmittedCall, job: JobId) -> CallResponse:
-        """Returns a job's state as the owner knows it, or else as it is stored."""
-        owner_response = await self._peers.job_state(job)
+        """Returns a job's state as the owner knows it, or else as it is stored.
+
+        If the job is about to end, the response waits for its end, so that the caller learns of it
+        at once instead of with the next call.
+        """
+        wait_ms = min(MAX_JOB_END_WAIT_MS, admitted.timeout_ms // 3)
+        owner_response = await self._peers.job_state(job, wait_ms)
         if owner_response is not None and owner_response.state is not None:
             return CallResponse(Outcome.SHOWN, state=owner_response.state)
         stored = await self._records.state(job)
--- a/src/jujubehall/services/fleet/peer_request_handlers.py
+++ b/src/jujubehall/services/fleet/peer_request_handlers.py
@@ -24,8 +24,8 @@
 from jujubehall.entry_hosts.messages import StoreWriteWanted
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.fleet.peers import CONTACT_CHECK_TIMEOUT_MS
+from jujubehall.services.fleet.peers import MAX_JOB_END_WAIT_MS
 from jujubehall.services.fleet.peers import NEVER_HEARD_MS
-from jujubehall.services.fleet.peers import make_job_state_response
 from jujubehall.services.fleet.records import OWNER_KEY
 
 if TYPE_CHECKING:
@@ -89,7 +89,8 @@
     async def _on_job_state_wanted(self, sender: EntryHostName, request: JobStateWanted) -> Message:
         if (owner := self._loaded_owner) is None:
             return Refused("not the owner")
-        return make_job_state_response(owner, request.job)
+        wait_ms = max(0, min(request.wait_ms, MAX_JOB_END_WAIT_MS))
+        return await self._peers.await_job_state(owner, request.job, wait_ms)
 
     async def _on_pending_wanted(self, sender: EntryHostName, request: PendingWanted) -> Message:
         if (owner := self._loaded_owner) is None:
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -10,6 +10,7 @@
 
 from result import Err
 
+from jujubehall.core.fleet.completion import ends_within
 from jujubehall.core.jobs.job import JobState
 from jujubehall.entry_hosts.messages import IntakeKept
 from jujubehall.entry_hosts.messages import JobStateKnown
@@ -51,6 +52,13 @@
 OWNER_REQUEST_TIMEOUT_MS = 400
 """Timeout of a request to the owner, after which the store is read instead."""
 
+MAX_JOB_END_WAIT_MS = 800
+"""Longest time for which a call for a job's state waits for the end of the job. With the request to
+an owner that has died and the read of the store it stays below half of the 3 s that callers wait."""
+
+JOB_END_CHECK_INTERVAL_MS = 20
+"""How often the owner checks whether a job has ended for whose end a caller waits."""
+
 OWNER_HEARTBEAT_TIMEOUT_MS = 1_000
 """Time without a heartbeat, three missed ones, after which the store is read at once instead of
 asking the owner."""
@@ -209,11 +217,24 @@
             if self._owner is not None:
                 run_in_background(self._send_heartbeat(self._owner, member))
 
-    async def job_state(self, job: JobId) -> JobStateKnown | None:
-        """Returns what the owner knows about a job; None without a response."""
+    async def job_state(self, job: JobId, wait_ms: int = 0) -> JobStateKnown | None:
+        """Returns what the owner knows about a job; None without a response.
+
+        The owner may wait up to ``wait_ms`` for the end of a job that is about to end.
+        """
         if self._owner is not None and self._owner.is_loaded:
-            return make_job_state_response(self._owner, job)
-        return await self._request_from_owner(JobStateWanted(job), JobStateKnown)
+            return await self.await_job_state(self._owner, job, wait_ms)
+        return await self._request_from_owner(JobStateWanted(job, wait_ms), JobStateKnown, wait_ms)
+
+    async def await_job_state(self, owner: SiteOwner, job_id: JobId, wait_ms: int) -> JobStateKnown:
+        """Returns the state of a job, after its end if it should end within ``wait_ms``."""
+        deadline_ms = self._clock.now_ms + wait_ms
+        while (remaining_ms := deadline_ms - self._clock.now_ms) > 0 and not owner.is_closed:
+            job = owner.fleet_state.jobs.get(job_id)
+            if job is None or not ends_within(job, remaining_ms, self._clock.now_ms):
+                break
+            await sleep(self._reactor, JOB_END_CHECK_INTERVAL_MS)
+        return make_job_state_response(owner, job_id)
 
     async def pending(self, queue: QueueName) -> int | None:
         """Returns the number of pending jobs in a queue; None without a response."""
@@ -259,12 +280,12 @@
         return StoreWriteSettled(False, False)
 
     async def _request_from_owner(
-        self, message: Message, response_type: type[Response]
+        self, message: Message, response_type: type[Response], wait_ms: int = 0
     ) -> Response | None:
         member = self.owner_member
         if member is None:
             return None
-        response = await self._mesh.request(member, message, OWNER_REQUEST_TIMEOUT_MS)
+        response = await self._mesh.request(member, message, OWNER_REQUEST_TIMEOUT_MS + wait_ms)
         if isinstance(response, Err) or not isinstance(response.ok_value, response_type):
             return None
         return response.ok_value
