Learn which workers are slower by a third and place urgent gangs elsewhere

Slowness was only known while a run was being assessed, for 4 s, and in steps of 0.5.

Change: each completed run, of a gang by the progress of its members, updates the typical slowness of its worker. Placement prefers racks and workers without slow ones; overnight work prefers the slow ones.

--- a/src/jujubehall/core/fleet/best_fit.py
+++ b/src/jujubehall/core/fleet/best_fit.py
@@ -7,7 +7,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from jujubehall.core.fleet.priorities import MIN_DEFERRABLE_PRIORITY
+
 if TYPE_CHECKING:
+    from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import WorkerName
@@ -21,15 +24,27 @@
     """Sort key of a worker: fastest workers first, then those with the least free capacity."""
 
     slowness: int
+    is_less_suitable: bool
     free_accelerators: int
     free_millicores: int
     name: WorkerName
 
 
-def fit_key(worker: FleetWorker, free: Resources, now_ms: int) -> FitKey:
+def prefers_slow_workers(group: TaskGroup) -> bool:
+    """Returns whether the group leaves typically fast workers to others.
+
+    Overnight work has time, and gangs with tight objectives need workers of which none is slow.
+    """
+    return group.job.priority >= MIN_DEFERRABLE_PRIORITY
+
+
+def fit_key(
+    worker: FleetWorker, free: Resources, now_ms: int, prefers_slow: bool = False
+) -> FitKey:
     """Returns the sort key of ``worker`` when ``free`` is available on it."""
     return FitKey(
         round(worker.slowness(now_ms) * SLOWNESS_BUCKETS_PER_UNIT),
+        worker.is_typically_slow != prefers_slow,
         free.accelerators,
         free.millicores,
         worker.name,
@@ -45,11 +60,18 @@
     Entries whose key is out of date are discarded lazily by ``find``.
     """
 
-    def __init__(self, needs: Resources, workers: list[FleetWorker], now_ms: int) -> None:
+    def __init__(
+        self,
+        needs: Resources,
+        workers: list[FleetWorker],
+        now_ms: int,
+        prefers_slow: bool = False,
+    ) -> None:
         self._needs = needs
+        self._prefers_slow = prefers_slow
         self._now_ms = now_ms
         self._workers = {worker.name: worker for worker in workers}
-        self._heap = [fit_key(each, each.free, now_ms) for each in workers if self._fits_on(each)]
+        self._heap = [self._key(each) for each in workers if self._fits_on(each)]
         heapq.heapify(self._heap)
 
     def find(self) -> FleetWorker | None:
@@ -57,7 +79,7 @@
         while self._heap:
             key = self._heap[0]
             worker = self._workers[key.name]
-            if self._fits_on(worker) and key == fit_key(worker, worker.free, self._now_ms):
+            if self._fits_on(worker) and key == self._key(worker):
                 return worker
             heapq.heappop(self._heap)
         return None
@@ -65,7 +87,10 @@
     def refresh(self, worker: FleetWorker) -> None:
         """Updates the entry of ``worker`` after its free capacity has changed."""
         if worker.name in self._workers and self._fits_on(worker):
-            heapq.heappush(self._heap, fit_key(worker, worker.free, self._now_ms))
+            heapq.heappush(self._heap, self._key(worker))
+
+    def _key(self, worker: FleetWorker) -> FitKey:
+        return fit_key(worker, worker.free, self._now_ms, self._prefers_slow)
 
     def _fits_on(self, worker: FleetWorker) -> bool:
         return self._needs.fits_in(worker.free)
--- a/src/jujubehall/core/fleet/placement.py
+++ b/src/jujubehall/core/fleet/placement.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from jujubehall.core.fleet.best_fit import fit_key
+from jujubehall.core.fleet.best_fit import prefers_slow_workers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -72,8 +73,9 @@
 ) -> dict[int, FleetWorker] | None:
     """Chooses a worker with enough free capacity for each task, or returns None if that fails.
 
-    Single racks are tried first: the rack that holds the data, then the rack with the fewest free
-    accelerators that fits the group, which keeps emptier racks available for larger gangs. Only
+    Single racks are tried first: the rack that holds the data, then, among the racks that fit the
+    group on workers of which none is typically slow, the one with the fewest free accelerators,
+    which keeps emptier racks available for larger gangs. Only
     with ``relax_locality`` may tasks span racks or run away from their data.
     """
     request = group.request
@@ -88,17 +90,21 @@
             return local
     if request.prefers_one_rack:
         candidates = [
-            (_free_accelerators(rack), name, chosen)
+            (_has_slow_worker(chosen), _free_accelerators(rack), name, chosen)
             for name, rack in racks.items()
             if (chosen := _pack(group, rack, now_ms)) is not None
         ]
         if candidates:
-            return min(candidates, key=lambda each: each[:2])[2]
+            return min(candidates, key=lambda each: each[:3])[3]
         if not relax_locality:
             return None
     return _pack(group, workers, now_ms)
 
 
+def _has_slow_worker(chosen: dict[int, FleetWorker]) -> bool:
+    return any(worker.is_typically_slow for worker in chosen.values())
+
+
 def _free_accelerators(rack: list[FleetWorker]) -> int:
     return sum(worker.free.accelerators for worker in rack)
 
@@ -108,12 +114,13 @@
 ) -> dict[int, FleetWorker] | None:
     """Packs the tasks onto the fastest workers, preferring those with the least free capacity."""
     needs = group.occupied_resources
+    prefers_slow = prefers_slow_workers(group)
     options = []
     for worker in workers:
         free = worker.free_for(group)
         copies = min(needs.count_fitting(free), remaining_task_limit(group, worker))
         if copies > 0:
-            options.append((fit_key(worker, free, now_ms), copies, worker))
+            options.append((fit_key(worker, free, now_ms, prefers_slow), copies, worker))
     if sum(copies for _, copies, _ in options) < len(group.indexes):
         return None
     options.sort(key=lambda option: option[0])
--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -165,7 +165,7 @@
                     options[worker] = option
             if not options:
                 return None
-            best = min(options.values(), key=lambda option: (option.cost, option.worker.name))
+            best = min(options.values(), key=_option_key)
             cost += best.cost
             victims |= best.victims
             chosen[index] = best.worker
@@ -249,6 +249,10 @@
         return sorted(occupants, key=lambda each: (each.loss, each.group.job.id, each.group.key))
 
 
+def _option_key(option: _Option) -> tuple[int, bool, str]:
+    return (option.cost, option.worker.is_typically_slow, option.worker.name)
+
+
 def _max_wait_ms(group: TaskGroup, now_ms: int) -> float:
     """Returns how long the group may wait for other work to finish."""
     queue = group.job.queue
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -11,6 +11,7 @@
 from jujubehall.core.fleet.reports import TaskId
 from jujubehall.core.fleet.resources import NO_RESOURCES
 from jujubehall.core.fleet.slowness import assess_worker
+from jujubehall.core.fleet.slowness import record_speeds
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import TaskGroup
@@ -141,6 +142,7 @@
     def _complete(self, group: TaskGroup) -> None:
         if group.is_done or group.request.runs_until_cancelled:
             return
+        record_speeds(group)
         group.is_done = True
         group.checkpoint = ""
         group.release_reservation()
--- a/src/jujubehall/core/fleet/slowness.py
+++ b/src/jujubehall/core/fleet/slowness.py
@@ -12,6 +12,7 @@
 
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.progress import COMPLETE_PERCENT
+from jujubehall.core.fleet.workers import SLOW_FACTOR
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import Placement
@@ -29,6 +30,9 @@
 ESTIMATE_TOLERANCE = 2.0
 """The caller's estimate may be wrong by this factor before a run counts as slow."""
 
+MIN_PEERS_TO_COMPARE = 2
+"""With a single other task, each of the two could be the slow one."""
+
 ASSESSMENT_VALIDITY_MS = 4_000
 """Validity of an assessment; if no report renews it, it expires and the worker is used again."""
 
@@ -59,6 +63,44 @@
     )
 
 
+def record_speeds(group: TaskGroup) -> None:
+    """Updates the typical slowness of the workers on which the group has just been completed.
+
+    Tasks of one step do similar work. Some workers are slower than others all the time by less
+    than what counts as slow, and a gang takes as long as on the slowest of its workers.
+    """
+    for placement in group.placements.values():
+        duration_ms = (
+            placement.progress.best_duration_ms
+            if group.request.is_gang
+            else group.completed_duration_ms
+        )
+        peer_durations = _durations_elsewhere(group, placement)
+        if (
+            duration_ms is None
+            or len(peer_durations) < MIN_PEERS_TO_COMPARE
+            or _is_remote(group, placement)
+        ):
+            continue
+        ratio = duration_ms / max(1.0, median(peer_durations))
+        placement.worker.record_relative_duration(min(ratio, SLOW_FACTOR))
+
+
+def _durations_elsewhere(group: TaskGroup, placement: Placement) -> list[float]:
+    """Returns durations of similar tasks on other workers: of the gang, or else of the step."""
+    if group.request.is_gang:
+        return [
+            each.progress.best_duration_ms
+            for each in group.placements.values()
+            if each.worker is not placement.worker and each.progress.best_duration_ms is not None
+        ]
+    return [
+        float(each.completed_duration_ms)
+        for each in group.job.groups[group.occurrence, group.step]
+        if each is not group and each.completed_duration_ms is not None
+    ]
+
+
 def _is_remote(group: TaskGroup, placement: Placement) -> bool:
     """Returns whether the run is slowed down by its placement and not by its worker."""
     rack = placement.worker.listed.rack
--- a/src/jujubehall/core/fleet/worker_candidates.py
+++ b/src/jujubehall/core/fleet/worker_candidates.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from jujubehall.core.fleet.best_fit import BestFitHeap
+from jujubehall.core.fleet.best_fit import prefers_slow_workers
 from jujubehall.core.fleet.placement import eligible_workers
 
 if TYPE_CHECKING:
@@ -68,10 +69,12 @@
         key = _eligibility_key(group)
         if key is None:
             return None
+        prefers_slow = prefers_slow_workers(group)
+        key = (*key, prefers_slow)
         if key not in self._best_fits:
             needs = group.occupied_resources
             self._best_fits[key] = BestFitHeap(
-                needs, self._healthy_for_all_groups(group), self._now_ms
+                needs, self._healthy_for_all_groups(group), self._now_ms, prefers_slow
             )
         return self._best_fits[key]
 
