--- a/benchmarks/site_load/replay.py
+++ b/benchmarks/site_load/replay.py
@@ -12,6 +12,7 @@
 
 from benchmarks.site_load.shapes import ARRIVAL_PERIOD_MS
 from benchmarks.site_load.shapes import LATE_FACTOR
+from benchmarks.site_load.shapes import SLOW_WORKER_FACTOR
 from benchmarks.site_state import make_fleet_state
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.reconciliation import Reconciliation
@@ -123,9 +124,14 @@
         self._round_s = 0.0
         self._first_starts_ms: dict[JobId, int] = {}
         queues = tuple(each.queue for each in site.queues)
-        self._fleet_state = make_fleet_state(site.workers, site.capacity, queues)
-        for name in self._fleet_state.workers:
+        self._fleet_state = make_fleet_state(
+            site.workers, site.capacity, queues, site.workers_per_rack
+        )
+        self._slowdown_by_worker: dict[WorkerName, float] = {}
+        for number, name in enumerate(self._fleet_state.workers):
             self._runs_by_worker[name] = []
+            is_slow = site.slow_workers and number % 3 == 2
+            self._slowdown_by_worker[name] = SLOW_WORKER_FACTOR if is_slow else 1.0
 
     def replay_day(self) -> DayOutcome:
         """Replays until every job has ended, at most until ``REPLAY_LIMIT_MS``."""
@@ -216,7 +222,8 @@
             placement.confirmed_ms = self._now_ms
             task_run = _Run(group, index, placement)
             task_run.started_ms = self._now_ms
-            task_run.duration_ms = work_by_task_ms[index] * slowdown
+            worker_slowdown = self._slowdown_by_worker[placement.worker.name]
+            task_run.duration_ms = work_by_task_ms[index] * slowdown * worker_slowdown
             task_run.restored_share = restored_share
             self._runs_by_worker[placement.worker.name].append(task_run)
             max_remaining_ms = max(max_remaining_ms, task_run.duration_ms * (1 - restored_share))
--- a/benchmarks/site_load/shapes.py
+++ b/benchmarks/site_load/shapes.py
@@ -24,6 +24,7 @@
 TASK_WORK_VARIATION = 0.15
 """The work of a job's tasks differs from their common value by at most this share."""
 
+SLOW_WORKER_FACTOR = 1.3
 LATE_FACTOR = 3.0
 """A job is late up to this multiple of its objective; after that it earns no credit."""
 
@@ -68,6 +69,10 @@
     workers: int
     capacity: Resources
     queues: tuple[QueueShape, ...]
+    workers_per_rack: int = WORKERS_PER_RACK
+    has_overnight_burst: bool = False
+    slow_workers: bool = False
+    """Whether every third worker takes ``SLOW_WORKER_FACTOR`` times as long."""
 
 
 class DrawnJob(NamedTuple):
@@ -113,7 +118,13 @@
 
 
 def _normal(
-    name: str, jobs_per_s: float, late_value: float, tasks: float, millicores: int, work_ms: float
+    name: str,
+    jobs_per_s: float,
+    late_value: float,
+    tasks: float,
+    millicores: int,
+    work_ms: float,
+    memory_mb: int = 110_000,
 ) -> QueueShape:
     """Makes the load of a normal queue: large gangs whose run time callers estimate roughly."""
     return QueueShape(
@@ -122,7 +133,7 @@
         3.0,
         late_value,
         tasks,
-        Resources(millicores, 110_000),
+        Resources(millicores, memory_mb),
         GANG_ACCELERATORS,
         work_ms,
         0.3,
@@ -183,6 +194,19 @@
             _overnight("stem-split", 0.236, 0.1, 16.0, 5_600),
         ),
     ),
+    "large": SiteShape(
+        270,
+        Resources(64_000, 262_144, 8),
+        (
+            # 2.15, 8.6 and 1.35 jobs a second on 270 workers.
+            _normal("mix-render", 0.191, 0.3, 13.0, 26_000, 6_800, memory_mb=140_000),
+            _urgent("slot-hold", 0.764, 5.3, 7_500),
+            _overnight("stem-split", 0.12, 0.1, 38.0, 5_600),
+        ),
+        workers_per_rack=12,
+        has_overnight_burst=True,
+        slow_workers=True,
+    ),
     "nangolo": SiteShape(
         24,
         Resources(128_000, 262_144, 8),
@@ -196,12 +220,15 @@
 
 
 def draw_bursts(site: SiteShape, random: Random) -> list[Burst]:
-    """Draws one burst of urgent and one of normal jobs, as on the busy days of the sites."""
-    normal, urgent, _ = site.queues
-    return [
+    """Draws one burst of each queue that has them, as on the busy days of the sites."""
+    normal, urgent, overnight = site.queues
+    bursts = [
         Burst(urgent.queue.name, random.randrange(1_000, 10_000), 6_000, 1.9),
         Burst(normal.queue.name, random.randrange(8_000, 20_000), 3_500, 2.6),
     ]
+    if site.has_overnight_burst:
+        bursts.append(Burst(overnight.queue.name, random.randrange(1_000, 12_000), 4_000, 2.6))
+    return bursts
 
 
 def draw_jobs(site: SiteShape, load: float, seed: int) -> list[DrawnJob]:
@@ -237,7 +264,7 @@
     is_gang = random.random() < shape.gang_share
     needs = shape.needs + Resources(accelerators=random.choice(shape.accelerators))
     max_tasks = (
-        WORKERS_PER_RACK * needs.count_fitting(site.capacity) if is_gang else 6 * shape.tasks
+        site.workers_per_rack * needs.count_fitting(site.capacity) if is_gang else 6 * shape.tasks
     )
     tasks = max(1, min(int(max_tasks), round(_lognormal(random, shape.tasks, 0.8))))
     expected_ms = 0
--- a/benchmarks/site_state.py
+++ b/benchmarks/site_state.py
@@ -21,7 +21,12 @@
 ZONE_COUNT = 3
 
 
-def make_fleet_state(workers: int, capacity: Resources, queues: tuple[Queue, ...]) -> FleetState:
+def make_fleet_state(
+    workers: int,
+    capacity: Resources,
+    queues: tuple[Queue, ...],
+    workers_per_rack: int = WORKERS_PER_RACK,
+) -> FleetState:
     """Makes the state of a site whose workers are all reachable, have reported and are idle."""
     fleet_state = FleetState()
     fleet_state.apply_configuration(SiteConfiguration(1, queues))
@@ -31,7 +36,7 @@
             "",
             POOL,
             ZoneName(f"z{number % ZONE_COUNT}"),
-            RackName(f"r{number // WORKERS_PER_RACK:03}"),
+            RackName(f"r{number // workers_per_rack:03}"),
             frozenset({"a"}),
             capacity,
             incarnation=1,
