Skip values that are nested too deeply, and messages between hosts with a wrong number of frames

Found while looking for what operators of similar systems told us: one malformed message that takes a whole process down. - A value nested 200,000 times in a field that we don't know raises RecursionError and not the error that decoders catch. One such worker entry, which anybody may write, kept the owner from listing any worker; a job record like that would have kept it from loading. - A message of two frames ended the loop that answers the other entry hosts, for good.

--- a/src/jujubehall/entry_hosts/zmq_mesh.py
+++ b/src/jujubehall/entry_hosts/zmq_mesh.py
@@ -125,8 +125,11 @@
 
     async def _serve_requests(self, router: Any) -> None:
         while True:
-            identity, content = await router.recv_multipart()
-            self._spawn(self._respond(router, identity, content))
+            identity, *frames = await router.recv_multipart()
+            if len(frames) == 1:
+                self._spawn(self._respond(router, identity, frames[0]))
+            else:
+                log.warning("request with a wrong number of frames received", frames=len(frames))
 
     async def _respond(self, router: Any, identity: bytes, content: bytes) -> None:
         try:
--- a/src/jujubehall/http/client.py
+++ b/src/jujubehall/http/client.py
@@ -19,6 +19,7 @@
 
 from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import to_seconds
+from jujubehall.decoding import decode_json
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.http.body import BytesBodyProducer
@@ -43,7 +44,7 @@
 
     def decode(self, type_: type[Any]) -> Any:
         """Decodes the JSON body; raises ``msgspec.DecodeError`` if it doesn't match ``type_``."""
-        return msgspec.json.decode(self.body, type=type_)
+        return decode_json(self.body, type_)
 
 
 class HttpClient:
--- a/src/jujubehall/http/router.py
+++ b/src/jujubehall/http/router.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from jujubehall.decoding import decode_json
+
 
 class HttpRequest(msgspec.Struct, frozen=True):
     """Received HTTP request with its path and query parameters decoded and the body raw."""
@@ -26,7 +28,7 @@
         Raises ``msgspec.DecodeError`` for malformed JSON and its subclass
         ``msgspec.ValidationError``, which names the path of the invalid value, for a wrong type.
         """
-        return msgspec.json.decode(self.body, type=type_)
+        return decode_json(self.body, type_)
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
--- a/src/jujubehall/platform/adapter/directory.py
+++ b/src/jujubehall/platform/adapter/directory.py
@@ -16,6 +16,7 @@
 from jujubehall.core.fleet.configuration import Team
 from jujubehall.core.fleet.resources import Resources
 from jujubehall.core.fleet.workers import ListedWorker
+from jujubehall.decoding import decode_json
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.identifiers import PoolName
@@ -72,7 +73,7 @@
     def decode_configuration(self, content: bytes) -> Result[SiteConfiguration, Failure]:
         """Decodes the bytes of a configuration that another entry host has read."""
         try:
-            return Ok(_to_configuration(msgspec.json.decode(content, type=wire.Configuration)))
+            return Ok(_to_configuration(decode_json(content, wire.Configuration)))
         except msgspec.DecodeError as error:
             return Err(Failure(FailureKind.INVALID, "decode configuration", "operator", str(error)))
 
@@ -93,7 +94,7 @@
 
     def _to_worker(self, item: StoredItem) -> ListedWorker | None:
         try:
-            entry = msgspec.json.decode(item.value, type=wire.ServerEntry)
+            entry = decode_json(item.value, wire.ServerEntry)
             if entry.state not in WORKER_STATES:
                 raise msgspec.ValidationError(f"unknown worker state {entry.state!r}")
         except msgspec.DecodeError as error:
--- a/src/jujubehall/platform/adapter/job_api.py
+++ b/src/jujubehall/platform/adapter/job_api.py
@@ -17,6 +17,7 @@
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.fleet.requests import StepRequest
 from jujubehall.core.fleet.resources import Resources
+from jujubehall.decoding import decode_json
 from jujubehall.http.channel import retry_after_seconds
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import RackName
@@ -99,7 +100,7 @@
 
     async def _submit(self, admitted: AdmittedCall, job: JobId, body: bytes) -> CallResponse:
         try:
-            request = _to_request(msgspec.json.decode(body, type=wire.Submission))
+            request = _to_request(decode_json(body, wire.Submission))
         except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
             log.info("invalid job submission", job=job, error=str(error))
             return CallResponse(Outcome.MALFORMED, str(error))
--- a/src/jujubehall/platform/adapter/waves.py
+++ b/src/jujubehall/platform/adapter/waves.py
@@ -9,6 +9,7 @@
 
 from jujubehall.clock import MS_PER_SECOND
 from jujubehall.core.maintenance.wave import Wave
+from jujubehall.decoding import decode_json
 from jujubehall.identifiers import MachineName
 from jujubehall.identifiers import WaveNumber
 from jujubehall.platform.adapter import wire
@@ -57,7 +58,7 @@
 
 def _to_wave(item: StoredItem) -> Wave | None:
     try:
-        decoded = msgspec.json.decode(item.value, type=wire.Wave)
+        decoded = decode_json(item.value, wire.Wave)
     except msgspec.DecodeError as error:
         log.warning("undecodable wave ignored", key=item.key, error=str(error))
         return None
--- a/src/jujubehall/services/fleet/records.py
+++ b/src/jujubehall/services/fleet/records.py
@@ -9,6 +9,7 @@
 import structlog
 
 from jujubehall.core.ownership.record import Member
+from jujubehall.decoding import decode_json
 
 if TYPE_CHECKING:
     from jujubehall.identifiers import EntryHostName
@@ -65,7 +66,7 @@
 def decode_record(key: str, value: bytes, record_type: type[Any]) -> Any:
     """Decodes a record; logs an error and returns None if it is invalid."""
     try:
-        return msgspec.json.decode(value, type=record_type)
+        return decode_json(value, record_type)
     except msgspec.DecodeError as error:
         log.error("invalid record ignored", key=key, error=str(error))
         return None
--- a/tests/platform/adapter/test_directory.py
+++ b/tests/platform/adapter/test_directory.py
@@ -9,9 +9,11 @@
 
 import pytest
 
+from jujubehall.core.fleet.jobs import JobProgress
 from jujubehall.platform.adapter import wire
 from jujubehall.platform.adapter.directory import StoreDirectory
 from jujubehall.platform.adapter.store import _decode_items
+from jujubehall.services.fleet.records import decode_record
 
 WORKER_ENTRY: dict[str, Any] = {
     "service": "desk",
@@ -35,6 +37,27 @@
     return directory._to_worker(item)
 
 
+NESTED = b"[" * 200_000 + b"]" * 200_000
+
+
+def test_deeply_nested_worker_entry_does_not_hide_the_others() -> None:
+    """Another writer's entry must not keep the site from listing its workers."""
+    valid = json.dumps(WORKER_ENTRY).encode()
+    nested = valid[:-1] + b', "note": ' + NESTED + b"}"
+    directory = StoreDirectory(None)  # type: ignore[arg-type]
+    items = [
+        wire.Item(f"servers/i-{number}", 3, base64.b64encode(value).decode("ascii"))
+        for number, value in enumerate((nested, valid))
+    ]
+    workers = [directory._to_worker(item) for item in _decode_items(items)]
+    assert [each and each.name for each in workers] == [None, "i-1"]
+
+
+def test_deeply_nested_record_is_ignored() -> None:
+    content = b'{"state": "queued", "note": ' + NESTED + b"}"
+    assert decode_record("key", content, JobProgress) is None
+
+
 def test_worker_entry_is_decoded() -> None:
     worker = decode_worker(json.dumps(WORKER_ENTRY).encode())
     assert worker.name == "i-1"
