--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -11,6 +11,7 @@
 from result import Result
 from twisted.internet.defer import Deferred
 
+from jujubehall.clock import Clock
 from jujubehall.clock import reactor_clock
 from jujubehall.core.ownership.capacity import HostCapacity
 from jujubehall.core.ownership.record import Member
@@ -128,10 +129,14 @@
         )
         mesh = VirtualMesh(self.reactor, site.network, member, site.meshes)
         clock = reactor_clock(self.reactor)
+        self.wall_clock_offset_ms = 0
+        """How far the time of day of this entry host is ahead."""
+
+        wall_clock = Clock(lambda: clock.now_ms + self.wall_clock_offset_ms)
         self.site_host = SiteHost(
             self.reactor,
             clock,
-            clock,
+            wall_clock,
             member,
             SiteClients(
                 self.store,
