Virtual workers: members of a gang work only while all are present, and end with each other

The virtual workers counted the members of a gang that had ever been started, and none ended because another did. They now keep who is present, end the others of a complete gang as broken, and record each end of a run whose gang did not become complete, so that tests can require that there is none.

--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -180,7 +180,6 @@
         self.run_recorder = TaskRunRecorder()
         self.requests: dict[JobId, JobRequest] = {}
         self.configurations: dict[int, SiteConfiguration] = {}
-        self._gang_runs: dict[tuple[Any, ...], set[int]] = {}
         self.workers: dict[WorkerName, VirtualWorker] = {}
         for worker in listed:
             self.add_worker(worker)
@@ -204,7 +203,7 @@
     def add_worker(self, listed: ListedWorker) -> None:
         """Adds a worker that is listed from now on."""
         self.workers[listed.name] = VirtualWorker(
-            listed, self.time, self.run_recorder, self._find_step, self._gang_runs
+            listed, self.time, self.run_recorder, self._find_step
         )
 
     def remove_worker(self, name: WorkerName) -> None:
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -69,10 +69,38 @@
         self.checkpoint = ""
 
 
+class _GangRun:
+    """The members of one run of a gang, which work only while all of them are present."""
+
+    def __init__(self) -> None:
+        self.present: set[int] = set()
+        self.is_complete = False
+        """Whether all members have been present at the same time."""
+
+        self.is_broken = False
+        """Whether a member of the complete gang has ended before its work was done."""
+
+    def add(self, position: int, tasks: int) -> None:
+        """Adds a member that has started, of ``tasks``."""
+        self.present.add(position)
+        self.is_complete = self.is_complete or len(self.present) >= tasks
+
+    def remove(self, position: int, is_done: bool) -> None:
+        """Removes a member that has ended."""
+        self.present.discard(position)
+        self.is_broken = self.is_broken or (self.is_complete and not is_done)
+
+
 class TaskRunRecorder:
     """Record of the runs on all workers, with the violations of invariants found in it."""
 
     def __init__(self) -> None:
+        self.gang_runs: dict[tuple[TaskId, int], _GangRun] = {}
+        """The runs of gangs, by the identifier of the first task and the number of the run."""
+
+        self.lone_ends: list[str] = []
+        """Ends of runs whose gang did not become complete in time."""
+
         self.running: dict[TaskId, set[WorkerName]] = {}
         """The workers on which each task is running now."""
 
@@ -126,13 +154,11 @@
         time: VirtualTime,
         recorder: TaskRunRecorder,
         find_step: Callable[[TaskId], StepRequest],
-        gang_runs: dict[tuple[Any, ...], set[int]],
     ) -> None:
         self.listed = listed
         self._time = time
         self._recorder = recorder
         self._find_step = find_step
-        self._gang_runs = gang_runs
         self._started_s = time.seconds()
         self._highest_token = 0
         self._leases_until_ms = 0
@@ -182,8 +208,9 @@
 
         All runs, fencing tokens and unconfirmed ends are lost.
         """
-        for task in list(self._runs):
-            self._recorder.end(task, self.listed.name)
+        for run in list(self._runs.values()):
+            self._recorder.end(run.task, self.listed.name)
+            self._gang_run(run).remove(run.task.position, is_done=False)
         self._runs.clear()
         self._last_run_numbers.clear()
         self._unconfirmed_ends.clear()
@@ -220,9 +247,7 @@
         self._runs[command.task] = run
         self.last_started_ms = self._site_time_ms
         self._recorder.start(command.task, self.listed.name, self._site_time_ms)
-        self._gang_runs.setdefault((command.task[:3], command.run), set()).add(
-            command.task.position
-        )
+        self._gang_run(run).add(run.task.position, step.tasks)
         return Ok(None)
 
     def stop(self, token: int, task: TaskId, number: int) -> Result[None, Failure]:
@@ -303,15 +328,17 @@
                 self._end_run(run, EndKind.STOPPED)
             elif self.fails_all_tasks:
                 self._end_run(run, EndKind.FAILED)
-            elif run.step.is_gang and not self._is_gang_complete(run):
+            elif run.step.is_gang and self._gang_run(run).is_broken:
+                self._end_run(run, EndKind.GANG_BROKEN)
+            elif run.step.is_gang and not self._gang_run(run).is_complete:
                 if now_ms - run.started_ms >= GANG_START_TIMEOUT_MS:
                     self._end_run(run, EndKind.GANG_INCOMPLETE)
             elif run.completes_ms <= now_ms and not run.step.runs_until_cancelled:
                 self._end_run(run, EndKind.DONE)
 
-    def _is_gang_complete(self, run: _Run) -> bool:
-        started_positions = self._gang_runs.get((run.task[:3], run.number), set())
-        return len(started_positions) >= run.step.tasks
+    def _gang_run(self, run: _Run) -> _GangRun:
+        key = (run.task._replace(position=0), run.number)
+        return self._recorder.gang_runs.setdefault(key, _GangRun())
 
     def _current_checkpoint(self, run: _Run) -> str:
         if not run.step.saves_checkpoints:
@@ -327,6 +354,11 @@
     def _end_run(self, run: _Run, kind: EndKind) -> None:
         del self._runs[run.task]
         self._recorder.end(run.task, self.listed.name)
+        self._gang_run(run).remove(run.task.position, is_done=kind is EndKind.DONE)
+        if kind is EndKind.GANG_INCOMPLETE:
+            self._recorder.lone_ends.append(
+                f"{self._site_time_ms} ms: {run.task} run {run.number} on {self.listed.name}"
+            )
         if kind is EndKind.DONE:
             self._recorder.completed_tasks.add(run.task)
         self._last_run_numbers[run.task] = max(self._last_run_numbers.get(run.task, 0), run.number)
--- a/tests/platform/adapter/stand_in.py
+++ b/tests/platform/adapter/stand_in.py
@@ -250,7 +250,7 @@
             Resources(64_000, 262_144, 8),
             incarnation=1,
         )
-        worker = VirtualWorker(listed, reactor, run_recorder, lambda task: STEP, {})
+        worker = VirtualWorker(listed, reactor, run_recorder, lambda task: STEP)
         port = reactor.listenTCP(0, Site(WorkerResource(worker)), interface=HOST).getHost().port
         entry = {
             "service": "desk",
