--- a/tests/core/fleet/test_reconciliation.py
+++ b/tests/core/fleet/test_reconciliation.py
@@ -73,6 +73,17 @@
     assert group.placements == {}
 
 
+def test_other_members_of_a_gang_are_stopped_when_the_worker_of_one_restarts() -> None:
+    site = SmallSite(workers=2)
+    site.submit("gang", step(tasks=2, needs=EIGHT_GPUS, is_gang=True))
+    (decision,) = site.run_scheduling_round()
+    group = decision.group
+    group.placements[0].confirmed_ms = site.now_ms
+    site.report(int(group.placements[0].worker.name[1:]), incarnation=2)
+    assert group.is_stopping
+    assert site.fleet_state.groups_to_stop == {group}
+
+
 def test_new_owner_adopts_active_runs() -> None:
     site = SmallSite()
     job = site.submit("job", step(tasks=2))
