Log incomplete gangs with what the owner knew of them, and measure how long their starts take

A warning 'gang incomplete' names the members that the owner had placed, how long the first has run, and how old the term is; 'gang-start' of jujubehall_latency_ms is the time between the first and the last start of a run; the last 300 lines of a burst are kept for warnings. Placement.confirm replaces three copies of the same lines. No decision changes.

--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -57,9 +57,20 @@
         self.confirmed_ms: int | None = None
         """When the worker last acknowledged a request for this run or reported the run."""
 
+        self.running_since_ms: int | None = None
+        """When the worker first confirmed the run."""
+
         self.stop_confirmed_ms: int | None = None
         self.progress = RunProgress(started_ms, is_from_scratch)
 
+    def confirm(self, now_ms: int) -> None:
+        """Records that the worker has confirmed that it has the run."""
+        self.confirmed_ms = now_ms
+        if self.running_since_ms is None:
+            self.running_since_ms = now_ms
+        if self.phase is Phase.STARTING:
+            self.phase = Phase.RUNNING
+
 
 class TaskGroup:
     """All tasks of one occurrence of a gang step, or a single task of any other step."""
@@ -129,6 +140,19 @@
         """Whether any of its tasks is being stopped."""
         return any(each.phase is Phase.STOPPING for each in self.placements.values())
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether each of its tasks is known to have started."""
+        return len(self.placements) == len(self.indexes) and all(
+            each.running_since_ms is not None for each in self.placements.values()
+        )
+
+    @property
+    def first_running_ms(self) -> int | None:
+        """When the first of its tasks was known to have started; None if none has."""
+        times_ms = (each.running_since_ms for each in self.placements.values())
+        return min((each for each in times_ms if each is not None), default=None)
+
     @property
     def total_millicore_equivalents(self) -> int:
         """The resources of all its tasks in millicores, with accelerators converted to millicores.
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -210,10 +210,8 @@
             self._fleet_state.mark_stopping(group)
 
     def _confirm(self, placement: Placement, running: RunningTask) -> None:
-        placement.confirmed_ms = self._now_ms
+        placement.confirm(self._now_ms)
         placement.progress.record(running.percent, self._now_ms)
-        if placement.phase is Phase.STARTING:
-            placement.phase = Phase.RUNNING
 
     def _remove_missing(self, reported: set[tuple[TaskId, int]]) -> None:
         """Removes placements confirmed before the request that the report doesn't list."""
--- a/src/jujubehall/daemon/site_logs.py
+++ b/src/jujubehall/daemon/site_logs.py
@@ -15,14 +15,18 @@
 """Refill rate of the token bucket: about 15 lines per accepted job at 10 jobs per second."""
 
 BURST_LINES = 1_500
+RESERVED_LINES = 300
+"""Part of the burst that only warnings and errors may use, which explain what goes wrong while many
+routine lines are written: 2 s of the refill rate."""
+
 MAX_BUFFERED_LINES = 2_000
 
 
 class RateLimitedWriter:
     """Writes lines to a file descriptor without blocking, limited by a token bucket.
 
-    Lines over the limit are dropped; their number is logged once lines are written again. If the
-    reader is slow, up to ``MAX_BUFFERED_LINES`` lines are buffered, the oldest being discarded
+    Lines over the limit are dropped, routine lines first; their number is logged once lines are
+    written again. If the reader is slow, up to ``MAX_BUFFERED_LINES`` lines are buffered, the oldest being discarded
     first.
 
     ``clock`` returns a monotonic time in seconds.
@@ -37,7 +41,7 @@
         self._dropped_lines = 0
         os.set_blocking(descriptor, False)
 
-    def write(self, line: str) -> None:
+    def write(self, line: str, is_routine: bool = False) -> None:
         """Writes a line, or buffers it until the next call if the reader is slow."""
         now_s = self._clock()
         self._tokens = min(
@@ -45,7 +49,7 @@
             self._tokens + (now_s - self._refilled_at_s) * RATE_LIMIT_LINES_PER_S,
         )
         self._refilled_at_s = now_s
-        if self._tokens < 1:
+        if self._tokens < (RESERVED_LINES + 1 if is_routine else 1):
             self._dropped_lines += 1
             return
         self._tokens -= 1
@@ -78,9 +82,13 @@
         self._writer = writer
 
     def msg(self, line: str) -> None:
+        self._writer.write(line, is_routine=True)
+
+    def warning(self, line: str) -> None:
         self._writer.write(line)
 
-    debug = info = warning = warn = error = critical = exception = fatal = log = msg
+    debug = info = log = msg
+    warn = error = critical = exception = fatal = warning
 
 
 def configure_site_logs(entry_host: str) -> None:
--- a/src/jujubehall/daemon/site_metrics.py
+++ b/src/jujubehall/daemon/site_metrics.py
@@ -49,6 +49,7 @@
         if owner is None:
             return
         self._set_latencies("start", owner.start_latencies)
+        self._set_latencies("gang-start", owner.gang_start_latencies)
         states = Counter(caller_visible_state(job) for job in owner.fleet_state.jobs.values())
         for state in JobState:
             metrics.JOBS.set({"state": state.value}, states[state])
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -131,6 +131,9 @@
             else None
         )
         self.start_latencies = LatencyHistogram()
+        self.gang_start_latencies = LatencyHistogram()
+        """Times between the first and the last confirmed start of a run of a gang."""
+
         self.is_closed = False
         self.is_loaded = False
         self.writer: ProgressWriter
@@ -145,6 +148,11 @@
         """Whether commands may be sent to the workers now."""
         return not self.is_closed and self._ownership.may_act
 
+    @property
+    def age_ms(self) -> int:
+        """The time since the election of this owner."""
+        return self._clock.now_ms - self._elected_ms
+
     WORKER_STATES = ("usable", "draining", "out-of-touch", "troubled")
 
     def worker_state(self, worker: FleetWorker) -> str:
--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -212,10 +212,9 @@
         if group.placements.get(index) is not placement:
             return is_answered
         if not isinstance(outcome, Err):
-            placement.confirmed_ms = self._clock.now_ms
-            if placement.phase is Phase.STARTING:
-                placement.phase = Phase.RUNNING
+            placement.confirm(self._clock.now_ms)
             self._owner.start_latencies.observe(self._clock.now_ms - sent_ms)
+            self._observe_gang_start(group)
             RUN_STARTS.inc({"result": "ok"})
             session.wake()
         elif isinstance(outcome.err_value, StartRefusal):
@@ -224,6 +223,11 @@
             await self._handle_start_failure(group, index, placement, outcome.err_value)
         return is_answered
 
+    def _observe_gang_start(self, group: TaskGroup) -> None:
+        first_ms = group.first_running_ms
+        if group.request.is_gang and group.is_complete and first_ms is not None:
+            self._owner.gang_start_latencies.observe(self._clock.now_ms - first_ms)
+
     def _find_ticket(self, group: TaskGroup, worker: FleetWorker) -> str:
         queue = group.job.queue
         if queue is None or not queue.asks_for_advice:
@@ -298,9 +302,7 @@
             (each.task, each.run) == (task, placement.run) for each in report.ok_value.running
         ):
             return False
-        placement.confirmed_ms = requested_ms
-        if placement.phase is Phase.STARTING:
-            placement.phase = Phase.RUNNING
+        placement.confirm(requested_ms)
         self._wake_session(placement.worker)
         return True
 
--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -14,6 +14,7 @@
 from twisted.internet.defer import succeed
 
 from jujubehall.core.fleet.reconciliation import Reconciliation
+from jujubehall.core.fleet.reports import EndKind
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import RUN_ENDS
 from jujubehall.services.async_utils import first_result
@@ -24,6 +25,7 @@
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.reports import EndedTask
     from jujubehall.core.fleet.reports import WorkerReport
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.services.fleet.site_owner import SiteOwner
@@ -203,6 +205,8 @@
             )
         for ended in result.ends:
             RUN_ENDS.inc({"how": ended.kind.value})
+            if ended.kind is EndKind.GANG_INCOMPLETE:
+                self._log_incomplete_gang(ended, now_ms)
             log.info(
                 "run ended",
                 job=ended.task.job,
@@ -214,6 +218,25 @@
         self._owner.handle_report()
         await self._await_storage(report)
 
+    def _log_incomplete_gang(self, ended: EndedTask, now_ms: int) -> None:
+        group = self._owner.fleet_state.find_group(ended.task, now_ms)
+        if group is None:
+            return
+        log.warning(
+            "gang incomplete",
+            job=group.job.id,
+            group=group.key,
+            run=ended.run,
+            worker=self._worker.name,
+            tasks=len(group.indexes),
+            placed={
+                str(index): f"{each.worker.name} {each.phase.value}"
+                for index, each in sorted(group.placements.items())
+            },
+            first_running_ms_ago=now_ms - (group.first_running_ms or now_ms),
+            term_began_ms_ago=self._owner.age_ms,
+        )
+
     async def _await_storage(self, report: WorkerReport) -> None:
         """Waits until the ends in a report are stored, unless some can be confirmed already."""
         was_confirming, self._is_confirming = self._is_confirming, False
--- a/tests/daemon/test_site_logs.py
+++ b/tests/daemon/test_site_logs.py
@@ -9,6 +9,7 @@
 from jujubehall.daemon.site_logs import BURST_LINES
 from jujubehall.daemon.site_logs import MAX_BUFFERED_LINES
 from jujubehall.daemon.site_logs import RATE_LIMIT_LINES_PER_S
+from jujubehall.daemon.site_logs import RESERVED_LINES
 from jujubehall.daemon.site_logs import RateLimitedWriter
 
 
@@ -46,6 +47,18 @@
     assert RATE_LIMIT_LINES_PER_S > 1
 
 
+def test_routine_lines_do_not_suppress_warnings() -> None:
+    reader, writer = os.pipe()
+    log_writer = RateLimitedWriter(writer, FakeClock())
+    for _ in range(2 * BURST_LINES):
+        log_writer.write("routine", is_routine=True)
+    for _ in range(RESERVED_LINES - 1):
+        log_writer.write("warning")
+    lines = read_all(reader).splitlines()
+    assert lines.count(b"warning") == RESERVED_LINES - 1
+    assert lines.count(b"routine") == BURST_LINES - RESERVED_LINES
+
+
 def test_slow_reader_does_not_block_the_writer() -> None:
     reader, writer = os.pipe()
     clock = FakeClock()
