Give out the slots for commands in a loop rather than by recursion

What callers saw: after many starts had been abandoned at once (a gang or a job of hundreds of tasks that was stopped while its starts waited for slots), some commands of the queue were neither sent nor given up. A lost start leaves the rest of its gang to wait alone; a lost stop is never repeated, so that its job never ends. Cause: a start that is given up frees its slot within the call that gave it out, which gave out the next one from there, a few frames deeper for each; at the recursion limit the commands being handed over ended with RecursionError. Why this works: giving out is one loop; a slot that is freed meanwhile is given out by it.

--- a/src/jujubehall/services/fleet/command_slots.py
+++ b/src/jujubehall/services/fleet/command_slots.py
@@ -79,6 +79,7 @@
         self.clock = clock
         self.window = CommandWindow()
         self._held = 0
+        self._is_giving_out = False
         self._overdue_slots: set[CommandSlot] = set()
         self._waiting: dict[CommandRank, dict[WorkerName, deque[Deferred[CommandSlot]]]] = {
             rank: {} for rank in CommandRank
@@ -107,12 +108,19 @@
         self._give_out()
 
     def _give_out(self) -> None:
-        while self._held < self.window.limit:
-            worker, waiting = self._pop_next()
-            if worker is None or waiting is None:
-                return
-            self._held += 1
-            waiting.callback(CommandSlot(self, worker))
+        if self._is_giving_out:
+            # A command that is given up at once frees its slot within the callback below.
+            return
+        self._is_giving_out = True
+        try:
+            while self._held < self.window.limit:
+                worker, waiting = self._pop_next()
+                if worker is None or waiting is None:
+                    return
+                self._held += 1
+                waiting.callback(CommandSlot(self, worker))
+        finally:
+            self._is_giving_out = False
 
     def _pop_next(self) -> tuple[WorkerName, Deferred[CommandSlot]] | tuple[None, None]:
         overdue_workers = {slot.worker for slot in self._overdue_slots}
