Stop the gangs that an earlier owner has started only in part

What callers saw: a job that was being started when the owner of the site changed held accelerators without working until its workers ended it (gangTimeoutMs, 3 to 5 s), and was started again only then: GANG, and late. Cause: the members of a gang are started one by one, and a successor adopts each run that it finds. It never asked whether the gang is complete, so nothing started the others or stopped these. The class: a state between two others, of which the owner that left it knew and its successor doesn't. It needs no disturbance: a small owner hands over to a larger host 5 s after its election. Why this works: the placement of a gang is stored before its first start, and a worker that has reported to the successor refuses the former owner. So once all workers of the stored run have reported, or the former owner's leases on them have ended, a member that is not there can't come any more. The gang is then stopped in the next round and started again. Until then it stays, since the missing members may be at work on a worker that has not reported.

--- a/src/jujubehall/core/fleet/decisions.py
+++ b/src/jujubehall/core/fleet/decisions.py
@@ -31,6 +31,9 @@
     TOO_SLOW = "too-slow"
     """The group is expected to finish sooner if it is restarted on other workers."""
 
+    GANG_INCOMPLETE = "gang-incomplete"
+    """Some members of the gang have started and others will not."""
+
 
 class StopGroup(NamedTuple):
     """Stop all tasks of a group. ``preempting_job`` is the job that gets its capacity, if any."""
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -203,6 +203,8 @@
         self._confirm(adopted, running)
         group.run = max(group.run, running.run)
         group.add_placement(running.task.position, adopted)
+        if group.request.is_gang:
+            self._fleet_state.starting_gangs.add(group)
         if should_continue:
             if group.ready_since_ms is None:
                 group.ready_since_ms = self._now_ms
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -8,6 +8,7 @@
 from jujubehall.core.fleet.decisions import ReserveCapacity
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopReason
+from jujubehall.core.fleet.gang_starts import incomplete_gangs
 from jujubehall.core.fleet.placement import choose_workers
 from jujubehall.core.fleet.preemption import PreemptionPlanner
 from jujubehall.core.fleet.preemption import stop_decision
@@ -74,6 +75,7 @@
 
     def run(self) -> list[Decision]:
         """Runs the round and returns the decisions in the order in which to carry them out."""
+        self._stop_incomplete_gangs()
         self._evacuate()
         self._relocate()
         waiting = sorted(self._waiting, key=self._order.sort_key)
@@ -83,6 +85,10 @@
                 self._schedule(group)
         return self._decisions
 
+    def _stop_incomplete_gangs(self) -> None:
+        for group in incomplete_gangs(self._fleet_state, self._now_ms):
+            self._stop(group, StopReason.GANG_INCOMPLETE)
+
     def _evacuate(self) -> None:
         """Stops groups on draining workers that can continue elsewhere."""
         leaving = {
--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -44,6 +44,9 @@
         self.groups_to_stop: set[TaskGroup] = set()
         """Groups with tasks in phase ``STOPPING`` for which no stop request has been sent yet."""
 
+        self.starting_gangs: set[TaskGroup] = set()
+        """Gangs that have placements and of which some members may not have started yet."""
+
     def apply_configuration(self, configuration: SiteConfiguration) -> None:
         """Applies a newer configuration.
 
@@ -151,11 +154,11 @@
                 if (
                     group.is_waiting
                     and group.not_before_ms <= now_ms
-                    and not self._may_run_on_unreported_worker(group, now_ms)
+                    and not self.may_run_on_unreported_worker(group, now_ms)
                 ):
                     yield group
 
-    def _may_run_on_unreported_worker(self, group: TaskGroup, now_ms: int) -> bool:
+    def may_run_on_unreported_worker(self, group: TaskGroup, now_ms: int) -> bool:
         """Returns whether a run of an earlier owner may still be active on an unreported worker.
 
         This is possible until the worker reports or the leases from the earlier owner expire.
@@ -178,6 +181,8 @@
         for index, worker in workers.items():
             placement = Placement(worker, group.run, now_ms, not group.checkpoint)
             group.add_placement(index, placement)
+        if group.request.is_gang:
+            self.starting_gangs.add(group)
         self.unsaved_jobs.add(group.job)
 
     def mark_stopping(self, group: TaskGroup) -> None:
--- /dev/null
+++ b/tests/core/fleet/test_gang_starts.py
@@ -0,0 +1,91 @@
+"""Tests which gangs are stopped because some of their members have not started."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from jujubehall.core.fleet.decisions import StopGroup
+from jujubehall.core.fleet.decisions import StopReason
+from jujubehall.core.fleet.reports import RunningTask
+from tests.core.fleet.small_site import EIGHT_GPUS
+from tests.core.fleet.small_site import SmallSite
+from tests.core.fleet.small_site import step
+
+if TYPE_CHECKING:
+    from jujubehall.core.fleet.groups import TaskGroup
+
+TASKS = 3
+LEASES_END_MS = 5_000
+
+
+@pytest.fixture
+def site() -> SmallSite:
+    """Returns the site of a new owner after an earlier one has stored the start of a gang.
+
+    The workers ``w0`` to ``w2`` may have its members and have not reported yet.
+    """
+    earlier = SmallSite(workers=TASKS)
+    job = earlier.submit("gang", step(tasks=TASKS, needs=EIGHT_GPUS, is_gang=True))
+    earlier.run_scheduling_round()
+    successor = SmallSite(workers=TASKS)
+    successor.fleet_state.add_job(job.accepted, job.progress(), successor.now_ms, successor.now_ms)
+    for worker in successor.fleet_state.workers.values():
+        worker.has_reported = False
+        worker.previous_leases_end_ms = successor.now_ms + LEASES_END_MS
+    return successor
+
+
+def gang_of(site: SmallSite) -> TaskGroup:
+    (job,) = site.fleet_state.jobs.values()
+    (group,) = job.all_groups()
+    return group
+
+
+def report_member(site: SmallSite, index: int) -> None:
+    site.report(index, (RunningTask(gang_of(site).task_id(index), 1),))
+
+
+def stops(site: SmallSite, after_ms: int = 10) -> list[StopReason]:
+    decisions = site.run_scheduling_round(after_ms)
+    return [each.reason for each in decisions if isinstance(each, StopGroup)]
+
+
+def test_incomplete_gang_of_an_earlier_owner_is_stopped_once_all_its_workers_have_reported(
+    site: SmallSite,
+) -> None:
+    report_member(site, 0)
+    report_member(site, 1)
+    assert stops(site) == []
+    site.report(2)
+    assert stops(site) == [StopReason.GANG_INCOMPLETE]
+    assert gang_of(site).is_stopping
+
+
+def test_incomplete_gang_is_stopped_when_the_leases_of_a_silent_worker_have_ended(
+    site: SmallSite,
+) -> None:
+    report_member(site, 0)
+    report_member(site, 1)
+    assert stops(site) == []
+    assert stops(site, after_ms=LEASES_END_MS) == [StopReason.GANG_INCOMPLETE]
+
+
+def test_complete_gang_of_an_earlier_owner_goes_on(site: SmallSite) -> None:
+    for index in range(TASKS):
+        report_member(site, index)
+    assert stops(site) == []
+    assert stops(site, after_ms=2 * LEASES_END_MS) == []
+
+
+def test_incomplete_gang_is_started_again_after_its_members_have_stopped(site: SmallSite) -> None:
+    report_member(site, 0)
+    site.report(1)
+    site.report(2)
+    assert stops(site) == [StopReason.GANG_INCOMPLETE]
+    gang_of(site).placements[0].stop_confirmed_ms = site.now_ms
+    site.now_ms += 10
+    site.report(0)
+    (group,) = site.start_groups()
+    assert group.run == 2
