Send the starts of a gang one after the other rather than in turns with those of other gangs

What callers saw: on a small owner, after a burst of jobs, gangs held accelerators and waited for members whose starts had not been sent yet, until their workers ended them; each was started up to three times. Cause: the command window gives its slots to one worker after the other, whichever gang the commands belong to. So all gangs of a burst begin early and complete late. The order within the slots has a test that failed before. Why this works: once a gang has got a slot, its other commands come before the starts of all others, still not to a worker that is silent. Stops stay first, single tasks still spread over the workers.

--- a/src/jujubehall/services/fleet/command_slots.py
+++ b/src/jujubehall/services/fleet/command_slots.py
@@ -14,6 +14,8 @@
 from jujubehall.core.fleet.command_window import CommandWindow
 
 if TYPE_CHECKING:
+    from collections.abc import Hashable
+
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.identifiers import WorkerName
@@ -68,10 +70,22 @@
             self._slots.free_one()
 
 
+class _WaitingCommand:
+    """A command that waits for its slot."""
+
+    def __init__(self, worker: WorkerName, gang: Hashable) -> None:
+        self.worker = worker
+        self.gang = gang
+        self.slot: Deferred[CommandSlot] = Deferred()
+        self.is_waiting = True
+
+
 class CommandSlots:
     """Gives out slots by rank, and within a rank to one worker after the other.
 
-    So the commands of a burst spread over the workers, and few of them wait for a silent one.
+    So the commands of a burst spread over the workers, and few of them wait for a silent one. Once
+    a gang has got a slot, its other commands come before those of all others but stops: its members
+    wait for each other.
     """
 
     def __init__(self, reactor: Reactor, clock: Clock) -> None:
@@ -81,16 +95,28 @@
         self._held = 0
         self._is_giving_out = False
         self._overdue_slots: set[CommandSlot] = set()
-        self._waiting: dict[CommandRank, dict[WorkerName, deque[Deferred[CommandSlot]]]] = {
+        self._waiting: dict[CommandRank, dict[WorkerName, deque[_WaitingCommand]]] = {
             rank: {} for rank in CommandRank
         }
-
-    def acquire(self, worker: WorkerName, rank: CommandRank) -> Deferred[CommandSlot]:
-        """Returns a deferred that fires with a slot once one is free."""
-        waiting: Deferred[CommandSlot] = Deferred()
-        self._waiting[rank].setdefault(worker, deque()).append(waiting)
+        self._gangs: dict[Hashable, deque[_WaitingCommand]] = {}
+        """The commands of each gang, also while they wait in their rank."""
+
+        self._begun_gangs: dict[Hashable, None] = {}
+        """Gangs that have got a slot and wait for more, in this order."""
+
+    def acquire(
+        self, worker: WorkerName, rank: CommandRank, gang: Hashable = None
+    ) -> Deferred[CommandSlot]:
+        """Returns a deferred that fires with a slot once one is free.
+
+        ``gang`` is equal for the starts of one run of a gang and None for other commands.
+        """
+        command = _WaitingCommand(worker, gang)
+        self._waiting[rank].setdefault(worker, deque()).append(command)
+        if gang is not None:
+            self._gangs.setdefault(gang, deque()).append(command)
         self._give_out()
-        return waiting
+        return command.slot
 
     def note_overdue(self, slot: CommandSlot) -> None:
         """Holds back further commands to the slot's worker until this one ends."""
@@ -114,23 +140,54 @@
         self._is_giving_out = True
         try:
             while self._held < self.window.limit:
-                worker, waiting = self._pop_next()
-                if worker is None or waiting is None:
+                command = self._pop_next()
+                if command is None:
                     return
                 self._held += 1
-                waiting.callback(CommandSlot(self, worker))
+                command.slot.callback(CommandSlot(self, command.worker))
         finally:
             self._is_giving_out = False
 
-    def _pop_next(self) -> tuple[WorkerName, Deferred[CommandSlot]] | tuple[None, None]:
+    def _pop_next(self) -> _WaitingCommand | None:
         overdue_workers = {slot.worker for slot in self._overdue_slots}
-        for queues in self._waiting.values():
-            worker = next((each for each in queues if each not in overdue_workers), None)
-            if worker is not None:
-                queue = queues.pop(worker)
-                waiting = queue.popleft()
-                if queue:
-                    # Behind the other workers.
-                    queues[worker] = queue
-                return worker, waiting
-        return None, None
+        return (
+            self._pop_from_rank(CommandRank.STOP, overdue_workers)
+            or self._pop_from_begun_gang(overdue_workers)
+            or self._pop_from_rank(CommandRank.URGENT_START, overdue_workers)
+            or self._pop_from_rank(CommandRank.START, overdue_workers)
+        )
+
+    def _pop_from_rank(
+        self, rank: CommandRank, overdue_workers: set[WorkerName]
+    ) -> _WaitingCommand | None:
+        queues = self._waiting[rank]
+        while worker := next((each for each in queues if each not in overdue_workers), None):
+            queue = queues.pop(worker)
+            while queue:
+                command = queue.popleft()
+                if command.is_waiting:
+                    if queue:
+                        # Behind the other workers.
+                        queues[worker] = queue
+                    self._remove(command)
+                    return command
+        return None
+
+    def _pop_from_begun_gang(self, overdue_workers: set[WorkerName]) -> _WaitingCommand | None:
+        for gang in self._begun_gangs:
+            for command in self._gangs[gang]:
+                if command.worker not in overdue_workers:
+                    self._remove(command)
+                    return command
+        return None
+
+    def _remove(self, command: _WaitingCommand) -> None:
+        command.is_waiting = False
+        if command.gang is None:
+            return
+        self._gangs[command.gang].remove(command)
+        if self._gangs[command.gang]:
+            self._begun_gangs[command.gang] = None
+        else:
+            del self._gangs[command.gang]
+            self._begun_gangs.pop(command.gang, None)
--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -172,7 +172,8 @@
     async def _start(self, group: TaskGroup, index: int, placement: Placement) -> None:
         is_urgent = group.job.priority == HIGHEST_PRIORITY
         rank = CommandRank.URGENT_START if is_urgent else CommandRank.START
-        slot = await self._slots.acquire(placement.worker.name, rank)
+        gang = (group, placement.run) if group.request.is_gang else None
+        slot = await self._slots.acquire(placement.worker.name, rank, gang)
         is_answered = False
         try:
             if group.placements.get(index) is placement and placement.phase is Phase.STARTING:
--- a/tests/services/fleet/test_command_slots.py
+++ b/tests/services/fleet/test_command_slots.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import pytest
+
 from twisted.internet.task import Clock as FakeReactor
 
 from jujubehall.clock import reactor_clock
@@ -16,9 +18,29 @@
 ABANDONED_STARTS = 2_000
 
 
-def test_long_queue_of_abandoned_starts_ends_without_an_error() -> None:
+@pytest.fixture
+def slots() -> CommandSlots:
+    """Returns command slots all of which are given out."""
     reactor: Any = FakeReactor()
-    slots = CommandSlots(reactor, reactor_clock(reactor))
+    return CommandSlots(reactor, reactor_clock(reactor))
+
+
+@pytest.fixture
+def held(slots: CommandSlots) -> list[CommandSlot]:
+    """Returns all slots that may be held at once."""
+    held: list[CommandSlot] = []
+
+    async def hold() -> None:
+        held.append(await slots.acquire(WorkerName("held"), CommandRank.STOP))
+
+    while len(held) < slots.window.limit:
+        run_in_background(hold())
+    return held
+
+
+def test_long_queue_of_abandoned_starts_ends_without_an_error(
+    slots: CommandSlots, held: list[CommandSlot]
+) -> None:
     finished = []
 
     async def abandon(number: int) -> None:
@@ -26,11 +48,25 @@
         slot.release(is_answered=False)
         finished.append(number)
 
-    held: list[CommandSlot] = []
-    while len(held) < slots.window.limit:
-        slots.acquire(WorkerName("held"), CommandRank.STOP).addCallback(held.append)
     for number in range(ABANDONED_STARTS):
         run_in_background(abandon(number))
     assert finished == []
     held[0].release(is_answered=False)
     assert sorted(finished) == list(range(ABANDONED_STARTS))
+
+
+def test_gang_that_has_got_a_slot_gets_the_next_ones_before_other_gangs(
+    slots: CommandSlots, held: list[CommandSlot]
+) -> None:
+    order = []
+
+    async def acquire(gang: str | None, worker: str, rank: CommandRank) -> None:
+        await slots.acquire(WorkerName(worker), rank, gang)
+        order.append(gang or "stop")
+
+    for gang, worker in (("a", "w0"), ("b", "w1"), ("c", "w2"), ("a", "w0"), ("b", "w1")):
+        run_in_background(acquire(gang, worker, CommandRank.START))
+    run_in_background(acquire(None, "w0", CommandRank.STOP))
+    for slot in held[:6]:
+        slot.release(is_answered=False)
+    assert order == ["stop", "a", "a", "b", "b", "c"]
