Stop a gang whose members have not all started in time for the stop

Cause: gangTimeoutMs appeared nowhere in the product, so nothing bounded the time between the first and the last start of a run. Evidence: the test with one member that never starts failed before (no decision, at any time). Why this works: the limit is read from the settings; a gang of which the owner knows that a member runs, and not that all do, is stopped 1 s before the first one would be ended: a round and a stop that is answered. A gang none of whose members is known to run is left alone, as is one with a member on a worker that has not reported to a new owner yet.

--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -26,6 +26,9 @@
     from jujubehall.identifiers import QueueName
     from jujubehall.identifiers import WorkerName
 
+DEFAULT_GANG_START_TIMEOUT_MS = 3_000
+"""The shortest time that the sites set."""
+
 
 class FleetState:
     """In-memory state from which the owner of a site makes scheduling decisions.
@@ -33,7 +36,10 @@
     It does no I/O and reads no clock; callers pass in the time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, gang_start_timeout_ms: int = DEFAULT_GANG_START_TIMEOUT_MS) -> None:
+        self.gang_start_timeout_ms = gang_start_timeout_ms
+        """How long a member of a gang waits on its worker for the others, until it is ended."""
+
         self.workers: dict[WorkerName, FleetWorker] = {}
         self.jobs: dict[JobId, FleetJob] = {}
         self.configuration = SiteConfiguration(0)
--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -72,6 +72,9 @@
     max_lease_ms: int
     """Longest lease that a worker grants to a run."""
 
+    gang_start_timeout_ms: int
+    """How long a member of a gang waits on its worker for the others, until it is ended."""
+
     ended_job_retention_ms: int
     """How long the state of an ended job can still be queried."""
 
@@ -176,6 +179,7 @@
             self.peers,
             term,
             self._time_limits.max_lease_ms,
+            self._time_limits.gang_start_timeout_ms,
             self._time_limits.ended_job_retention_ms,
             self._maintenance_clients,
         )
--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -192,6 +192,7 @@
     limits = settings.bounds
     return SiteTimeLimits(
         limits.max_lease_ms,
+        limits.gang_start_timeout_ms,
         int(limits.ended_job_retention_s * MS_PER_SECOND),
         (
             int(limits.revocation_deadline_ms * REVOCATION_DEADLINE_FRACTION)
--- a/src/jujubehall/platform/adapter/settings.py
+++ b/src/jujubehall/platform/adapter/settings.py
@@ -36,6 +36,9 @@
     max_lease_ms: int = field(name="maxHoldMs", default=6_000)
     """The longest lease that a worker grants for its runs."""
 
+    gang_start_timeout_ms: int = field(name="gangTimeoutMs", default=3_000)
+    """How long a member of a gang waits on its worker for the others, until it is ended."""
+
     revocation_deadline_ms: int = field(name="revokeMs", default=5_000)
     """Time after which no entry host may accept a revoked API key."""
 
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -97,6 +97,7 @@
         peers: Peers,
         term: Term,
         longest_lease_ms: int,
+        gang_start_timeout_ms: int,
         ended_job_retention_ms: int,
         maintenance_clients: MaintenanceClients | None = None,
     ) -> None:
@@ -117,7 +118,7 @@
         self._worker_registry = WorkerRegistry(reactor, store, term.owner_revision)
         self.peers = peers
         self.workers_api = workers
-        self.fleet_state = FleetState()
+        self.fleet_state = FleetState(gang_start_timeout_ms)
         self._job_retention = JobRetention(
             clock, store, self.fleet_state, term.owner_revision, ended_job_retention_ms
         )
--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -35,6 +35,7 @@
 from jujubehall.testing.virtual.fleet.store import RevisionedStore
 from jujubehall.testing.virtual.fleet.store import StoreFaultMode
 from jujubehall.testing.virtual.fleet.store import VirtualStore
+from jujubehall.testing.virtual.fleet.workers import GANG_START_TIMEOUT_MS
 from jujubehall.testing.virtual.fleet.workers import MAX_LEASE_MS
 from jujubehall.testing.virtual.fleet.workers import TaskRunRecorder
 from jujubehall.testing.virtual.fleet.workers import VirtualWorker
@@ -146,7 +147,7 @@
                 make_waves=VirtualWaves,
                 machines=self.machines,
             ),
-            SiteTimeLimits(MAX_LEASE_MS, 120_000, 4_000),
+            SiteTimeLimits(MAX_LEASE_MS, GANG_START_TIMEOUT_MS, 120_000, 4_000),
             site.random,
         )
         self.site_host.start()
--- a/tests/core/fleet/test_gang_starts.py
+++ b/tests/core/fleet/test_gang_starts.py
@@ -8,6 +8,7 @@
 
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.decisions import StopReason
+from jujubehall.core.fleet.gang_starts import STOP_ALLOWANCE_MS
 from jujubehall.core.fleet.reports import RunningTask
 from tests.core.fleet.small_site import EIGHT_GPUS
 from tests.core.fleet.small_site import SmallSite
@@ -89,3 +90,22 @@
     site.report(0)
     (group,) = site.start_groups()
     assert group.run == 2
+
+
+def test_gang_is_stopped_before_its_members_have_waited_too_long_for_the_last_one() -> None:
+    site = SmallSite(workers=TASKS)
+    site.submit("gang", step(tasks=TASKS, needs=EIGHT_GPUS, is_gang=True))
+    site.run_scheduling_round()
+    limit_ms = site.fleet_state.gang_start_timeout_ms - STOP_ALLOWANCE_MS
+    report_member(site, 0)
+    first_running_ms = site.now_ms
+    report_member(site, 1)
+    assert stops(site, after_ms=first_running_ms + limit_ms - 1 - site.now_ms) == []
+    assert stops(site, after_ms=1) == [StopReason.GANG_INCOMPLETE]
+
+
+def test_gang_none_of_whose_starts_has_been_sent_is_not_stopped() -> None:
+    site = SmallSite(workers=TASKS)
+    site.submit("gang", step(tasks=TASKS, needs=EIGHT_GPUS, is_gang=True))
+    site.run_scheduling_round()
+    assert stops(site, after_ms=2 * site.fleet_state.gang_start_timeout_ms) == []
