Stop the other members of a gang when the worker of one has restarted

What callers saw: a gang that lost a member with its worker while it was being started kept its accelerators until the workers of the others ended it. Cause: four of the five places that remove a member stop the others; the one for a report of a later incarnation, which comes before the worker's new entry in the list, did not. A gang that was complete ends by itself (broken), so it shows only during a start. Evidence: test_other_members_of_a_gang_are_stopped_when_the_worker_of_one_restarts failed before. Why this works: the others are stopped as for every other lost member.

--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -95,6 +95,8 @@
                 self._fleet_state.groups_to_stop.add(group)
             else:
                 self._remove_placement(group, index)
+                # The other members end by themselves only if the gang was complete.
+                self._fleet_state.mark_stopping(group)
 
     def _apply_new_ends(self) -> None:
         applied = set()
