Stop a run whose start failed by an unexpected error, and repeat such a stop

What callers saw: nothing yet. An exception in a start ended only its coroutine: the member was neither started nor given up and the rest of its gang waited. An exception in a stop left the run marked as being stopped, so that no stop was sent again and its job never ended. Evidence: the test with an injected error in one stop failed before: the run was still there 10 s later. Why this works: an unexpected error counts as a command without an answer. It is logged with its step and worker; the run may be there, so it is stopped with its group, and the stop is repeated.

--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -163,12 +163,15 @@
             stopped = await self._owner.workers_api.stop(
                 worker.listed, self._owner.token, task, run
             )
-        except Exception:
-            slot.release(is_answered=False)
-            raise
+        except Exception as error:
+            self._log_unexpected_error("stop", worker, error)
+            stopped = Err(Failure(FailureKind.NO_ANSWER, "stop", worker.name, repr(error)))
         slot.release(is_answered=not isinstance(stopped, Err))
         return stopped
 
+    def _log_unexpected_error(self, step: str, worker: FleetWorker, error: Exception) -> None:
+        log.error(f"{step} failed unexpectedly", worker=worker.name, error=repr(error))
+
     async def _start(self, group: TaskGroup, index: int, placement: Placement) -> None:
         is_urgent = group.job.priority == HIGHEST_PRIORITY
         rank = CommandRank.URGENT_START if is_urgent else CommandRank.START
@@ -178,9 +181,11 @@
         try:
             if group.placements.get(index) is placement and placement.phase is Phase.STARTING:
                 is_answered = await self._send_start(group, index, placement, slot)
-        except Exception:
-            slot.release(is_answered=False)
-            raise
+        except Exception as error:
+            # The run may have started, so it is stopped together with the rest of its group.
+            self._log_unexpected_error("start", placement.worker, error)
+            self._owner.fleet_state.mark_stopping(group)
+            self.send_stops()
         slot.release(is_answered=is_answered)
 
     async def _send_start(
--- a/tests/services/fleet/test_worker_commands.py
+++ b/tests/services/fleet/test_worker_commands.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
 
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.jobs.job import JobState
@@ -15,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from jujubehall.core.fleet.requests import StepRequest
+
 JOB = JobId("0000000000000001")
 OTHER_JOB = JobId("0000000000000002")
 WORKERS = 25
@@ -91,3 +96,39 @@
         worker for worker in site.workers.values() if worker.listed.name not in silent_workers
     ]
     assert site.run_until(lambda: all(len(worker.tasks) == 8 for worker in reachable), 1.5)
+
+
+@pytest.mark.parametrize(
+    ("step_name", "work"),
+    [
+        ("start", step(tasks=4, expected_ms=4_000, is_gang=True)),
+        ("stop", step(tasks=4, expected_ms=60_000)),
+    ],
+)
+def test_command_that_fails_unexpectedly_leaves_no_run_to_itself(
+    monkeypatch: pytest.MonkeyPatch, step_name: str, work: StepRequest
+) -> None:
+    site = make_site()
+    owner = site.owner
+    assert owner is not None
+    send = getattr(owner.workers, step_name)
+    failures: list[Any] = []
+
+    async def fail_once(*arguments: Any) -> Any:
+        if not failures:
+            failures.append(arguments)
+            raise RuntimeError("injected")
+        return await send(*arguments)
+
+    monkeypatch.setattr(owner.workers, step_name, fail_once)
+    site.submit(JOB, JobRequest("spec", (work,)))
+    site.run(1.0)
+    if step_name == "stop":
+        site.cancel(JOB)
+    site.run(10.0)
+    assert failures
+    assert not any(is_running(site, JOB))
+    assert owner.site_host.owner is not None
+    assert all(worker.is_idle for worker in owner.site_host.owner.fleet_state.workers.values())
+    assert site.run_recorder.lone_ends == []
+    assert site.run_recorder.violations == []
