Finish the starts of gangs before a planned hand-over

Cause: a planned hand-over ended the term at once, between two starts of a gang. Why this works: the owner starts nothing more and waits, 0.5 s at the most, until no gang is started only in part. Usually that is a few milliseconds; after the limit the successor stops the rest.

--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -53,6 +53,14 @@
         self.starting_gangs: set[TaskGroup] = set()
         """Gangs that have placements and of which some members may not have started yet."""
 
+    @property
+    def has_incomplete_gangs(self) -> bool:
+        """Whether a gang is being started and not all of its members are known to have started."""
+        return any(
+            group.placements and not group.is_stopping and not group.is_complete
+            for group in self.starting_gangs
+        )
+
     def apply_configuration(self, configuration: SiteConfiguration) -> None:
         """Applies a newer configuration.
 
--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -120,6 +120,7 @@
         self.configuration.set_owner_query(self.peers.request_configuration)
         self.ownership = Ownership(reactor, clock, self.store, member, random)
         self.ownership.set_callbacks(self._begin_term, self._end_term)
+        self.ownership.set_hand_over_preparation(self._finish_starts)
         self.peers.set_ownership(self.ownership)
         PeerRequestHandlers(
             reactor,
@@ -195,6 +196,10 @@
             self._owner = None
         self.peers.end_term()
 
+    async def _finish_starts(self) -> None:
+        if self._owner is not None:
+            await self._owner.finish_starts()
+
     def _configure(self, configuration: SiteConfiguration) -> None:
         if self._owner is not None:
             self._owner.configure(configuration)
--- a/src/jujubehall/services/fleet/ownership.py
+++ b/src/jujubehall/services/fleet/ownership.py
@@ -34,6 +34,7 @@
 from jujubehall.services.fleet.records import decode_record
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from random import Random
 
@@ -89,6 +90,10 @@
 log = structlog.get_logger()
 
 
+async def _prepare_nothing() -> None:
+    pass
+
+
 class ElectionPeers(Protocol):
     """The other entry hosts, which are consulted before the owner changes."""
 
@@ -154,6 +159,7 @@
         self.highest_token = FencingToken(0)
         self._on_elected: Callable[[Term], None] = lambda term: None
         self._on_lost: Callable[[str], None] = lambda reason: None
+        self._prepare_hand_over: Callable[[], Awaitable[None]] = _prepare_nothing
 
     @property
     def may_act(self) -> bool:
@@ -189,6 +195,10 @@
         self._on_elected = elected
         self._on_lost = lost
 
+    def set_hand_over_preparation(self, prepare: Callable[[], Awaitable[None]]) -> None:
+        """Sets what to wait for before a planned hand-over of the ownership."""
+        self._prepare_hand_over = prepare
+
     def note_heartbeat(self, token: FencingToken) -> None:
         """Records a heartbeat of another entry host that owns the site with ``token``."""
         if token < self.highest_token:
@@ -239,6 +249,7 @@
     async def stop(self) -> None:
         """Resigns at once, so that another entry host can take over."""
         self._is_stopping = True
+        await self._prepare_hand_over()
         await self._resign("planned stop")
 
     async def _resign(self, reason: str) -> None:
@@ -277,6 +288,7 @@
             self._lease_renewed_ms = requested_ms
             self._must_verify_lease = False
             if await self._should_hand_over():
+                await self._prepare_hand_over()
                 await self._stand_back("a larger entry host can take over")
             else:
                 await sleep(self._reactor, LEASE_RENEWAL_INTERVAL_MS)
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -75,6 +75,12 @@
 
 CLEANUP_INTERVAL_MS = 10_000
 
+MAX_FINISH_STARTS_MS = 500
+"""How long a planned hand-over waits for gangs that are being started. Most take a few milliseconds;
+a successor stops and restarts the others, which takes about as long."""
+
+FINISH_STARTS_CHECK_INTERVAL_MS = 10
+
 log = structlog.get_logger()
 
 
@@ -111,6 +117,7 @@
         self._longest_lease_ms = longest_lease_ms
         self._sessions: dict[WorkerName, WorkerSession] = {}
         self._is_round_scheduled = False
+        self._is_leaving = False
         self._last_round_duration_ms = 0
         self._last_cleanup_ms = 0
         self._elected_ms = clock.now_ms
@@ -186,6 +193,17 @@
         for session in self._sessions.values():
             session.close()
 
+    async def finish_starts(self) -> None:
+        """Starts nothing more, and waits until no gang is started only in part."""
+        self._is_leaving = True
+        deadline_ms = self._clock.now_ms + MAX_FINISH_STARTS_MS
+        while (
+            not self.is_closed
+            and self.fleet_state.has_incomplete_gangs
+            and self._clock.now_ms < deadline_ms
+        ):
+            await sleep(self._reactor, FINISH_STARTS_CHECK_INTERVAL_MS)
+
     async def run(self) -> None:
         """Takes over: loads the stored records, fences the registered workers, then schedules."""
         self._reactor.callLater(to_seconds(MAX_LOAD_MS), self._give_up_loading)
@@ -268,7 +286,7 @@
 
     def _run_round(self) -> None:
         self._is_round_scheduled = False
-        if not self.may_act:
+        if not self.may_act or self._is_leaving:
             return
         began_ms = self._clock.now_ms
         decisions = self.fleet_state.run_scheduling_round(began_ms)
--- a/tests/services/fleet/test_incomplete_gangs.py
+++ b/tests/services/fleet/test_incomplete_gangs.py
@@ -118,3 +118,18 @@
     assert [site.job_state(job).state for job in jobs] == [JobState.SUCCEEDED] * len(jobs)
     assert site.run_recorder.lone_ends == []
     assert site.run_recorder.violations == []
+
+
+@pytest.mark.parametrize("started", [1, 6, 20])
+def test_planned_stop_of_the_owner_does_not_cut_off_the_starts_of_a_gang(started: int) -> None:
+    site = make_site(workers=6)
+    owner = site.owner
+    assert owner is not None
+    owner.workers.commands_per_s = 100.0
+    submit_in_background(site, JOB, other_host(site, owner))
+    assert site.run_until(lambda: count_running(site) >= started, 5.0)
+    run_in_background(owner.site_host.stop())
+    site.run(8.0)
+    assert site.job_state(JOB).state is JobState.SUCCEEDED
+    assert site.owner is not owner
+    assert set(site.run_recorder.start_counts.values()) == {1}
