Take the end of one member of a gang for the whole gang also after a takeover

What callers saw: nothing yet. A successor had adopted one member of a gang; the report of another one's worker listed its end as done. That end was confirmed to the worker and otherwise ignored, as it belonged to no placement. Had the worker of the adopted member then been lost before it reported its own end, the job would have run a second time. Evidence: test_end_of_a_member_that_was_not_adopted_completes_its_gang failed before. Why this works: all members of a gang end as done together, so the end of any member of the run that is placed completes the group. An end of an earlier run still doesn't. A gang that is done is not stopped as incomplete while its other members end.

--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -127,9 +127,9 @@
             self._worker.failure_history.record_success()
             if is_current and placement is not None and placement.progress.is_from_scratch:
                 group.completed_duration_ms = self._now_ms - placement.started_ms
-            if is_current or not group.placements:
+            if is_current or all(each.run == ended.run for each in group.placements.values()):
                 # A run that ended before the worker's leases expired doesn't count once the task
-                # has been started again.
+                # has been started again. The end of one member stands for its whole gang.
                 self._complete(group)
         elif ended.kind is EndKind.FAILED:
             self._count_failure(group, ended)
--- a/tests/core/fleet/test_gang_starts.py
+++ b/tests/core/fleet/test_gang_starts.py
@@ -9,6 +9,8 @@
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.decisions import StopReason
 from jujubehall.core.fleet.gang_starts import STOP_ALLOWANCE_MS
+from jujubehall.core.fleet.reports import EndedTask
+from jujubehall.core.fleet.reports import EndKind
 from jujubehall.core.fleet.reports import RunningTask
 from tests.core.fleet.small_site import EIGHT_GPUS
 from tests.core.fleet.small_site import SmallSite
@@ -109,3 +111,12 @@
     site.submit("gang", step(tasks=TASKS, needs=EIGHT_GPUS, is_gang=True))
     site.run_scheduling_round()
     assert stops(site, after_ms=2 * site.fleet_state.gang_start_timeout_ms) == []
+
+
+def test_end_of_a_member_that_was_not_adopted_completes_its_gang(site: SmallSite) -> None:
+    """The other members end at the same time, but their workers may be lost before they say so."""
+    report_member(site, 1)
+    done = EndedTask(1, gang_of(site).task_id(0), 1, EndKind.DONE)
+    site.report(0, ended=(done,))
+    assert gang_of(site).is_done
+    assert stops(site) == []
