--- a/src/jujubehall/daemon/site_logs.py
+++ b/src/jujubehall/daemon/site_logs.py
@@ -26,8 +26,8 @@
     """Writes lines to a file descriptor without blocking, limited by a token bucket.
 
     Lines over the limit are dropped, routine lines first; their number is logged once lines are
-    written again. If the reader is slow, up to ``MAX_BUFFERED_LINES`` lines are buffered, the oldest being discarded
-    first.
+    written again. If the reader is slow, up to ``MAX_BUFFERED_LINES`` lines are buffered, the oldest
+    being discarded first.
 
     ``clock`` returns a monotonic time in seconds.
     """
