--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -196,9 +196,12 @@
         if not worker.is_reachable:
             self._abandon_start(group, index, placement, "the worker is unreachable")
             return False
+        if not self._owner.may_act:
+            self._abandon_start(group, index, placement, "this host may not act as the owner")
+            return False
         session = self._owner.session(worker)
         until_ms = session.lease_until_ms() if session is not None else None
-        if until_ms is None or not self._owner.may_act:
+        if until_ms is None:
             self._abandon_start(group, index, placement, "the worker's clock offset is not known")
             return False
         assert session is not None
