Forget where an earlier run may be once a group is started again

What callers saw: nothing known. After two changes of the owner, a group could wait up to 12 s for a worker that had left before its present run, and an incomplete gang was left to its workers' limit. Cause: the stored placement of a run kept the workers of all runs since the last change of the owner, and a successor waits for each of them. Evidence: test_gone_worker_of_an_earlier_run_does_not_hold_up_the_next_owner failed before. Why this works: a group is started only when each of these workers has reported, so that it refuses the former owner, or when the former owner's leases on it have ended.

--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -190,8 +190,12 @@
         return SchedulingRound(self, now_ms).run()
 
     def record_start(self, group: TaskGroup, workers: dict[int, FleetWorker], now_ms: int) -> None:
-        """Records that the group's tasks are being started under a new run number."""
+        """Records that the group's tasks are being started under a new run number.
+
+        No earlier run of it may be active any longer.
+        """
         group.run += 1
+        group.stored_workers = ()
         for index, worker in workers.items():
             placement = Placement(worker, group.run, now_ms, not group.checkpoint)
             group.add_placement(index, placement)
--- a/tests/core/fleet/test_gang_starts.py
+++ b/tests/core/fleet/test_gang_starts.py
@@ -120,3 +120,17 @@
     site.report(0, ended=(done,))
     assert gang_of(site).is_done
     assert stops(site) == []
+
+
+def test_gone_worker_of_an_earlier_run_does_not_hold_up_the_next_owner() -> None:
+    first = SmallSite(workers=1)
+    job = first.submit("gang", step(tasks=2, is_gang=True))
+    first.run_scheduling_round()
+    second = SmallSite(workers=2)
+    second.fleet_state.add_job(job.accepted, job.progress(), second.now_ms, second.now_ms)
+    gone = second.worker(0)
+    gone.has_reported = gone.is_reachable = False
+    gone.previous_leases_end_ms = second.now_ms + LEASES_END_MS
+    assert second.run_scheduling_round() == []
+    assert second.run_scheduling_round(after_ms=LEASES_END_MS)
+    assert gang_of(second).progress().workers == (second.worker(1).name,)
