--- a/src/jujubehall/core/fleet/gang_starts.py
+++ b/src/jujubehall/core/fleet/gang_starts.py
@@ -23,16 +23,12 @@
 def incomplete_gangs(fleet_state: FleetState, now_ms: int) -> Iterator[TaskGroup]:
     """Yields the gangs to stop, and forgets those of which all members have started."""
     for group in sorted(fleet_state.starting_gangs, key=lambda each: (each.job.id, each.key)):
-        if _is_settled(group):
+        if not group.is_starting:
             fleet_state.starting_gangs.discard(group)
         elif not _may_become_complete(group, fleet_state, now_ms):
             yield group
 
 
-def _is_settled(group: TaskGroup) -> bool:
-    return not group.placements or group.is_done or group.is_stopping or group.is_complete
-
-
 def _may_become_complete(group: TaskGroup, fleet_state: FleetState, now_ms: int) -> bool:
     """Returns whether the members that have not started may still start in time.
 
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -147,6 +147,11 @@
             each.running_since_ms is not None for each in self.placements.values()
         )
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether it has placements and not all of its tasks are known to have started yet."""
+        return bool(self.placements) and not (self.is_done or self.is_stopping or self.is_complete)
+
     @property
     def first_running_ms(self) -> int | None:
         """When the first of its tasks was known to have started; None if none has."""
--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -56,10 +56,7 @@
     @property
     def has_incomplete_gangs(self) -> bool:
         """Whether a gang is being started and not all of its members are known to have started."""
-        return any(
-            group.placements and not group.is_stopping and not group.is_complete
-            for group in self.starting_gangs
-        )
+        return any(group.is_starting for group in self.starting_gangs)
 
     def apply_configuration(self, configuration: SiteConfiguration) -> None:
         """Applies a newer configuration.
