Measure the latency of commands without the scheduling rounds of this host

What callers saw: on an owner whose rounds take 0.25 s or more, starts waited for seconds although neither the host nor its link was busy with them; a gang of eight was still incomplete after 3.6 s and ended alone, before the stop of the changed code reached it. Cause: a round blocks the process, so that answers to the commands in flight are read late. The command window took that for too many commands, halved its limit at each round and stayed at 4: some ten commands a second. Overdue commands held back others to their workers for the same reason. Both tests fail if the time of rounds is not taken off: limit 4 rather than 16, and a held-back command. Why this works: the time for which rounds blocked the process is not counted as latency. Commands that take long for any other reason count as before.

--- a/src/jujubehall/core/fleet/command_window.py
+++ b/src/jujubehall/core/fleet/command_window.py
@@ -65,11 +65,15 @@
             self._reduced_ms = None
         self._last_sent_ms = now_ms
 
-    def record_answer(self, sent_ms: int, now_ms: int) -> None:
-        """Records an answer, of any kind, to a command that was sent at ``sent_ms``."""
+    def record_answer(self, sent_ms: int, now_ms: int, blocked_ms: int = 0) -> None:
+        """Records an answer, of any kind, to a command that was sent at ``sent_ms``.
+
+        For ``blocked_ms`` of the time since then, this process could not read answers because it
+        was deciding; that says nothing about the number of commands in flight.
+        """
         self._last_answer_ms = now_ms
         self._latest_answered_sent_ms = max(self._latest_answered_sent_ms or sent_ms, sent_ms)
-        latency_ms = now_ms - sent_ms
+        latency_ms = now_ms - sent_ms - blocked_ms
         if latency_ms <= GROWTH_LATENCY_MS:
             growth = 1.0 if self._reduced_ms is None else 1.0 / self._limit
             self._limit = min(MAX_LIMIT, self._limit + growth)
--- a/src/jujubehall/services/fleet/command_slots.py
+++ b/src/jujubehall/services/fleet/command_slots.py
@@ -39,28 +39,44 @@
         self._slots = slots
         self._is_held = True
         self._sent_ms: int | None = None
+        self._blocked_before_ms = 0
         self._overdue_check: Any = None
 
     def note_sent(self) -> None:
         """Records that the command is being sent now."""
         self._sent_ms = self._slots.clock.now_ms
+        self._blocked_before_ms = self._slots.blocked_ms
         self._slots.window.record_send(self._sent_ms)
-        self._overdue_check = self._slots.reactor.callLater(
-            to_seconds(TARGET_LATENCY_MS), self._note_overdue
-        )
+        self._check_overdue_in(TARGET_LATENCY_MS)
 
     def release(self, *, is_answered: bool) -> None:
         """Gives the slot back; ``is_answered`` tells whether the worker has answered."""
         if self._overdue_check is not None and self._overdue_check.active():
             self._overdue_check.cancel()
         if self._sent_ms is not None and is_answered:
-            self._slots.window.record_answer(self._sent_ms, self._slots.clock.now_ms)
+            self._slots.window.record_answer(
+                self._sent_ms, self._slots.clock.now_ms, self._blocked_ms
+            )
         self._slots.forget_overdue(self)
         self._free()
 
+    @property
+    def _blocked_ms(self) -> int:
+        return self._slots.blocked_ms - self._blocked_before_ms
+
+    def _check_overdue_in(self, delay_ms: int) -> None:
+        self._overdue_check = self._slots.reactor.callLater(
+            to_seconds(delay_ms), self._note_overdue
+        )
+
     def _note_overdue(self) -> None:
-        # A silent worker must not hold up commands to the others.
-        if self._sent_ms is not None and self._slots.window.is_worker_silent(self._sent_ms):
+        if self._sent_ms is None:
+            return
+        waited_ms = self._slots.clock.now_ms - self._sent_ms - self._blocked_ms
+        if waited_ms < TARGET_LATENCY_MS:
+            self._check_overdue_in(TARGET_LATENCY_MS - waited_ms)
+        elif self._slots.window.is_worker_silent(self._sent_ms):
+            # A silent worker must not hold up commands to the others.
             self._slots.note_overdue(self)
             self._free()
 
@@ -92,6 +108,9 @@
         self.reactor = reactor
         self.clock = clock
         self.window = CommandWindow()
+        self.blocked_ms = 0
+        """Total time for which this process could not read answers."""
+
         self._held = 0
         self._is_giving_out = False
         self._overdue_slots: set[CommandSlot] = set()
@@ -118,6 +137,10 @@
         self._give_out()
         return command.slot
 
+    def note_blocked(self, duration_ms: int) -> None:
+        """Records that this process has read no answers for ``duration_ms`` up to now."""
+        self.blocked_ms += duration_ms
+
     def note_overdue(self, slot: CommandSlot) -> None:
         """Holds back further commands to the slot's worker until this one ends."""
         self._overdue_slots.add(slot)
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -291,6 +291,7 @@
         began_ms = self._clock.now_ms
         decisions = self.fleet_state.run_scheduling_round(began_ms)
         self._last_round_duration_ms = self._clock.now_ms - began_ms
+        self.worker_commands.note_round(self._last_round_duration_ms)
         starts = [each for each in decisions if isinstance(each, StartGroup)]
         for decision in decisions:
             if isinstance(decision, StopGroup):
--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -69,6 +69,10 @@
         self._stops_in_flight: set[Placement] = set()
         self._slots = CommandSlots(reactor, clock)
 
+    def note_round(self, duration_ms: int) -> None:
+        """Records that a scheduling round has taken ``duration_ms`` up to now."""
+        self._slots.note_blocked(duration_ms)
+
     def log_stop(self, decision: StopGroup) -> None:
         """Logs and counts a decision to stop a group."""
         group = decision.group
--- a/tests/services/fleet/test_command_slots.py
+++ b/tests/services/fleet/test_command_slots.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import Clock as FakeReactor
 
 from jujubehall.clock import reactor_clock
+from jujubehall.core.fleet.command_window import INITIAL_LIMIT
 from jujubehall.identifiers import WorkerName
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.fleet.command_slots import CommandRank
@@ -19,9 +20,14 @@
 
 
 @pytest.fixture
-def slots() -> CommandSlots:
-    """Returns command slots all of which are given out."""
-    reactor: Any = FakeReactor()
+def reactor() -> FakeReactor:
+    """Returns a reactor whose time only advances when a test says so."""
+    return FakeReactor()
+
+
+@pytest.fixture
+def slots(reactor: Any) -> CommandSlots:
+    """Returns command slots none of which is held."""
     return CommandSlots(reactor, reactor_clock(reactor))
 
 
@@ -70,3 +76,26 @@
     for slot in held[:6]:
         slot.release(is_answered=False)
     assert order == ["stop", "a", "a", "b", "b", "c"]
+
+
+def test_scheduling_rounds_do_not_reduce_the_commands_in_flight(
+    reactor: FakeReactor, slots: CommandSlots, held: list[CommandSlot]
+) -> None:
+    for slot in held:
+        slot.note_sent()
+    reactor.advance(0.45)
+    slots.note_blocked(400)
+    for slot in held:
+        slot.release(is_answered=True)
+    assert slots.window.limit == 2 * INITIAL_LIMIT
+
+
+def test_command_that_was_answered_during_a_round_does_not_hold_back_others_to_its_worker(
+    reactor: FakeReactor, slots: CommandSlots, held: list[CommandSlot]
+) -> None:
+    waiting = slots.acquire(held[0].worker, CommandRank.STOP)
+    held[0].note_sent()
+    slots.note_blocked(150)
+    reactor.advance(0.25)
+    held[1].release(is_answered=False)
+    assert waiting.called
