--- a/tests/services/fleet/test_incomplete_gangs.py
+++ b/tests/services/fleet/test_incomplete_gangs.py
@@ -49,17 +49,26 @@
     return sum(len(worker.tasks) for worker in site.workers.values())
 
 
+def submit_and_await_starts(
+    site: VirtualFleet, commands_per_s: float, started: int
+) -> tuple[VirtualHost, int]:
+    """Returns the owner, which has started some members, and the number of another host."""
+    owner = site.owner
+    assert owner is not None
+    owner.workers.commands_per_s = commands_per_s
+    host = other_host(site, owner)
+    submit_in_background(site, JOB, host)
+    assert site.run_until(lambda: count_running(site) >= started, 5.0)
+    return owner, host
+
+
 @pytest.mark.parametrize("started", [1, 6, 20])
 @pytest.mark.parametrize("commands_per_s", [40.0, 100.0])
 def test_gang_whose_starts_are_cut_off_by_a_hand_over_is_not_left_waiting(
     started: int, commands_per_s: float
 ) -> None:
     site = make_site(workers=6)
-    owner = site.owner
-    assert owner is not None
-    owner.workers.commands_per_s = commands_per_s
-    submit_in_background(site, JOB, other_host(site, owner))
-    assert site.run_until(lambda: count_running(site) >= started, 5.0)
+    owner, _ = submit_and_await_starts(site, commands_per_s, started)
     run_in_background(owner.site_host.ownership.give_up("injected"))
     site.run(12.0)
     assert site.job_state(JOB).state is JobState.SUCCEEDED
@@ -73,12 +82,7 @@
     started: int, commands_per_s: float
 ) -> None:
     site = make_site(workers=6)
-    owner = site.owner
-    assert owner is not None
-    owner.workers.commands_per_s = commands_per_s
-    host = other_host(site, owner)
-    submit_in_background(site, JOB, host)
-    assert site.run_until(lambda: count_running(site) >= started, 5.0)
+    owner, host = submit_and_await_starts(site, commands_per_s, started)
     site.kill(owner)
     site.run(12.0)
     assert site.job_state(JOB, host=host).state is JobState.SUCCEEDED
@@ -123,11 +127,7 @@
 @pytest.mark.parametrize("started", [1, 6, 20])
 def test_planned_stop_of_the_owner_does_not_cut_off_the_starts_of_a_gang(started: int) -> None:
     site = make_site(workers=6)
-    owner = site.owner
-    assert owner is not None
-    owner.workers.commands_per_s = 100.0
-    submit_in_background(site, JOB, other_host(site, owner))
-    assert site.run_until(lambda: count_running(site) >= started, 5.0)
+    owner, _ = submit_and_await_starts(site, 100.0, started)
     run_in_background(owner.site_host.stop())
     site.run(8.0)
     assert site.job_state(JOB).state is JobState.SUCCEEDED
