Log and count the runs that are lost with a worker

Callers see jobs that start again when a worker has crashed. The log named the worker and the number of its runs when its leases had expired, and nothing when it came back under its name; so it did not show which task was started just before a crash. The line names the runs, how long each had been at work and how long the worker had been up, and whether its connections were closed.

--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -54,6 +54,9 @@
         self.run = run
         self.phase = Phase.STARTING
         self.started_ms = started_ms
+        self.sent_ms: int | None = None
+        """When the start request was sent, or the run was adopted; None if it wasn't yet."""
+
         self.confirmed_ms: int | None = None
         """When the worker last acknowledged a request for this run or reported the run."""
 
@@ -66,6 +69,8 @@
     def confirm(self, now_ms: int) -> None:
         """Records that the worker has confirmed that it has the run."""
         self.confirmed_ms = now_ms
+        if self.sent_ms is None:
+            self.sent_ms = now_ms
         if self.running_since_ms is None:
             self.running_since_ms = now_ms
         if self.phase is Phase.STARTING:
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -7,6 +7,8 @@
 
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.groups import Placement
+from jujubehall.core.fleet.lost_workers import LossKind
+from jujubehall.core.fleet.lost_workers import lost_worker
 from jujubehall.core.fleet.reports import EndKind
 from jujubehall.core.fleet.reports import TaskId
 from jujubehall.core.fleet.resources import NO_RESOURCES
@@ -15,6 +17,7 @@
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.lost_workers import LostWorker
     from jujubehall.core.fleet.reports import EndedTask
     from jujubehall.core.fleet.reports import RunningTask
     from jujubehall.core.fleet.reports import WorkerReport
@@ -34,10 +37,14 @@
 
 
 class ReconciliationResult(NamedTuple):
-    """The result of a report: orphaned runs to stop, and ends that were not known before."""
+    """The result of a report: orphaned runs to stop, and ends that were not known before.
+
+    ``lost`` is set if the worker has restarted and runs of its previous incarnation are lost.
+    """
 
     orphaned_runs: list[OrphanedRun]
     ends: list[EndedTask]
+    lost: LostWorker | None = None
 
 
 class Reconciliation:
@@ -62,6 +69,7 @@
         self._now_ms = now_ms
         self._orphaned_runs: list[OrphanedRun] = []
         self._ends: list[EndedTask] = []
+        self._lost: LostWorker | None = None
 
     def apply(self) -> ReconciliationResult:
         """Applies ended runs, then active runs, then removes runs that are no longer reported."""
@@ -79,9 +87,12 @@
         self._remove_missing(reported)
         assess_worker(self._worker, self._now_ms)
         self._worker.has_reported = True
-        return ReconciliationResult(self._orphaned_runs, self._ends)
+        return ReconciliationResult(self._orphaned_runs, self._ends, self._lost)
 
     def _remove_runs_of_previous_incarnation(self) -> None:
+        lost = lost_worker(self._worker, LossKind.RESTARTED)
+        if lost.runs:
+            self._lost = lost
         for group, index in list(self._worker.placements):
             placement = group.placements.get(index)
             if placement is None or placement.incarnation == self._report.incarnation:
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -83,6 +83,15 @@
         """Until the worker's first report, runs of an earlier owner may be active on it up to this
         time."""
 
+        self.up_since_ms = 0
+        """When its present incarnation started, on the scheduler's clock."""
+
+        self.last_answer_ms = 0
+        """When it last answered a request."""
+
+        self.disconnected_ms: int | None = None
+        """When its connections were closed or refused; None if it is reachable or only silent."""
+
         self._used: Resources = NO_RESOURCES
         self._free: Resources | None = None
         """Cached until the next change, since a round reads it for each group and worker."""
@@ -124,6 +133,16 @@
         self._is_stalled = is_stalled
         self._assessment_expires_ms = until_ms
 
+    @property
+    def last_alive_ms(self) -> int:
+        """Until when the worker is known to have been alive."""
+        return self.last_answer_ms if self.disconnected_ms is None else self.disconnected_ms
+
+    def note_answer(self, now_ms: int) -> None:
+        """Records that the worker has answered a request."""
+        self.last_answer_ms = now_ms
+        self.disconnected_ms = None
+
     @property
     def is_idle(self) -> bool:
         """Whether the worker has reported and no task is known to run, or may be running, on it."""
--- a/src/jujubehall/errors.py
+++ b/src/jujubehall/errors.py
@@ -37,6 +37,9 @@
     step: str
     peer: str
     detail: str = ""
+    is_connection_lost: bool = False
+    """Whether the peer's system closed or refused the connection, as it does for a process that has
+    died. False if the peer was silent."""
 
     @property
     def may_have_taken_effect(self) -> bool:
--- a/src/jujubehall/http/client.py
+++ b/src/jujubehall/http/client.py
@@ -11,6 +11,9 @@
 from result import Ok
 from result import Result
 from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.error import DNSLookupError
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import Agent
@@ -34,6 +37,7 @@
 CONNECT_TIMEOUT_MS = 1_000
 IDLE_CONNECTION_TIMEOUT_MS = 15_000
 DEFAULT_MAX_IDLE_CONNECTIONS_PER_PEER = 4
+CONNECTION_LOSSES = (ConnectionDone, ConnectionLost, ConnectionRefusedError)
 
 
 class ClientResponse(msgspec.Struct, frozen=True):
@@ -109,9 +113,9 @@
             response.deliverBody(reader)
             return Ok(ClientResponse(response.code, await reader.body))
         except (ConnectError, DNSLookupError, RequestNotSent) as error:
-            return Err(Failure(FailureKind.NOT_SENT, step, peer, _describe(error)))
+            return Err(_to_failure(FailureKind.NOT_SENT, step, peer, error))
         except Exception as error:
-            return Err(Failure(FailureKind.NO_ANSWER, step, peer, _describe(error)))
+            return Err(_to_failure(FailureKind.NO_ANSWER, step, peer, error))
 
     def close(self) -> Deferred[Any]:
         """Closes the idle connections of the pool."""
@@ -119,6 +123,13 @@
         return closed
 
 
+def _to_failure(kind: FailureKind, step: str, peer: str, error: Exception) -> Failure:
+    # Twisted wraps the errors of a connection that ends during a request.
+    reasons = [error, *(each.value for each in getattr(error, "reasons", None) or ())]
+    is_connection_lost = any(isinstance(each, CONNECTION_LOSSES) for each in reasons)
+    return Failure(kind, step, peer, _describe(error), is_connection_lost)
+
+
 def _describe(error: Exception) -> str:
     text = str(error)
     return f"{type(error).__name__}: {text}" if text else type(error).__name__
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -43,6 +43,9 @@
 SUBMISSIONS = _counter("submissions_total", "Calls to submit a job, by outcome.")
 RUN_STARTS = _counter("run_starts_total", "Starts of runs at workers, by result.")
 RUN_ENDS = _counter("run_ends_total", "Runs that ended, by how.")
+RUNS_LOST = _counter(
+    "runs_lost_total", "Runs lost with a worker that restarted or was silent for too long, by how."
+)
 GROUP_STOPS = _counter("group_stops_total", "Groups stopped by a decision, by reason.")
 OWNER_CHANGES = _counter("owner_changes_total", "Terms of ownership begun or ended here.")
 
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -12,7 +12,10 @@
 from jujubehall.core.fleet.decisions import ReserveCapacity
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
+from jujubehall.core.fleet.lost_workers import LossKind
+from jujubehall.core.fleet.lost_workers import lost_worker
 from jujubehall.core.fleet.state import FleetState
+from jujubehall.metrics import RUNS_LOST
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import run_loop
 from jujubehall.services.async_utils import sleep
@@ -33,6 +36,7 @@
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.configuration import SiteConfiguration
     from jujubehall.core.fleet.jobs import JobProgress
+    from jujubehall.core.fleet.lost_workers import LostWorker
     from jujubehall.core.fleet.requests import AcceptedJob
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.core.fleet.workers import ListedWorker
@@ -272,12 +276,33 @@
         if not self.is_closed:
             self._ownership.abandon_term("a later owner was reported")
 
+    def elapsed_since(self, unix_ms: int) -> int:
+        """Returns how long ago a time of day was; 0 if it is in the future."""
+        return max(0, self._wall_clock.now_ms - unix_ms)
+
+    def note_lost_worker(self, lost: LostWorker) -> None:
+        """Logs and counts the runs that were lost with a worker."""
+        RUNS_LOST.add({"how": lost.kind.value}, len(lost.runs))
+        log.warning(
+            "runs lost with worker",
+            worker=lost.worker.name,
+            how=lost.kind.value,
+            disconnected=lost.is_disconnected,
+            up_ms=lost.up_ms,
+            runs=[
+                [each.group.job.id, str(each.group.task_id(each.position)[1:]), each.placement.run]
+                for each in lost.runs
+            ],
+            at_work_ms=[each.at_work_ms for each in lost.runs],
+        )
+
     def expire_leases(self, session: WorkerSession) -> None:
         """Considers all runs on an unreachable worker ended once its leases have expired."""
         worker = session.worker
         if not worker.placements or self._clock.now_ms < session.leases_end_ms:
             return
         log.warning("worker leases expired", worker=worker.name, runs=len(worker.placements))
+        self.note_lost_worker(lost_worker(worker, LossKind.LEASES_EXPIRED))
         for group, index in list(worker.placements):
             group.remove_placement(index)
             self.fleet_state.mark_stopping(group)
--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -220,8 +220,11 @@
         )
         sent_ms = self._clock.now_ms
         slot.note_sent()
+        placement.sent_ms = sent_ms
         outcome = await self._owner.workers_api.start(worker.listed, self._owner.token, command)
         is_answered = not (isinstance(outcome, Err) and isinstance(outcome.err_value, Failure))
+        if is_answered:
+            worker.note_answer(self._clock.now_ms)
         if group.placements.get(index) is not placement:
             return is_answered
         if not isinstance(outcome, Err):
--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -28,6 +28,7 @@
     from jujubehall.core.fleet.reports import EndedTask
     from jujubehall.core.fleet.reports import WorkerReport
     from jujubehall.core.fleet.workers import FleetWorker
+    from jujubehall.errors import Failure
     from jujubehall.services.fleet.site_owner import SiteOwner
 
 REPORT_WAIT_MS = 2_000
@@ -159,16 +160,18 @@
         if self._is_closed:
             return
         if isinstance(reported, Err):
-            await self._note_failure(reported.err_value.kind, str(reported.err_value))
+            await self._note_failure(reported.err_value)
             return
         await self._apply_report(reported.ok_value, requested_ms)
 
-    async def _note_failure(self, kind: FailureKind, detail: str) -> None:
+    async def _note_failure(self, failure: Failure) -> None:
         self._consecutive_failures += 1
-        if kind is FailureKind.CONFLICT:
+        if failure.kind is FailureKind.CONFLICT:
             self._owner.yield_to_later_owner()
         if self._worker.is_reachable:
-            log.warning("worker unreachable", worker=self._worker.name, failure=detail)
+            log.warning("worker unreachable", worker=self._worker.name, failure=str(failure))
+        if failure.is_connection_lost and self._worker.disconnected_ms is None:
+            self._worker.disconnected_ms = self._clock.now_ms
         self._worker.is_reachable = False
         # The worker may have restarted since, and a restarted worker numbers its ends from 1 again.
         self._confirmed_ends = 0
@@ -180,7 +183,8 @@
         now_ms = self._clock.now_ms
         self._consecutive_failures = 0
         self._last_report_ms = now_ms
-        if report.incarnation != self._confirmed_incarnation:
+        is_new_incarnation = report.incarnation != self._confirmed_incarnation
+        if is_new_incarnation:
             self._confirmed_incarnation = report.incarnation
             self._confirmed_ends = 0
         self._clock_offset_ms = report.clock_ms - now_ms
@@ -191,6 +195,11 @@
         result = Reconciliation(
             self._owner.fleet_state, self._worker, report, requested_ms, now_ms
         ).apply()
+        self._worker.note_answer(now_ms)
+        if is_new_incarnation:
+            self._worker.up_since_ms = now_ms - self._owner.elapsed_since(report.incarnation)
+        if result.lost is not None:
+            self._owner.note_lost_worker(result.lost)
         if self._worker.is_degraded(now_ms) != was_degraded:
             log.info(
                 "worker health changed",
--- a/tests/services/fleet/test_worker_session.py
+++ b/tests/services/fleet/test_worker_session.py
@@ -149,6 +149,8 @@
         writer=SimpleNamespace(flushed=lambda: sleep(reactor, SLOW_STORE_LATENCY_MS)),
         fleet_state=small_site.fleet_state,
         handle_report=lambda: None,
+        elapsed_since=lambda _unix_ms: 0,
+        note_lost_worker=lambda _lost: None,
     )
     session = WorkerSession(owner, reactor, clock, small_site.worker(0), 6_000)
     run_in_background(session.run())
@@ -179,6 +181,8 @@
             writer=SimpleNamespace(flushed=self._flush),
             fleet_state=small_site.fleet_state,
             handle_report=lambda: None,
+            elapsed_since=lambda _unix_ms: 0,
+            note_lost_worker=lambda _lost: None,
             expire_leases=lambda _session: None,
         )
         session = WorkerSession(owner, self.reactor, self._clock, small_site.worker(0), 6_000)
