--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -31,6 +31,7 @@
     from jujubehall.core.fleet.requests import StepRequest
     from jujubehall.core.fleet.workers import ListedWorker
     from jujubehall.identifiers import FencingToken
+    from jujubehall.identifiers import JobId
     from jujubehall.identifiers import WorkerName
     from jujubehall.platform.site_store import StartCommand
     from jujubehall.testing.virtual.host_reactor import HostReactor
@@ -55,6 +56,17 @@
 
 REPORT_POLL_INTERVAL_MS = 10
 
+CRASH_DELAY_MS = 10
+"""Time from the start of a crashing task to the crash of its worker."""
+
+CRASH_DOWN_MS = 3_000
+"""Time after which a worker that a task has crashed is up again."""
+
+MAX_STARTS_AFTER_CRASHES = 2
+"""How often a task may be started after ``MAX_CRASHES`` workers have crashed under it."""
+
+MAX_CRASHES = 3
+
 
 class _Run:
     """A run of a task; its times are on the worker's clock."""
@@ -113,6 +125,13 @@
         """Number of starts of each task."""
 
         self.violations: list[str] = []
+        self.crashing_jobs: set[JobId] = set()
+        """Jobs whose tasks crash each worker that starts them."""
+
+        self.crashes: list[tuple[TaskId, WorkerName]] = []
+        """The crashes of workers by tasks, in the order of time."""
+
+        self._starts_after_crashes: dict[TaskId, int] = {}
 
     @property
     def has_incomplete_gang(self) -> bool:
@@ -128,10 +147,21 @@
             )
         if task in self._confirmed_done:
             self.violations.append(f"{now_ms} ms: {task} is started after it was confirmed as done")
+        if self.count_crashes(task) >= MAX_CRASHES:
+            starts = self._starts_after_crashes[task] = self._starts_after_crashes.get(task, 0) + 1
+            if starts > MAX_STARTS_AFTER_CRASHES:
+                self.violations.append(
+                    f"{now_ms} ms: {task} is started {starts} times after it has crashed "
+                    f"{MAX_CRASHES} workers"
+                )
         self._last_started_ms[task] = now_ms
         holders.add(worker)
         self.start_counts[task] = self.start_counts.get(task, 0) + 1
 
+    def count_crashes(self, task: TaskId) -> int:
+        """Returns how many workers have crashed under a task that crashes them."""
+        return sum(each == task for each, _ in self.crashes)
+
     def confirm_done(self, task: TaskId, ended_ms: int) -> None:
         """Records that the scheduler has confirmed the end of a successfully completed run.
 
@@ -191,6 +221,11 @@
         self.is_listed = True
         self.is_down = False
         self.fails_all_tasks = False
+        self.is_crashed = False
+        """Whether its process is gone: connections to it are closed and refused."""
+
+        self._crashes_at_s: float | None = None
+        self._restarts_at_s = 0.0
         self.slowness = 1.0
         """Factor by which the remaining duration of a task is multiplied at its start."""
 
@@ -213,19 +248,24 @@
 
         All runs, fencing tokens and unconfirmed ends are lost.
         """
+        self._lose_everything()
+        self._started_s = self._time.seconds()
+        fields = {name: getattr(self.listed, name) for name in self.listed.__struct_fields__}
+        incarnation = max(self.listed.incarnation + 1, self._site_time_ms)
+        self.listed = type(self.listed)(**fields | {"incarnation": incarnation})
+
+    def _lose_everything(self) -> None:
         for run in list(self._runs.values()):
             self._recorder.end(run.task, self.listed.name)
             if run.step.is_gang:
                 self._gang_run(run).remove(run.task.position, is_done=False)
+        self._crashes_at_s = None
         self._runs.clear()
         self._last_run_numbers.clear()
         self._unconfirmed_ends.clear()
         self._end_count = self._last_end_before_expiry = 0
         self._highest_token = 0
         self._leases_until_ms = 0
-        self._started_s = self._time.seconds()
-        fields = {name: getattr(self.listed, name) for name in self.listed.__struct_fields__}
-        self.listed = type(self.listed)(**fields | {"incarnation": self.listed.incarnation + 1})
 
     def start(self, token: int, command: StartCommand) -> Result[None, StartRefusal | Failure]:
         """Starts a run and extends the leases; a repeated command for the same run has no effect.
@@ -255,6 +295,8 @@
         self._recorder.start(command.task, self.listed.name, self._site_time_ms)
         if step.is_gang:
             self._gang_run(run).add(run.task.position, step.tasks)
+        if command.task.job in self._recorder.crashing_jobs and self._crashes_at_s is None:
+            self._crashes_at_s = self._time.seconds() + to_seconds(CRASH_DELAY_MS)
         return Ok(None)
 
     def stop(self, token: int, task: TaskId, number: int) -> Result[None, Failure]:
@@ -324,8 +366,25 @@
         """Whether there are unconfirmed ends."""
         return bool(self._unconfirmed_ends)
 
+    def crash(self, down_ms: int = CRASH_DOWN_MS) -> None:
+        """Ends the worker's process; it restarts under the same name after ``down_ms``."""
+        for run in self._runs.values():
+            if run.task.job in self._recorder.crashing_jobs:
+                self._recorder.crashes.append((run.task, self.listed.name))
+        self._lose_everything()
+        self.is_crashed = True
+        self._restarts_at_s = self._time.seconds() + to_seconds(down_ms)
+
     def advance(self) -> None:
-        """Ends the runs that have completed, failed, been stopped or lost their lease by now."""
+        """Ends the runs that have completed, failed, been stopped or lost their lease by now.
+
+        Crashes and restarts the worker when it is time to.
+        """
+        if self._crashes_at_s is not None and self._time.seconds() >= self._crashes_at_s:
+            self.crash()
+        if self.is_crashed and self._time.seconds() >= self._restarts_at_s:
+            self.is_crashed = False
+            self.restart()
         now_ms = self.now_ms
         if self._runs and now_ms >= self._leases_until_ms:
             for run in list(self._runs.values()):
@@ -397,6 +456,10 @@
             )
 
 
+def _connection_lost(kind: FailureKind, step: str, worker: ListedWorker) -> Err[Failure]:
+    return Err(Failure(kind, step, worker.name, "connection lost", is_connection_lost=True))
+
+
 class VirtualWorkers:
     """Implements ``SiteWorkers`` for one entry host, with injected faults."""
 
@@ -459,7 +522,7 @@
             target = self._workers.get(worker.name)
             if target is not None and incarnation not in (None, target.listed.incarnation):
                 # The worker has crashed, which reset the connection that the call was waiting on.
-                return Err(Failure(FailureKind.NO_ANSWER, "report", worker.name, "reset"))
+                return _connection_lost(FailureKind.NO_ANSWER, "report", worker)
             incarnation = None if target is None else target.listed.incarnation
             reported: Result[WorkerReport, Failure] = await self._call(
                 worker,
@@ -488,6 +551,9 @@
         if target is None or target.is_down or worker.name in self.unreachable_workers:
             await sleep(self._reactor, CALL_TIMEOUT_MS)
             return Err(Failure(FailureKind.NO_ANSWER, step, worker.name, "timed out"))
+        if target.is_crashed:
+            await sleep(self._reactor, CALL_LATENCY_MS)
+            return _connection_lost(FailureKind.NOT_SENT, step, worker)
         if may_be_late and self.commands_per_s is not None:
             delay_s = self._queue_on_link(self.commands_per_s)
             if delay_s > to_seconds(CALL_TIMEOUT_MS):
@@ -501,6 +567,8 @@
             await sleep(self._reactor, CALL_TIMEOUT_MS)
             return Err(Failure(FailureKind.NO_ANSWER, step, worker.name, "timed out"))
         await sleep(self._reactor, CALL_LATENCY_MS)
+        if target.is_crashed:
+            return _connection_lost(FailureKind.NO_ANSWER, step, worker)
         result = action(target)
         if worker.name in self.unreachable_workers or step in self.steps_without_answer:
             await sleep(self._reactor, CALL_TIMEOUT_MS)
