Check a worker's capacity again when a start is sent

Starts are decided in a round and may then wait for seconds behind other commands. The start is given up instead, and its group placed again where it fits.

Tests: capacity that shrinks while starts wait (failed before for gangs), that grows back, and changes at random beside killed owners, preemption and slow links.

--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -204,6 +204,11 @@
             self._free = self.listed.capacity.minus(taken)
         return self._free
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether its runs, with those to be started, need more than its present capacity."""
+        return not (self._used + self._untracked_usage).fits_in(self.listed.capacity)
+
     def free_for(self, group: TaskGroup) -> Resources:
         """Returns the capacity available to ``group``: free capacity and its own reservation."""
         if group not in self._reserved:
--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -203,6 +203,10 @@
         if not self._owner.may_act:
             self._abandon_start(group, index, placement, "this host may not act as the owner")
             return False
+        if worker.is_overcommitted:
+            # The start may have waited for others, and the capacity may have shrunk meanwhile.
+            self._abandon_start(group, index, placement, "the worker has too little capacity now")
+            return False
         session = self._owner.session(worker)
         until_ms = session.lease_until_ms() if session is not None else None
         if until_ms is None:
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -67,6 +67,9 @@
 
 MAX_CRASHES = 3
 
+CAPACITY_NOTICE_MS = 4_500
+"""Time after which starts must respect a capacity that has shrunk."""
+
 
 class _Run:
     """A run of a task; its times are on the worker's clock."""
@@ -218,6 +221,9 @@
         self.last_started_ms = 0
         """When the worker last started a task, in ms of the site's virtual time."""
 
+        self._earlier_capacities: list[tuple[float, Resources]] = []
+        """Earlier capacities, each with the time in s until which it was in force."""
+
         self.is_listed = True
         self.is_down = False
         self.fails_all_tasks = False
@@ -243,6 +249,15 @@
         """The identifiers of the tasks that are running."""
         return list(self._runs)
 
+    def change_capacity(self, capacity: Resources) -> None:
+        """Changes the capacity, which the list of workers shows at once."""
+        self._earlier_capacities.append((self._time.seconds(), self.listed.capacity))
+        self._change_listing(capacity=capacity)
+
+    def _change_listing(self, **changes: Any) -> None:
+        fields = {name: getattr(self.listed, name) for name in self.listed.__struct_fields__}
+        self.listed = type(self.listed)(**fields | changes)
+
     def restart(self) -> None:
         """Crashes the worker and restarts it under the same name with the next incarnation number.
 
@@ -250,9 +265,7 @@
         """
         self._lose_everything()
         self._started_s = self._time.seconds()
-        fields = {name: getattr(self.listed, name) for name in self.listed.__struct_fields__}
-        incarnation = max(self.listed.incarnation + 1, self._site_time_ms)
-        self.listed = type(self.listed)(**fields | {"incarnation": incarnation})
+        self._change_listing(incarnation=max(self.listed.incarnation + 1, self._site_time_ms))
 
     def _lose_everything(self) -> None:
         for run in list(self._runs.values()):
@@ -450,7 +463,10 @@
         used = Resources()
         for run in self._runs.values():
             used = used + run.step.needs
-        if not (used + step.needs).fits_in(self.listed.capacity):
+        since_s = self._time.seconds() - to_seconds(CAPACITY_NOTICE_MS)
+        capacities = [each for until_s, each in self._earlier_capacities if until_s > since_s]
+        needs = used + step.needs
+        if not any(needs.fits_in(each) for each in (self.listed.capacity, *capacities)):
             self._recorder.violations.append(
                 f"{self.now_ms} ms: {task} exceeds the capacity of its worker"
             )
