Log runs that a report removes because of their incarnation

Two runs of one task on one worker, 25 ms apart, can come from an incarnation that the owner took from the list of workers, from a report that is older than the start, or from a start that was given up. The log did not tell the first from the second: it named no run that a report removes. The line shows the incarnation of the run beside those that the worker reports and lists.

--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -36,15 +36,25 @@
     reason: str
 
 
+class SupersededRun(NamedTuple):
+    """A run that was removed because it was started on an earlier incarnation of its worker."""
+
+    task: TaskId
+    run: int
+    incarnation: int
+
+
 class ReconciliationResult(NamedTuple):
     """The result of a report: orphaned runs to stop, and ends that were not known before.
 
     ``lost`` is set if the worker has restarted and runs of its previous incarnation are lost.
+    ``superseded`` are the runs that were removed because of their incarnation.
     """
 
     orphaned_runs: list[OrphanedRun]
     ends: list[EndedTask]
     lost: LostWorker | None = None
+    superseded: tuple[SupersededRun, ...] = ()
 
 
 class Reconciliation:
@@ -70,6 +80,7 @@
         self._orphaned_runs: list[OrphanedRun] = []
         self._ends: list[EndedTask] = []
         self._lost: LostWorker | None = None
+        self._superseded: list[SupersededRun] = []
 
     def apply(self) -> ReconciliationResult:
         """Applies ended runs, then active runs, then removes runs that are no longer reported."""
@@ -88,7 +99,9 @@
         self._remove_missing(reported)
         assess_worker(self._worker, self._now_ms)
         self._worker.has_reported = True
-        return ReconciliationResult(self._orphaned_runs, self._ends, self._lost)
+        return ReconciliationResult(
+            self._orphaned_runs, self._ends, self._lost, tuple(self._superseded)
+        )
 
     def _note_incarnation(self) -> None:
         worker = self._worker
@@ -122,6 +135,9 @@
                 self._fleet_state.mark_stopping(group)
                 self._fleet_state.groups_to_stop.add(group)
             else:
+                self._superseded.append(
+                    SupersededRun(group.task_id(index), placement.run, placement.incarnation)
+                )
                 self._remove_placement(group, index)
                 # The other members end by themselves only if the gang was complete.
                 self._fleet_state.mark_stopping(group)
--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -211,6 +211,17 @@
                 standing=self._worker.is_stalled(now_ms),
                 running=len(report.running),
             )
+        for superseded in result.superseded:
+            log.warning(
+                "run of an earlier incarnation removed",
+                job=superseded.task.job,
+                task=str(superseded.task[1:]),
+                run=superseded.run,
+                worker=self._worker.name,
+                run_incarnation=superseded.incarnation,
+                reported_incarnation=report.incarnation,
+                listed_incarnation=self._worker.listed.incarnation,
+            )
         for orphaned_run in result.orphaned_runs:
             run_in_background(
                 self._owner.worker_commands.stop_orphaned_run(self._worker, orphaned_run)
