--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -103,7 +103,11 @@
         """Returns the workers that are listed in the store now."""
         found = await self._store.get(CONFIGURATION_KEY)
         return found.map(
-            lambda _: [worker.listed for worker in self._site.workers.values() if worker.is_listed]
+            lambda _: [
+                worker.listing(self._site.listing_delay_s)
+                for worker in self._site.workers.values()
+                if worker.is_listed
+            ]
         )
 
     def _read(self, value: bytes, revision: Revision) -> StoredConfiguration:
@@ -184,6 +188,9 @@
         self.workers: dict[WorkerName, VirtualWorker] = {}
         for worker in listed:
             self.add_worker(worker)
+        self.listing_delay_s = 0.0
+        """How long the list of workers takes to show a change of a worker."""
+
         self.cloud = VirtualCloud(self.time, self.workers)
         self.configure(configuration)
         self._incarnation_count = 0
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -221,8 +221,8 @@
         self.last_started_ms = 0
         """When the worker last started a task, in ms of the site's virtual time."""
 
-        self._earlier_capacities: list[tuple[float, Resources]] = []
-        """Earlier capacities, each with the time in s until which it was in force."""
+        self._earlier_listings: list[tuple[float, ListedWorker]] = []
+        """Earlier entries, each with the time in s until which it was in force."""
 
         self.is_listed = True
         self.is_down = False
@@ -251,10 +251,18 @@
 
     def change_capacity(self, capacity: Resources) -> None:
         """Changes the capacity, which the list of workers shows at once."""
-        self._earlier_capacities.append((self._time.seconds(), self.listed.capacity))
         self._change_listing(capacity=capacity)
 
+    def listing(self, delay_s: float) -> ListedWorker:
+        """Returns the entry in the list of workers, which shows changes after ``delay_s``."""
+        since_s = self._time.seconds() - delay_s
+        for until_s, listed in self._earlier_listings:
+            if until_s > since_s:
+                return listed
+        return self.listed
+
     def _change_listing(self, **changes: Any) -> None:
+        self._earlier_listings.append((self._time.seconds(), self.listed))
         fields = {name: getattr(self.listed, name) for name in self.listed.__struct_fields__}
         self.listed = type(self.listed)(**fields | changes)
 
@@ -464,7 +472,9 @@
         for run in self._runs.values():
             used = used + run.step.needs
         since_s = self._time.seconds() - to_seconds(CAPACITY_NOTICE_MS)
-        capacities = [each for until_s, each in self._earlier_capacities if until_s > since_s]
+        capacities = [
+            each.capacity for until_s, each in self._earlier_listings if until_s > since_s
+        ]
         needs = used + step.needs
         if not any(needs.fits_in(each) for each in (self.listed.capacity, *capacities)):
             self._recorder.violations.append(
@@ -494,6 +504,9 @@
 
         """Workers that this entry host can't reach."""
 
+        self.report_delay_ms = 0
+        """How long the response with a report takes; responses to commands may overtake it."""
+
         self.late_command_probability = 0.0
         """Probability (0 to 1) that a command times out and takes effect seconds later."""
 
@@ -586,6 +599,8 @@
         if target.is_crashed:
             return _connection_lost(FailureKind.NO_ANSWER, step, worker)
         result = action(target)
+        if step == "report":
+            await sleep(self._reactor, self.report_delay_ms)
         if worker.name in self.unreachable_workers or step in self.steps_without_answer:
             await sleep(self._reactor, CALL_TIMEOUT_MS)
             return Err(Failure(FailureKind.NO_ANSWER, step, worker.name, "timed out"))
--- a/tests/core/fleet/test_reconciliation.py
+++ b/tests/core/fleet/test_reconciliation.py
@@ -309,3 +309,53 @@
     job = site.submit("late", step())
     assert site.report(0, ended=(ended,)).ends == [ended]
     assert job.state is JobState.SUCCEEDED
+
+
+def test_run_on_a_restarted_worker_that_is_not_listed_yet_is_kept() -> None:
+    site = SmallSite(workers=1)
+    site.report(0)
+    site.report(0, incarnation=2)
+    site.submit("job", step())
+    (group,) = site.start_groups()
+    placement = group.placements[0]
+    placement.confirmed_ms = site.now_ms + 100
+    site.report(0, incarnation=2)
+    assert group.placements == {0: placement}
+    assert placement.phase is not Phase.STOPPING
+
+
+def test_run_started_while_its_worker_restarts_is_kept_until_a_later_report() -> None:
+    site = SmallSite(workers=1)
+    site.report(0)
+    site.submit("job", step())
+    (group,) = site.start_groups()
+    placement = group.placements[0]
+    placement.confirmed_ms = site.now_ms + 100
+    site.report(0, incarnation=2)
+    assert group.placements == {0: placement}
+    site.now_ms += 200
+    site.report(0, incarnation=2)
+    assert group.placements == {}
+
+
+def test_run_that_the_restarted_worker_reports_is_kept() -> None:
+    site = SmallSite(workers=1)
+    site.report(0)
+    site.submit("job", step())
+    (group,) = site.start_groups()
+    placement = group.placements[0]
+    site.report(0, (RunningTask(group.task_id(0), 1),), incarnation=2)
+    assert group.placements == {0: placement}
+
+
+def test_report_of_an_earlier_incarnation_is_ignored() -> None:
+    site = SmallSite(workers=1)
+    site.report(0)
+    site.report(0, incarnation=2)
+    site.submit("job", step())
+    (group,) = site.start_groups()
+    placement = group.placements[0]
+    ended = EndedTask(1, group.task_id(0), 1, EndKind.DONE)
+    site.report(0, (), (ended,), incarnation=1)
+    assert group.placements == {0: placement}
+    assert not group.is_done
--- a/tests/services/fleet/test_owner_failures.py
+++ b/tests/services/fleet/test_owner_failures.py
@@ -227,3 +227,21 @@
     assert group.run == 2
     assert site.run_recorder.violations == []
     assert set(site.run_recorder.start_counts.values()) == {1}
+
+
+@pytest.mark.parametrize("listing_delay_s", [0.0, 0.7, 2.2])
+def test_no_task_runs_twice_on_a_worker_that_restarts_before_it_is_listed_again(
+    site: VirtualFleet, listing_delay_s: float
+) -> None:
+    site.listing_delay_s = listing_delay_s
+    for host in site.hosts:
+        host.workers.report_delay_ms = 30
+    site.run(1.0)
+    for number in range(60):
+        if number % 20 == 10:
+            for worker in site.workers.values():
+                worker.crash(down_ms=300)
+        site.submit(JobId(f"{number:016x}"), JobRequest("spec", (step(expected_ms=1_500),)))
+        site.run(0.05)
+    site.run(20.0)
+    assert site.run_recorder.violations == []
