Take the incarnation of a run from the reports of its worker, not from the list

Callers may see something done twice.

Cause: a run took the incarnation of its worker from the list of workers, which lags the reports by up to a heartbeat and 700 ms. A worker that restarts under its name reports before that. A run started in that time was marked with the earlier incarnation, and the next report that had been requested before the start was answered removed it as a run of an earlier life; the task was started again beside it.

A worker's incarnation is now the one that it reported last. A run that the report lists, or that was confirmed after the report had been requested, is kept until a later report shows that it is gone. Why this works: a session requests one report after the other, so a report that was requested after the confirmation comes from the incarnation that has the run, or from a later one.

--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -56,7 +56,7 @@
         self, worker: FleetWorker, run: int, started_ms: int, is_from_scratch: bool = True
     ) -> None:
         self.worker = worker
-        self.incarnation = worker.listed.incarnation
+        self.incarnation = worker.incarnation
         self.run = run
         self.phase = Phase.STARTING
         self.started_ms = started_ms
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -16,6 +16,8 @@
 from jujubehall.core.fleet.slowness import record_speeds
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.lost_workers import LostWorker
     from jujubehall.core.fleet.reports import EndedTask
@@ -85,8 +87,7 @@
     def apply(self) -> ReconciliationResult:
         """Applies ended runs, then active runs, then removes runs that are no longer reported."""
         self._note_incarnation()
-        if self._report.incarnation != self._worker.listed.incarnation:
-            self._remove_runs_of_previous_incarnation()
+        self._remove_runs_of_previous_incarnation()
         self._apply_new_ends()
         untracked = NO_RESOURCES
         reported = set()
@@ -105,29 +106,44 @@
 
     def _note_incarnation(self) -> None:
         worker = self._worker
-        has_restarted = worker.reported_incarnation not in (0, self._report.incarnation)
-        if has_restarted:
-            listed = {(each.task, each.run) for each in self._report.running}
-            listed.update((each.task, each.run) for each in self._report.ended)
+        if worker.reported_incarnation in (0, self._report.incarnation):
+            for group, crash in worker.presumed_crashes:
+                group.crash_history.withdraw(crash.run, crash.worker)
+                self._fleet_state.unsaved_jobs.add(group.job)
+        else:
             lost = lost_worker(worker, LossKind.RESTARTED)
             if not lost.is_planned and not lost.has_starting_runs:
                 worker.crashed_by_itself_ms = self._now_ms
-            runs = [each for each in lost.runs if (each.task, each.placement.run) not in listed]
+            runs = [
+                each for each in lost.runs if not self._may_be_present(each.task, each.placement)
+            ]
             if runs:
                 self._lost = lost._replace(runs=runs)
-        else:
-            for group, crash in worker.presumed_crashes:
-                group.crash_history.withdraw(crash.run, crash.worker)
-                self._fleet_state.unsaved_jobs.add(group.job)
         worker.presumed_crashes = []
         worker.reported_incarnation = self._report.incarnation
 
+    def _may_be_present(self, task: TaskId, placement: Placement) -> bool:
+        """Returns whether the reported incarnation may have started the run.
+
+        A start that was answered after the report had been requested may be missing from it.
+        """
+        if placement.confirmed_ms is not None and placement.confirmed_ms >= self._requested_ms:
+            return True
+        return any((each.task, each.run) == (task, placement.run) for each in self._reported_runs)
+
+    @property
+    def _reported_runs(self) -> Iterator[RunningTask | EndedTask]:
+        yield from self._report.running
+        yield from self._report.ended
+
     def _remove_runs_of_previous_incarnation(self) -> None:
         for group, index in list(self._worker.placements):
             placement = group.placements.get(index)
             if placement is None or placement.incarnation == self._report.incarnation:
                 continue
-            if placement.confirmed_ms is None:
+            if self._may_be_present(group.task_id(index), placement):
+                placement.incarnation = self._report.incarnation
+            elif placement.confirmed_ms is None:
                 # An unacknowledged start request may still reach the restarted worker, so the run
                 # must be stopped there as well before the task is started elsewhere.
                 placement.incarnation = self._report.incarnation
--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -145,7 +145,8 @@
                 new_or_restarted.append(known)
             elif entry.incarnation > known.listed.incarnation:
                 new_or_restarted.append(known)
-                known.is_reachable = False
+                if entry.incarnation != known.reported_incarnation:
+                    known.is_reachable = False
                 known.departure_ms = None
                 known.update_listing(entry)
             elif entry.incarnation == known.listed.incarnation:
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -128,6 +128,11 @@
         """The worker's identifier."""
         return self.listed.name
 
+    @property
+    def incarnation(self) -> int:
+        """Its present incarnation: the last reported one, since the list of workers lags behind."""
+        return self.reported_incarnation or self.listed.incarnation
+
     def slowness(self, now_ms: int) -> float:
         """Returns how many times longer tasks take here than on other workers."""
         return self._slowness if now_ms < self._assessment_expires_ms else 1.0
