Identify the incarnation of a worker by its reports for tickets and maintenance, too

A ticket for a worker that has restarted was kept under the listed incarnation, so that starts carried one that the worker refuses, or none once the list had caught up. A maintenance order was stored with the listed incarnation, and the machine counted as back as soon as the list caught up, or as a successor had a list that was older than the order; the wave could then take down more machines than its limit. Both tests failed before.

--- a/src/jujubehall/core/fleet/placement.py
+++ b/src/jujubehall/core/fleet/placement.py
@@ -52,7 +52,7 @@
 
 def _has_ticket(group: TaskGroup, worker: FleetWorker, now_ms: int) -> bool:
     tickets = group.job.tickets(group.occurrence, group.step)
-    return tickets.find(worker.name, worker.listed.incarnation, now_ms) is not None
+    return tickets.find(worker.name, worker.incarnation, now_ms) is not None
 
 
 def remaining_task_limit(group: TaskGroup, worker: FleetWorker) -> int:
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -133,6 +133,15 @@
         """Its present incarnation: the last reported one, since the list of workers lags behind."""
         return self.reported_incarnation or self.listed.incarnation
 
+    def has_restarted_since(self, incarnation: int) -> bool:
+        """Returns whether a later incarnation than the given one is known.
+
+        Until the worker reports to this owner, the known incarnation may be an earlier one.
+        """
+        if self.reported_incarnation:
+            return self.reported_incarnation != incarnation
+        return self.listed.incarnation > incarnation
+
     def slowness(self, now_ms: int) -> float:
         """Returns how many times longer tasks take here than on other workers."""
         return self._slowness if now_ms < self._assessment_expires_ms else 1.0
--- a/src/jujubehall/core/maintenance/wave_plan.py
+++ b/src/jujubehall/core/maintenance/wave_plan.py
@@ -120,7 +120,7 @@
         return False
     worker = _worker_on(machine, fleet_state)
     return machine.worker != begun.worker or (
-        worker is not None and worker.listed.incarnation != begun.incarnation
+        worker is not None and worker.has_restarted_since(begun.incarnation)
     )
 
 
--- a/src/jujubehall/services/fleet/advisor.py
+++ b/src/jujubehall/services/fleet/advisor.py
@@ -64,7 +64,7 @@
         request = job.accepted.request.steps[step]
         pool = job.queue.pool if job.queue is not None else None
         return {
-            worker.name: worker.listed.incarnation
+            worker.name: worker.incarnation
             for worker in self._owner.fleet_state.workers.values()
             if worker.is_listed
             and worker.listed.pool == pool
--- a/src/jujubehall/services/fleet/maintenance.py
+++ b/src/jujubehall/services/fleet/maintenance.py
@@ -207,7 +207,7 @@
 
     def _worker_incarnation(self, machine: Machine) -> int:
         worker = self._owner.fleet_state.workers.get(machine.worker) if machine.worker else None
-        return worker.listed.incarnation if worker is not None else 0
+        return worker.incarnation if worker is not None else 0
 
     def _set_vacating_workers(self, wave: Wave, names: set[WorkerName]) -> None:
         self._vacating[wave.number] = names
--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -253,7 +253,7 @@
         if queue is None or not queue.asks_for_advice:
             return ""
         tickets = group.job.tickets(group.occurrence, group.step)
-        return tickets.find(worker.name, worker.listed.incarnation, self._clock.now_ms) or ""
+        return tickets.find(worker.name, worker.incarnation, self._clock.now_ms) or ""
 
     def _handle_refusal(
         self, group: TaskGroup, index: int, placement: Placement, refusal: StartRefusal
--- a/tests/core/fleet/test_tickets.py
+++ b/tests/core/fleet/test_tickets.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import msgspec
+
+from jujubehall.core.fleet.placement import eligible_workers
 from jujubehall.core.fleet.tickets import StepTickets
 from jujubehall.identifiers import WorkerName
+from tests.core.fleet.small_site import SmallSite
+from tests.core.fleet.small_site import step
 
 WORKER_1 = WorkerName("w1")
 WORKER_2 = WorkerName("w2")
@@ -53,3 +58,18 @@
     tickets.remove(WORKER_1)
     assert tickets.find(WORKER_1, 1, 10) is None
     assert tickets.workers_to_query(WORKER_INCARNATIONS, 10) == [WORKER_1]
+
+
+def test_ticket_for_a_restarted_worker_is_used_before_and_after_its_restart_is_listed() -> None:
+    site = SmallSite(workers=1)
+    site.report(0, incarnation=2)
+    job = site.submit("job", step())
+    assert job.queue is not None
+    job.queue = msgspec.structs.replace(job.queue, asks_for_advice=True)
+    worker = site.worker(0)
+    tickets = job.tickets(0, 0)
+    tickets.record_response({worker.name: 2}, {worker.name: "t"}, site.now_ms + 60_000)
+    (group,) = job.all_groups()
+    assert eligible_workers(group, [worker], site.now_ms) == [worker]
+    worker.update_listing(msgspec.structs.replace(worker.listed, incarnation=2))
+    assert eligible_workers(group, [worker], site.now_ms) == [worker]
--- a/tests/core/maintenance/test_wave_plan.py
+++ b/tests/core/maintenance/test_wave_plan.py
@@ -93,6 +93,16 @@
     assert names(plan(site, (confirmed,)).machines_to_begin) == ["m1"]
 
 
+def test_machine_counts_as_down_while_its_worker_is_listed_with_an_earlier_incarnation() -> None:
+    site = SmallSite(workers=2)
+    begun = msgspec.structs.replace(UNCONFIRMED, incarnation=2, is_confirmed=True)
+    assert plan(site, (begun,)).machines_to_begin == []
+    site.report(0, incarnation=2)
+    assert plan(site, (begun,)).machines_to_begin == []
+    site.report(0, incarnation=3)
+    assert names(plan(site, (begun,)).machines_to_begin) == ["m1"]
+
+
 def test_work_without_checkpoints_is_stopped_only_if_the_wave_would_be_late() -> None:
     site = SmallSite(workers=1)
     site.submit("job", step(needs=EIGHT_GPUS), queue=OVERNIGHT)
