Show in the history of a job what was lost with it, and why it was given up

jujubehall job explain left out the line that names the runs lost with a worker, since it belongs to several jobs, and printed the reason for giving up a job as raw fields.

--- a/src/jujubehall/console/job_history.py
+++ b/src/jujubehall/console/job_history.py
@@ -24,6 +24,9 @@
 )
 """Log events of the whole site, which affect every job that is unfinished at that time."""
 
+RUNS_LOST = "runs lost with worker"
+"""A log event that names runs of several jobs."""
+
 _FORMATTERS: dict[str, Callable[[dict[str, Any]], str]] = {}
 
 
@@ -57,7 +60,7 @@
 
 def job_history(events: list[dict[str, Any]], job: str) -> list[HistoryLine]:
     """Returns the events of one job, and the site events between its first and its last."""
-    job_indexes = [index for index, event in enumerate(events) if event.get("job") == job]
+    job_indexes = [index for index, event in enumerate(events) if _concerns(event, job)]
     if not job_indexes:
         return []
     return [
@@ -65,10 +68,16 @@
             str(event["timestamp"]), str(event.get("entry_host", "?")), _format_event(event)
         )
         for event in events[job_indexes[0] : job_indexes[-1] + 1]
-        if event.get("job") == job or event["event"] in SITE_EVENTS
+        if _concerns(event, job) or event["event"] in SITE_EVENTS
     ]
 
 
+def _concerns(event: dict[str, Any], job: str) -> bool:
+    if event["event"] == RUNS_LOST:
+        return any(run[0] == job for run in event.get("runs", ()))
+    return event.get("job") == job
+
+
 def event_formatter(event_name: str) -> Callable[[Callable[[dict[str, Any]], str]], Any]:
     """Registers the decorated function as the formatter of the log event ``event_name``."""
 
@@ -147,3 +156,25 @@
 @event_formatter("job state kept")
 def _format_job_state_stored(event: dict[str, Any]) -> str:
     return f"state {event.get('state')} is stored and visible to callers"
+
+
+@event_formatter(RUNS_LOST)
+def _format_runs_lost(event: dict[str, Any]) -> str:
+    runs = ", ".join(
+        f"{job} {task} run {run} after {at_work_ms} ms"
+        for (job, task, run), at_work_ms in zip(
+            event.get("runs", ()), event.get("at_work_ms", ()), strict=False
+        )
+    )
+    return (
+        f"worker {event.get('worker')} is lost ({event.get('how')}, "
+        f"up for {event.get('up_ms')} ms) with: {runs}"
+    )
+
+
+@event_formatter("job given up")
+def _format_job_given_up(event: dict[str, Any]) -> str:
+    crashes = "; ".join(
+        f"group {group}: {', '.join(runs)}" for group, runs in event.get("crashes", {}).items()
+    )
+    return f"given up, since {event.get('reason')} ({crashes})"
--- a/tests/console/test_job_history.py
+++ b/tests/console/test_job_history.py
@@ -56,6 +56,35 @@
     assert len(texts) == 6
 
 
+def test_history_shows_the_crashes_after_which_a_job_was_given_up() -> None:
+    lost = log_line(
+        7,
+        "b",
+        "runs lost with worker",
+        worker="w1",
+        how="restarted",
+        up_ms=9_000,
+        runs=[["another", "(0, 0, 0)", 1], [JOB, "(0, 0, 0)", 2]],
+        at_work_ms=[4_000, 8],
+    )
+    given_up = log_line(
+        8,
+        "b",
+        "job given up",
+        job=JOB,
+        reason="workers crashed under it",
+        crashes={"0.0.0": ["run 1 w0 shared", "run 2 w1 sole"]},
+    )
+    history = job_history(read_events([*OWNER_LOG_LINES, lost, given_up]), JOB)
+    runs = f"another (0, 0, 0) run 1 after 4000 ms, {JOB} (0, 0, 0) run 2 after 8 ms"
+    crashes = "group 0.0.0: run 1 w0 shared, run 2 w1 sole"
+    assert [entry.text for entry in history[-2:]] == [
+        f"worker w1 is lost (restarted, up for 9000 ms) with: {runs}",
+        f"given up, since workers crashed under it ({crashes})",
+    ]
+    assert job_history(read_events([lost]), "unknown") == []
+
+
 def test_job_without_log_lines_has_no_history() -> None:
     assert job_history(read_events(OWNER_LOG_LINES), "unknown") == []
 
