--- a/src/jujubehall/core/fleet/crash_history.py
+++ b/src/jujubehall/core/fleet/crash_history.py
@@ -65,19 +65,22 @@
     """
 
     def __init__(self, crashes: Iterable[Crash] = ()) -> None:
-        self._crashes = list(crashes)
+        self._update(tuple(crashes))
 
     @property
     def crashes(self) -> tuple[Crash, ...]:
         """The recorded crashes, in the order in which they were recorded."""
-        return tuple(self._crashes)
+        return self._crashes
 
     @property
     def is_suspect(self) -> bool:
         """Whether the group may have caused a crash."""
-        return bool(self._crashes) and any(
-            each.suspicion is not Suspicion.BYSTANDER for each in self._crashes
-        )
+        return self._is_suspect
+
+    @property
+    def worker_names(self) -> frozenset[WorkerName]:
+        """The workers that have crashed."""
+        return self._worker_names
 
     @property
     def is_conclusive(self) -> bool:
@@ -111,11 +114,13 @@
     def record(self, crash: Crash) -> None:
         """Records a crash, unless the same one has been recorded already."""
         if not any((each.run, each.worker) == (crash.run, crash.worker) for each in self._crashes):
-            self._crashes.append(crash)
+            self._update((*self._crashes, crash))
 
     def withdraw(self, run: int, worker: WorkerName) -> None:
         """Forgets a crash, because the worker was only silent."""
-        self._crashes = [each for each in self._crashes if (each.run, each.worker) != (run, worker)]
+        self._update(
+            tuple(each for each in self._crashes if (each.run, each.worker) != (run, worker))
+        )
 
     def note_at_work(self, at_work_ms: int) -> bool:
         """Records for how long a run has been at work; returns whether that changes anything.
@@ -124,11 +129,17 @@
         after a longer time, so that a task that crashes its workers later is bounded as well.
         """
         if at_work_ms >= CLEARED_AFTER_MS and self._crashes:
-            self._crashes = []
+            self._update(())
             return True
         if at_work_ms >= STARTUP_MS and self.is_suspect:
-            self._crashes = [
-                Crash(each.run, each.worker, Suspicion.BYSTANDER) for each in self._crashes
-            ]
+            self._update(
+                tuple(Crash(each.run, each.worker, Suspicion.BYSTANDER) for each in self._crashes)
+            )
             return True
         return False
+
+    def _update(self, crashes: tuple[Crash, ...]) -> None:
+        self._crashes = crashes
+        # Each round reads these for every waiting group.
+        self._is_suspect = any(each.suspicion is not Suspicion.BYSTANDER for each in crashes)
+        self._worker_names = frozenset(each.worker for each in crashes)
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -149,10 +149,8 @@
     @property
     def avoided_workers(self) -> set[WorkerName]:
         """Workers on which it has failed or that have crashed under it."""
-        crashes = self.crash_history.crashes
-        if not crashes:
-            return self.failed_worker_names
-        return self.failed_worker_names | {each.worker for each in crashes}
+        crashed = self.crash_history.worker_names
+        return self.failed_worker_names | crashed if crashed else self.failed_worker_names
 
     @property
     def is_suspect(self) -> bool:
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -165,7 +165,7 @@
 
     def hosts_suspect_start(self, now_ms: int) -> bool:
         """Returns whether a run of a group that may crash the worker is just starting on it."""
-        return any(
+        return bool(self._suspect_placements) and any(
             not self.placements[key].is_past_start(now_ms) for key in self._suspect_placements
         )
 
