--- a/tests/services/fleet/test_crashing_simulation.py
+++ b/tests/services/fleet/test_crashing_simulation.py
@@ -9,9 +9,12 @@
 
 SEED_WITH_CRASHES = 3
 SEEDS_OF_GANGS_WITHOUT_WORKERS = (116, 3_001)
+SEED_OF_AN_INNOCENT_JOB = 424
 
 
-@pytest.mark.parametrize("seed", [3_000, 3_002, *SEEDS_OF_GANGS_WITHOUT_WORKERS])
+@pytest.mark.parametrize(
+    "seed", [3_000, 3_002, *SEEDS_OF_GANGS_WITHOUT_WORKERS, SEED_OF_AN_INNOCENT_JOB]
+)
 def test_only_jobs_that_crash_their_workers_are_given_up(seed: int) -> None:
     assert CrashingTaskSimulation(seed).run() == []
 
