Wait for the connection rather than 0.2 s in the test of malformed responses

Trace: the request is refused while the socket isn't connected yet, and the test gave it 0.2 s; without that wait, one of its two cases failed in the same way at once. It now repeats a request that was not sent, within the same limit of 5 s for the response; what it checks is unchanged.

--- a/tests/entry_hosts/test_malformed_messages.py
+++ b/tests/entry_hosts/test_malformed_messages.py
@@ -21,6 +21,7 @@
 from jujubehall.entry_hosts.messages import PendingKnown
 from jujubehall.entry_hosts.messages import PendingWanted
 from jujubehall.entry_hosts.zmq_mesh import ZmqMesh
+from jujubehall.errors import FailureKind
 from jujubehall.identifiers import EntryHostName
 from jujubehall.identifiers import Incarnation
 from jujubehall.identifiers import QueueName
@@ -31,6 +32,7 @@
 
 NESTING = 100_000
 RESPONSE_TIMEOUT_S = 5.0
+CONNECTION_CHECK_INTERVAL_S = 0.02
 DEEPLY_NESTED = b"\x81\xa1z" + b"\x91" * NESTING + b"\xc0"
 MALFORMED_FRAMES = {
     "no frame": [],
@@ -47,6 +49,17 @@
     return ZmqMesh(reactor, EntryHostName(name), Incarnation(name))
 
 
+async def request_once_connected(mesh: ZmqMesh, peer: Member) -> Any:
+    """Sends a request as soon as the connection is there, and returns its result."""
+    while True:
+        request = mesh.request(peer, PendingWanted(QueueName("normal")), 1_000)
+        loop = asyncio.get_running_loop()
+        result = await Deferred.fromCoroutine(request).asFuture(loop)
+        if isinstance(result, Ok) or result.err_value.kind is not FailureKind.NOT_SENT:
+            return result
+        await asyncio.sleep(CONNECTION_CHECK_INTERVAL_S)
+
+
 @pytest.mark.parametrize("frames", MALFORMED_FRAMES.values(), ids=MALFORMED_FRAMES)
 def test_server_answers_requests_after_a_malformed_one(frames: list[bytes]) -> None:
     async def exchange() -> bytes:
@@ -102,12 +115,8 @@
             await router.send_multipart([identity, msgspec.msgpack.encode(answer)])
 
         serving = asyncio.ensure_future(serve())
-        await asyncio.sleep(0.2)
-        request = mesh.request(peer, PendingWanted(QueueName("normal")), 1_000)
-
-        future = Deferred.fromCoroutine(request).asFuture(asyncio.get_running_loop())
         try:
-            return await asyncio.wait_for(future, RESPONSE_TIMEOUT_S)
+            return await asyncio.wait_for(request_once_connected(mesh, peer), RESPONSE_TIMEOUT_S)
         finally:
             serving.cancel()
             router.close(linger=0)
