--- a/src/jujubehall/core/fleet/lost_workers.py
+++ b/src/jujubehall/core/fleet/lost_workers.py
@@ -79,30 +79,27 @@
         """
         if self.is_planned:
             return []
-        is_silent = self.kind is LossKind.LEASES_EXPIRED and not self.is_disconnected
-        is_own_fault = is_silent or self.worker.crashes_by_itself(self.lost_ms)
-        starting = {
-            each.group
-            for each in self.runs
-            if each.at_work_ms < PROMPT_CRASH_MS and not is_own_fault
-        }
+        starting = self._suspect_groups()
         is_conclusive = len(starting) == 1 and self.up_ms >= ESTABLISHED_MS
+        suspicion = Suspicion.SOLE if is_conclusive else Suspicion.SHARED
         return [
             (
                 each.group,
                 Crash(
                     each.placement.run,
                     self.worker.name,
-                    (
-                        Suspicion.BYSTANDER
-                        if each.group not in starting
-                        else Suspicion.SOLE if is_conclusive else Suspicion.SHARED
-                    ),
+                    suspicion if each.group in starting else Suspicion.BYSTANDER,
                 ),
             )
             for each in self.runs
         ]
 
+    def _suspect_groups(self) -> set[TaskGroup]:
+        is_silent = self.kind is LossKind.LEASES_EXPIRED and not self.is_disconnected
+        if is_silent or self.worker.crashes_by_itself(self.lost_ms):
+            return set()
+        return {each.group for each in self.runs if each.at_work_ms < PROMPT_CRASH_MS}
+
 
 def lost_worker(worker: FleetWorker, kind: LossKind) -> LostWorker:
     """Returns what is lost with a worker. Starts that were not sent are left out.
