--- a/benchmarks/site_load/__main__.py
+++ b/benchmarks/site_load/__main__.py
@@ -18,7 +18,6 @@
 from benchmarks.site_load.baseline import decide_first_fit
 from benchmarks.site_load.figures import day_figures
 from benchmarks.site_load.intervals import mean_with_interval
-from benchmarks.site_load.plots import plot_shares
 from benchmarks.site_load.replay import Replay
 from benchmarks.site_load.shapes import LARGE_SITES
 from benchmarks.site_load.shapes import SITES
@@ -83,6 +82,9 @@
             for path in sorted(options.compare.glob(f"{file_stem}-*.json"))
         }
         print_table(saved_figures)
+        # Plots need the extra "reports".
+        from benchmarks.site_load.plots import plot_shares
+
         plot_shares(
             f"{options.site}, {options.load:g} x load",
             saved_figures,
