--- a/benchmarks/site_load/__main__.py
+++ b/benchmarks/site_load/__main__.py
@@ -3,6 +3,7 @@
 ``python -m benchmarks.site_load --site ogechi --seeds 10 --keep DIR`` prints a table and saves the
 figures of each seed in DIR. To measure an earlier version, run the same command with ``PYTHONPATH``
 set to its ``src`` and ``--version NAME``. ``--compare DIR`` prints and plots all figures in DIR.
+``--admission NAME`` lets a policy refuse jobs; callers return after the time that it names.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 import msgspec
 
+from benchmarks.site_load.admission import ADMISSIONS
 from benchmarks.site_load.baseline import decide_first_fit
 from benchmarks.site_load.figures import day_figures
 from benchmarks.site_load.intervals import mean_with_interval
@@ -24,7 +26,7 @@
 from benchmarks.site_load.shapes import draw_jobs
 from jujubehall.core.fleet.state import FleetState
 
-MAX_PROCESSES = 4
+DEFAULT_PROCESSES = 2
 ALL_SITES = SITES | LARGE_SITES
 FIRST_FIT_VERSION = "first-fit"
 SHIPPED_VERSION = "shipped"
@@ -37,6 +39,7 @@
     load: float
     seed: int
     version: str
+    admission: str | None = None
 
 
 def replay(task: ReplayTask) -> dict[str, float]:
@@ -46,7 +49,12 @@
         decide_first_fit if task.version == FIRST_FIT_VERSION else FleetState.run_scheduling_round
     )
     jobs = draw_jobs(site, task.load, task.seed)
-    return day_figures(Replay(site, jobs, policy, task.seed).replay_day())
+    outcome = Replay(site, jobs, policy, task.seed).replay_day()
+    if task.admission is None:
+        return day_figures(outcome)
+    admission = ADMISSIONS[task.admission]()
+    with_refusals = Replay(site, jobs, policy, task.seed, admission).replay_day()
+    return day_figures(with_refusals, outcome)
 
 
 def print_table(figures: dict[str, list[dict[str, float]]]) -> None:
@@ -70,6 +78,8 @@
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--version", default=SHIPPED_VERSION)
+    parser.add_argument("--admission", choices=sorted(ADMISSIONS))
+    parser.add_argument("--processes", type=int, default=DEFAULT_PROCESSES)
     parser.add_argument("--keep", type=Path)
     parser.add_argument("--compare", type=Path)
     options = parser.parse_args()
@@ -92,8 +102,11 @@
         )
         return
     seeds = range(options.first_seed, options.first_seed + options.seeds)
-    tasks = [ReplayTask(options.site, options.load, seed, options.version) for seed in seeds]
-    with ProcessPoolExecutor(MAX_PROCESSES) as pool:
+    tasks = [
+        ReplayTask(options.site, options.load, seed, options.version, options.admission)
+        for seed in seeds
+    ]
+    with ProcessPoolExecutor(options.processes) as pool:
         figures = list(pool.map(replay, tasks))
     print_table({options.version: figures})
     if options.keep is not None:
--- a/benchmarks/site_load/replay.py
+++ b/benchmarks/site_load/replay.py
@@ -12,7 +12,6 @@
 
 from benchmarks.site_load.shapes import ARRIVAL_PERIOD_MS
 from benchmarks.site_load.shapes import LATE_FACTOR
-from benchmarks.site_load.shapes import SLOW_WORKER_FACTOR
 from benchmarks.site_state import make_fleet_state
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.reconciliation import Reconciliation
@@ -21,11 +20,11 @@
 from jujubehall.core.fleet.reports import RunningTask
 from jujubehall.core.fleet.reports import WorkerReport
 from jujubehall.core.fleet.requests import AcceptedJob
-from jujubehall.identifiers import TeamName
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from benchmarks.site_load.admission import Admission
     from benchmarks.site_load.shapes import DrawnJob
     from benchmarks.site_load.shapes import SiteShape
     from jujubehall.core.fleet.decisions import Decision
@@ -45,17 +44,21 @@
 """Time from a decision to the start of its tasks: a store write and a command to the worker."""
 
 MAX_STOP_MS = 400
-CHECKPOINT_RESTORE_MS = 100
 MULTI_RACK_SLOWDOWN = 3.0
-REPLAY_LIMIT_MS = 180_000
+MAX_RETURNS = 4
+"""How many times a caller whose job was refused submits it again."""
+
+REPLAY_LIMIT_MS = 400_000
 """Virtual time at which the replay stops; jobs that have not ended by then count as not done."""
 
 
 class JobOutcome(NamedTuple):
-    """When a job ended, and the credit that it earns."""
+    """When a job ended or that it was refused, and the credit that it earns."""
 
     job: DrawnJob
     ended_ms: int | None
+    is_refused: bool = False
+    """Whether it was refused each time that its caller submitted it."""
 
     @property
     def credit(self) -> float:
@@ -88,10 +91,11 @@
 class _Run:
     """One run of one task on a simulated worker."""
 
-    def __init__(self, group: TaskGroup, index: int, placement: Placement) -> None:
+    def __init__(self, group: TaskGroup, index: int, placement: Placement, restore_ms: int) -> None:
         self.group = group
         self.index = index
         self.placement = placement
+        self._restore_ms = restore_ms
         self.started_ms = 0
         self.duration_ms = 0.0
         self.restored_share = 0.0
@@ -101,16 +105,29 @@
         if self.duration_ms <= 0:
             return 1.0
         worked_ms = max(
-            0, now_ms - self.started_ms - (CHECKPOINT_RESTORE_MS if self.restored_share else 0)
+            0, now_ms - self.started_ms - (self._restore_ms if self.restored_share else 0)
         )
         return min(1.0, self.restored_share + worked_ms / self.duration_ms)
 
 
 class Replay:
-    """Replays one day under one policy."""
-
-    def __init__(self, site: SiteShape, jobs: list[DrawnJob], policy: Policy, seed: int) -> None:
+    """Replays one day under one policy, optionally with refusals."""
+
+    def __init__(
+        self,
+        site: SiteShape,
+        jobs: list[DrawnJob],
+        policy: Policy,
+        seed: int,
+        admission: Admission | None = None,
+    ) -> None:
         self._policy = policy
+        self._admission = admission
+        self._restore_ms = site.checkpoint_restore_ms
+        self._returning: set[JobId] = set()
+        """Refused jobs whose callers will submit them again."""
+
+        self._refused: set[JobId] = set()
         self._random = Random(f"replay-{seed}")
         self._jobs_by_id = {job.id: job for job in jobs}
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -125,18 +142,23 @@
         self._first_starts_ms: dict[JobId, int] = {}
         queues = tuple(each.queue for each in site.queues)
         self._fleet_state = make_fleet_state(
-            site.workers, site.capacity, queues, site.workers_per_rack
+            site.workers,
+            site.capacity,
+            queues,
+            site.workers_per_rack,
+            site.zones,
+            site.teams(),
         )
-        self._slowdown_by_worker: dict[WorkerName, float] = {}
-        for number, name in enumerate(self._fleet_state.workers):
+        self._slowdown_by_worker = dict(
+            zip(self._fleet_state.workers, site.draw_slowdowns(seed), strict=True)
+        )
+        for name in self._fleet_state.workers:
             self._runs_by_worker[name] = []
-            is_slow = site.slow_workers and number % 3 == 2
-            self._slowdown_by_worker[name] = SLOW_WORKER_FACTOR if is_slow else 1.0
 
     def replay_day(self) -> DayOutcome:
         """Replays until every job has ended, at most until ``REPLAY_LIMIT_MS``."""
         for job in self._jobs_by_id.values():
-            self._schedule(job.submitted_ms, lambda job=job: self._submit(job))  # type: ignore[misc]
+            self._schedule(job.submitted_ms, lambda job=job: self._submit(job, 0))  # type: ignore[misc]
         self._schedule(ROUND_INTERVAL_MS, self._request_rounds_periodically)
         for number, worker in enumerate(self._fleet_state.workers.values()):
             first_ms = number * REPORT_INTERVAL_MS // len(self._runs_by_worker)
@@ -145,7 +167,11 @@
             self._now_ms, _, action = heapq.heappop(self._events)
             action()
         outcomes = [
-            JobOutcome(job, fleet_job.ended_ms if fleet_job is not None else None)
+            JobOutcome(
+                job,
+                fleet_job.ended_ms if fleet_job is not None else None,
+                job.id in self._refused,
+            )
             for job in self._jobs_by_id.values()
             for fleet_job in [self._fleet_state.jobs.get(job.id)]
             if job.cancelled_ms is None
@@ -159,22 +185,35 @@
         )
 
     def _has_ended(self) -> bool:
-        if self._now_ms < ARRIVAL_PERIOD_MS:
+        if self._now_ms < ARRIVAL_PERIOD_MS or self._returning:
             return False
         return all(job.state.is_final for job in self._fleet_state.jobs.values())
 
     def _schedule(self, at_ms: int, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_ms, next(self._event_order), action))
 
-    def _submit(self, job: DrawnJob) -> None:
-        accepted = AcceptedJob(
-            job.id, job.shape.queue.name, TeamName("t"), job.request, self._now_ms
-        )
+    def _submit(self, job: DrawnJob, returns: int) -> None:
+        self._returning.discard(job.id)
+        if job.cancelled_ms is not None and job.cancelled_ms < self._now_ms:
+            return
+        accepted = AcceptedJob(job.id, job.shape.queue.name, job.team, job.request, self._now_ms)
+        if self._admission is not None:
+            retry_after_ms = self._admission.decide(self._fleet_state, accepted, self._now_ms)
+            if retry_after_ms is not None:
+                self._refuse(job, returns, retry_after_ms)
+                return
         self._fleet_state.add_job(accepted, None, self._now_ms, self._now_ms)
         if job.cancelled_ms is not None:
             self._schedule(job.cancelled_ms, lambda: self._cancel(job.id))
         self._request_round()
 
+    def _refuse(self, job: DrawnJob, returns: int, retry_after_ms: int) -> None:
+        if returns >= MAX_RETURNS:
+            self._refused.add(job.id)
+            return
+        self._returning.add(job.id)
+        self._schedule(self._now_ms + retry_after_ms, lambda: self._submit(job, returns + 1))
+
     def _cancel(self, job: JobId) -> None:
         self._fleet_state.cancel(job, self._now_ms)
         self._send_stops()
@@ -220,7 +259,7 @@
         max_remaining_ms = 0.0
         for index, placement in group.placements.items():
             placement.confirmed_ms = self._now_ms
-            task_run = _Run(group, index, placement)
+            task_run = _Run(group, index, placement, self._restore_ms)
             task_run.started_ms = self._now_ms
             worker_slowdown = self._slowdown_by_worker[placement.worker.name]
             task_run.duration_ms = work_by_task_ms[index] * slowdown * worker_slowdown
@@ -228,9 +267,7 @@
             self._runs_by_worker[placement.worker.name].append(task_run)
             max_remaining_ms = max(max_remaining_ms, task_run.duration_ms * (1 - restored_share))
         done_ms = (
-            self._now_ms
-            + round(max_remaining_ms)
-            + (CHECKPOINT_RESTORE_MS if restored_share else 0)
+            self._now_ms + round(max_remaining_ms) + (self._restore_ms if restored_share else 0)
         )
         self._schedule(done_ms, lambda: self._complete(group, run))
 
--- a/benchmarks/site_load/shapes.py
+++ b/benchmarks/site_load/shapes.py
@@ -11,12 +11,15 @@
 
 from benchmarks.site_state import POOL
 from benchmarks.site_state import WORKERS_PER_RACK
+from benchmarks.site_state import ZONE_COUNT
 from jujubehall.core.fleet.configuration import Queue
+from jujubehall.core.fleet.configuration import Team
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.fleet.requests import StepRequest
 from jujubehall.core.fleet.resources import Resources
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import QueueName
+from jujubehall.identifiers import TeamName
 
 GANG_ACCELERATORS = (1, 2, 4, 8, 8)
 ARRIVAL_PERIOD_MS = 34_000
@@ -24,17 +27,25 @@
 TASK_WORK_VARIATION = 0.15
 """The work of a job's tasks differs from their common value by at most this share."""
 
-SLOW_WORKER_FACTOR = 1.3
+TAIL_FACTOR = 7.0
+"""How many times longer the tasks of the jobs in a queue's tail take."""
+
 LATE_FACTOR = 3.0
 """A job is late up to this multiple of its objective; after that it earns no credit."""
 
+ONLY_TEAM = TeamName("t")
+TEAM_COUNT = 10
+GUARANTEED_SHARE = 0.15
+"""Share of the accelerators that the teams are guaranteed together, divided by their size."""
+
 
 class QueueShape(msgspec.Struct, frozen=True):
     """The load on one queue, as the data sheets of the sites describe it.
 
     ``tasks`` and ``work_ms`` are means, and ``work_spread`` is the sigma of the log-normal work.
     ``estimate_error`` is twice the sigma of the log-normal error of the callers' estimates. A job
-    is worth ``full_value`` if it ends in time and ``late_value`` if it is late.
+    is worth ``full_value`` if it ends in time and ``late_value`` if it is late. Without
+    ``max_tasks``, a gang is no larger than a rack, and other steps no larger than 6 times the mean.
     """
 
     queue: Queue
@@ -52,6 +63,10 @@
     checkpoint_share: float = 0.0
     second_step_share: float = 0.0
     cancelled_share: float = 0.0
+    max_tasks: int | None = None
+    max_work_ms: float = MAX_TASK_WORK_MS
+    tail_share: float = 0.0
+    """Share of the steps whose work is ``TAIL_FACTOR`` times as long."""
 
 
 class Burst(NamedTuple):
@@ -63,6 +78,50 @@
     factor: float
 
 
+class BurstShape(NamedTuple):
+    """The range of the burst of the queue with the given priority, as on the sites' busy days."""
+
+    priority: int
+    min_start_ms: int
+    max_start_ms: int
+    duration_ms: int
+    min_factor: float
+    max_factor: float
+
+    def draw(self, queue: QueueName, random: Random) -> Burst:
+        """Draws the start and the factor of one burst."""
+        start_ms = random.randrange(self.min_start_ms, self.max_start_ms)
+        factor = self.min_factor
+        if self.max_factor > factor:
+            factor = random.uniform(factor, self.max_factor)
+        return Burst(queue, start_ms, self.duration_ms, factor)
+
+
+USUAL_BURSTS = (
+    BurstShape(0, 1_000, 10_000, 6_000, 1.9, 1.9),
+    BurstShape(1, 8_000, 20_000, 3_500, 2.6, 2.6),
+)
+LARGE_BURSTS = (*USUAL_BURSTS, BurstShape(2, 1_000, 12_000, 4_000, 2.6, 2.6))
+EARLY_BURSTS = (
+    BurstShape(0, 500, 6_000, 6_000, 2.0, 2.4),
+    BurstShape(2, 2_000, 8_000, 5_000, 2.3, 2.3),
+)
+
+
+class Swing(NamedTuple):
+    """A sine around the usual arrival rate, with an amplitude of ``share`` of it."""
+
+    share: float
+    period_ms: int
+
+    def factor(self, at_ms: float) -> float:
+        """Returns the arrival rate at ``at_ms`` relative to the usual one."""
+        return 1.0 + self.share * math.sin(2 * math.pi * at_ms / self.period_ms)
+
+
+NO_SWING = Swing(0.0, ARRIVAL_PERIOD_MS)
+
+
 class SiteShape(NamedTuple):
     """A site: its workers and the load on its queues."""
 
@@ -70,9 +129,43 @@
     capacity: Resources
     queues: tuple[QueueShape, ...]
     workers_per_rack: int = WORKERS_PER_RACK
-    has_overnight_burst: bool = False
-    slow_workers: bool = False
-    """Whether every third worker takes ``SLOW_WORKER_FACTOR`` times as long."""
+    bursts: tuple[BurstShape, ...] = USUAL_BURSTS
+    zones: int = ZONE_COUNT
+    rated_workers: int = 24
+    """The number of workers to which ``QueueShape.jobs_per_s`` refers."""
+
+    slowdowns: tuple[float, ...] = (1.0,)
+    """How many times longer tasks take on the workers, in turn."""
+
+    shuffles_slowdowns: bool = False
+    swing: Swing = NO_SWING
+    checkpoint_restore_ms: int = 100
+    team_skew: float | None = None
+    """Exponent of the Zipf distribution of the teams' sizes; None for a single team."""
+
+    def teams(self) -> tuple[Team, ...]:
+        """Returns the teams with their guarantees, largest first; empty for a single team."""
+        sizes = self.team_sizes()
+        accelerators = GUARANTEED_SHARE * self.workers * self.capacity.accelerators
+        return tuple(
+            Team(name, guaranteed_accelerators=round(accelerators * size / sum(sizes.values())))
+            for name, size in sizes.items()
+        )
+
+    def team_sizes(self) -> dict[TeamName, float]:
+        """Returns the relative number of jobs of each team; empty for a single team."""
+        if self.team_skew is None:
+            return {}
+        return {
+            TeamName(f"team-{rank}"): rank**-self.team_skew for rank in range(1, TEAM_COUNT + 1)
+        }
+
+    def draw_slowdowns(self, seed: int) -> list[float]:
+        """Returns how many times longer tasks take on each worker."""
+        factors = [self.slowdowns[n % len(self.slowdowns)] for n in range(self.workers)]
+        if self.shuffles_slowdowns:
+            Random(f"slowdowns-{seed}").shuffle(factors)
+        return factors
 
 
 class DrawnJob(NamedTuple):
@@ -86,6 +179,7 @@
     """The run time of each task, by step and task, on a healthy worker with the best placement."""
 
     cancelled_ms: int | None
+    team: TeamName = ONLY_TEAM
 
     @property
     def objective_ms(self) -> float:
@@ -125,6 +219,7 @@
     millicores: int,
     work_ms: float,
     memory_mb: int = 110_000,
+    estimate_error: float = 0.9,
 ) -> QueueShape:
     """Makes the load of a normal queue: large gangs whose run time callers estimate roughly."""
     return QueueShape(
@@ -137,7 +232,7 @@
         GANG_ACCELERATORS,
         work_ms,
         0.3,
-        0.9,
+        estimate_error,
         gang_share=1.0,
         one_rack_share=0.6,
         checkpoint_share=0.45,
@@ -145,7 +240,14 @@
     )
 
 
-def _urgent(name: str, jobs_per_s: float, tasks: float, millicores: int) -> QueueShape:
+def _urgent(
+    name: str,
+    jobs_per_s: float,
+    tasks: float,
+    millicores: int,
+    memory_mb: int = 31_000,
+    work_ms: float = 2_500,
+) -> QueueShape:
     """Makes the load of an urgent queue: short gangs with tight objectives."""
     return QueueShape(
         _queue(name, 0, 1.5, 250, 3),
@@ -153,9 +255,9 @@
         4.0,
         0.8,
         tasks,
-        Resources(millicores, 31_000),
+        Resources(millicores, memory_mb),
         GANG_ACCELERATORS,
-        2_500,
+        work_ms,
         0.5,
         0.2,
         gang_share=1.0,
@@ -164,7 +266,14 @@
 
 
 def _overnight(
-    name: str, jobs_per_s: float, late_value: float, tasks: float, millicores: int
+    name: str,
+    jobs_per_s: float,
+    late_value: float,
+    tasks: float,
+    millicores: int,
+    memory_mb: int = 16_000,
+    work_ms: float = 9_500,
+    estimate_error: float = 0.2,
 ) -> QueueShape:
     """Makes the load of an overnight queue: many independent tasks of one accelerator each."""
     return QueueShape(
@@ -173,17 +282,36 @@
         1.0,
         late_value,
         tasks,
-        Resources(millicores, 16_000),
+        Resources(millicores, memory_mb),
         (1,),
-        9_500,
+        work_ms,
         0.3,
-        0.2,
+        estimate_error,
         checkpoint_share=0.45,
         second_step_share=0.3,
         cancelled_share=0.15,
     )
 
 
+def _with_limits(
+    shape: QueueShape,
+    objective_ms: int,
+    max_tasks: int,
+    max_failures: int | None = None,
+    max_work_ms: float = MAX_TASK_WORK_MS,
+    tail_share: float = 0.0,
+) -> QueueShape:
+    """Returns the load with the objective of the queue and the limits of its jobs replaced."""
+    queue = msgspec.structs.replace(
+        shape.queue,
+        objective_ms=objective_ms,
+        max_failures=max_failures or shape.queue.max_failures,
+    )
+    return msgspec.structs.replace(
+        shape, queue=queue, max_tasks=max_tasks, max_work_ms=max_work_ms, tail_share=tail_share
+    )
+
+
 SITES = {
     "ogechi": SiteShape(
         24,
@@ -216,23 +344,100 @@
             _overnight("stem-split", 0.12, 0.1, 38.0, 5_600),
         ),
         workers_per_rack=12,
-        has_overnight_burst=True,
-        slow_workers=True,
+        bursts=LARGE_BURSTS,
+        slowdowns=(1.0, 1.0, 1.3),
+    ),
+    "brennholt": SiteShape(
+        176,
+        Resources(64_000, 262_144, 8),
+        (
+            _with_limits(
+                _normal("lottery-draw", 0.693, 0.3, 13.0, 26_000, 11_000),
+                objective_ms=1_003,
+                max_failures=3,
+                max_tasks=78,
+            ),
+            _with_limits(
+                _urgent("counter-issue", 4.59, 5.4, 7_500, memory_mb=39_000),
+                objective_ms=253,
+                max_tasks=32,
+                max_work_ms=8_000,
+            ),
+            _with_limits(
+                _overnight(
+                    "quota-recon", 0.679, 0.1, 39.0, 5_600, memory_mb=29_000, estimate_error=0.9
+                ),
+                objective_ms=3_004,
+                max_failures=3,
+                max_tasks=230,
+            ),
+        ),
+        bursts=EARLY_BURSTS,
+        zones=4,
+        rated_workers=176,
+        checkpoint_restore_ms=600,
+        team_skew=1.2,
+    ),
+    "lianhe": SiteShape(
+        175,
+        Resources(32_000, 131_072, 8),
+        (
+            _with_limits(
+                _normal(
+                    "portfolio-reprice",
+                    0.933,
+                    0.9,
+                    13.0,
+                    13_000,
+                    5_800,
+                    memory_mb=53_000,
+                    estimate_error=0.5,
+                ),
+                objective_ms=1_004,
+                max_tasks=78,
+                max_work_ms=61_000,
+                tail_share=0.03,
+            ),
+            _with_limits(
+                _urgent("applicant-score", 2.54, 5.4, 3_700, memory_mb=20_000, work_ms=2_100),
+                objective_ms=253,
+                max_tasks=32,
+                max_work_ms=22_000,
+                tail_share=0.03,
+            ),
+            _with_limits(
+                _overnight(
+                    "repay-check",
+                    0.585,
+                    0.3,
+                    39.0,
+                    2_800,
+                    memory_mb=15_000,
+                    work_ms=8_100,
+                    estimate_error=0.5,
+                ),
+                objective_ms=3_003,
+                max_failures=2,
+                max_tasks=230,
+                max_work_ms=86_000,
+                tail_share=0.03,
+            ),
+        ),
+        bursts=EARLY_BURSTS,
+        rated_workers=175,
+        slowdowns=(0.6, 1.0, 1.6),
+        shuffles_slowdowns=True,
+        swing=Swing(0.55, 13_000),
+        team_skew=0.3,
     ),
 }
-"""Sites that take minutes for one day; no test plays them."""
+"""Sites of which one day takes from half a minute to minutes."""
 
 
 def draw_bursts(site: SiteShape, random: Random) -> list[Burst]:
     """Draws one burst of each queue that has them, as on the busy days of the sites."""
-    normal, urgent, overnight = site.queues
-    bursts = [
-        Burst(urgent.queue.name, random.randrange(1_000, 10_000), 6_000, 1.9),
-        Burst(normal.queue.name, random.randrange(8_000, 20_000), 3_500, 2.6),
-    ]
-    if site.has_overnight_burst:
-        bursts.append(Burst(overnight.queue.name, random.randrange(1_000, 12_000), 4_000, 2.6))
-    return bursts
+    names = {shape.queue.priority: shape.queue.name for shape in site.queues}
+    return [burst.draw(names[burst.priority], random) for burst in site.bursts]
 
 
 def draw_jobs(site: SiteShape, load: float, seed: int) -> list[DrawnJob]:
@@ -241,9 +446,9 @@
     bursts = draw_bursts(site, random)
     jobs = []
     for shape in site.queues:
-        peak_factor = max(burst.factor for burst in bursts)
+        peak_factor = max(burst.factor for burst in bursts) * (1.0 + site.swing.share)
         submitted_ms = 0.0
-        scale = site.workers / 24
+        scale = site.workers / site.rated_workers
         while True:
             submitted_ms += (
                 random.expovariate(shape.jobs_per_s * load * scale * peak_factor) * 1_000
@@ -259,7 +464,7 @@
                 ),
                 default=1.0,
             )
-            if random.random() < factor / peak_factor:
+            if random.random() < factor * site.swing.factor(submitted_ms) / peak_factor:
                 jobs.append(_draw_job(site, shape, int(submitted_ms), random))
     return sorted(jobs, key=lambda job: job.submitted_ms)
 
@@ -267,15 +472,19 @@
 def _draw_job(site: SiteShape, shape: QueueShape, submitted_ms: int, random: Random) -> DrawnJob:
     is_gang = random.random() < shape.gang_share
     needs = shape.needs + Resources(accelerators=random.choice(shape.accelerators))
-    max_tasks = (
-        site.workers_per_rack * needs.count_fitting(site.capacity) if is_gang else 6 * shape.tasks
-    )
-    tasks = max(1, min(int(max_tasks), round(_lognormal(random, shape.tasks, 0.8))))
+    tasks_per_rack = site.workers_per_rack * needs.count_fitting(site.capacity)
+    max_tasks = shape.max_tasks or int(tasks_per_rack if is_gang else 6 * shape.tasks)
+    tasks = max(1, min(max_tasks, round(_lognormal(random, shape.tasks, 0.8))))
+    # A preference for one rack would only slow down a larger gang.
+    may_prefer_one_rack = is_gang and tasks <= tasks_per_rack
     expected_ms = 0
     steps = []
     work_by_step_ms = []
     for number in range(2 if random.random() < shape.second_step_share else 1):
-        work_ms = min(MAX_TASK_WORK_MS, _lognormal(random, shape.work_ms, shape.work_spread))
+        work_ms = _lognormal(random, shape.work_ms, shape.work_spread)
+        if shape.tail_share and random.random() < shape.tail_share:
+            work_ms *= TAIL_FACTOR
+        work_ms = min(shape.max_work_ms, work_ms)
         relative_work = [
             random.uniform(1 - TASK_WORK_VARIATION, 1 + TASK_WORK_VARIATION) for _ in range(tasks)
         ]
@@ -290,7 +499,7 @@
                 expected_ms,
                 after=(number - 1,) if number else (),
                 is_gang=is_gang,
-                prefers_one_rack=is_gang and random.random() < shape.one_rack_share,
+                prefers_one_rack=may_prefer_one_rack and random.random() < shape.one_rack_share,
                 saves_checkpoints=random.random() < shape.checkpoint_share,
             )
         )
@@ -306,6 +515,9 @@
         job = job._replace(
             cancelled_ms=submitted_ms + round(random.random() * job.objective_ms / 2)
         )
+    sizes = site.team_sizes()
+    if sizes:
+        job = job._replace(team=random.choices(list(sizes), list(sizes.values()))[0])
     return job
 
 
--- a/benchmarks/site_state.py
+++ b/benchmarks/site_state.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.configuration import Queue
+    from jujubehall.core.fleet.configuration import Team
     from jujubehall.core.fleet.resources import Resources
 
 POOL = PoolName("pool")
@@ -26,16 +27,18 @@
     capacity: Resources,
     queues: tuple[Queue, ...],
     workers_per_rack: int = WORKERS_PER_RACK,
+    zones: int = ZONE_COUNT,
+    teams: tuple[Team, ...] = (),
 ) -> FleetState:
     """Makes the state of a site whose workers are all reachable, have reported and are idle."""
     fleet_state = FleetState()
-    fleet_state.apply_configuration(SiteConfiguration(1, queues))
+    fleet_state.apply_configuration(SiteConfiguration(1, queues, teams))
     listed = [
         ListedWorker(
             WorkerName(f"w{number:04}"),
             "",
             POOL,
-            ZoneName(f"z{number % ZONE_COUNT}"),
+            ZoneName(f"z{number // workers_per_rack % zones}"),
             RackName(f"r{number // workers_per_rack:03}"),
             frozenset({"a"}),
             capacity,
