Learn the speed of each worker as a number, and place groups by their expected end

Cause: one bit per worker, from completed runs with two peers, told slow from other workers. Where workers take 0.6, 1.0 or 1.6 times as long, gangs of urgent queues ended late on mixed workers, and workers that are always slow next to fast ones counted as degraded.

Change: SpeedLearning estimates the work of each step and the duration factor of each worker together, from progress, ends of tasks and ends of whole gangs. Urgent groups take the fastest workers, other groups the slowest on which they are in time. Slowness is relative to a worker's usual speed. A run counts from its confirmed start, so the replay of benchmarks/site_load confirms starts like workers do.

--- a/benchmarks/site_load/replay.py
+++ b/benchmarks/site_load/replay.py
@@ -219,7 +219,7 @@
         restored_share = float(group.checkpoint or 0)
         max_remaining_ms = 0.0
         for index, placement in group.placements.items():
-            placement.confirmed_ms = self._now_ms
+            placement.confirm(self._now_ms)
             task_run = _Run(group, index, placement)
             task_run.started_ms = self._now_ms
             worker_slowdown = self._slowdown_by_worker[placement.worker.name]
--- a/src/jujubehall/core/fleet/best_fit.py
+++ b/src/jujubehall/core/fleet/best_fit.py
@@ -7,10 +7,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from jujubehall.core.fleet.priorities import MIN_DEFERRABLE_PRIORITY
-
 if TYPE_CHECKING:
-    from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.expected_end import SpeedPreference
     from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import WorkerName
@@ -21,30 +19,22 @@
 
 
 class FitKey(NamedTuple):
-    """Sort key of a worker: fastest workers first, then those with the least free capacity."""
+    """Sort key of a worker: healthy workers of the preferred speed first, then the fullest ones."""
 
     slowness: int
-    is_less_suitable: bool
+    speed_rank: int
     free_accelerators: int
     free_millicores: int
     name: WorkerName
 
 
-def prefers_slow_workers(group: TaskGroup) -> bool:
-    """Returns whether the group leaves typically fast workers to others.
-
-    Overnight work has time, and gangs with tight objectives need workers of which none is slow.
-    """
-    return group.job.priority >= MIN_DEFERRABLE_PRIORITY
-
-
 def fit_key(
-    worker: FleetWorker, free: Resources, now_ms: int, prefers_slow: bool = False
+    worker: FleetWorker, free: Resources, now_ms: int, preference: SpeedPreference
 ) -> FitKey:
     """Returns the sort key of ``worker`` when ``free`` is available on it."""
     return FitKey(
         round(worker.slowness(now_ms) * SLOWNESS_BUCKETS_PER_UNIT),
-        worker.is_typically_slow != prefers_slow,
+        preference.rank(worker),
         free.accelerators,
         free.millicores,
         worker.name,
@@ -65,10 +55,10 @@
         needs: Resources,
         workers: list[FleetWorker],
         now_ms: int,
-        prefers_slow: bool = False,
+        preference: SpeedPreference,
     ) -> None:
         self._needs = needs
-        self._prefers_slow = prefers_slow
+        self._preference = preference
         self._now_ms = now_ms
         self._workers = {worker.name: worker for worker in workers}
         self._heap = [self._key(each) for each in workers if self._fits_on(each)]
@@ -90,7 +80,7 @@
             heapq.heappush(self._heap, self._key(worker))
 
     def _key(self, worker: FleetWorker) -> FitKey:
-        return fit_key(worker, worker.free, self._now_ms, self._prefers_slow)
+        return fit_key(worker, worker.free, self._now_ms, self._preference)
 
     def _fits_on(self, worker: FleetWorker) -> bool:
         return self._needs.fits_in(worker.free)
--- a/src/jujubehall/core/fleet/completion.py
+++ b/src/jujubehall/core/fleet/completion.py
@@ -44,5 +44,6 @@
 def _remaining_ms(placement: Placement, typical_ms: float, now_ms: int) -> float:
     remaining_ms = placement.progress.remaining_ms(now_ms)
     if remaining_ms is None:
-        return typical_ms - (now_ms - placement.started_ms)
+        duration_ms = typical_ms * placement.worker.speed.duration_factor
+        return duration_ms - (now_ms - placement.started_ms)
     return remaining_ms
--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -110,7 +110,8 @@
         self.reserved_until_ms = 0
         self.reserved_workers: dict[int, FleetWorker] = {}
         self.completed_duration_ms: int | None = None
-        """Duration of the successful run, if it was observed from its beginning."""
+        """Duration of the successful run on a worker of usual speed, if it was observed from its
+        beginning."""
 
         self.relocations = 0
         self.failed_worker_names: set[WorkerName] = set()
--- a/src/jujubehall/core/fleet/placement.py
+++ b/src/jujubehall/core/fleet/placement.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from itertools import accumulate
 from typing import TYPE_CHECKING
 
 from jujubehall.core.fleet.best_fit import fit_key
-from jujubehall.core.fleet.best_fit import prefers_slow_workers
+from jujubehall.core.fleet.expected_end import speed_preference
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from jujubehall.core.fleet.best_fit import FitKey
+    from jujubehall.core.fleet.expected_end import SpeedPreference
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import RackName
@@ -76,35 +79,32 @@
     """Chooses a worker with enough free capacity for each task, or returns None if that fails.
 
     Single racks are tried first: the rack that holds the data, then, among the racks that fit the
-    group on workers of which none is typically slow, the one with the fewest free accelerators,
-    which keeps emptier racks available for larger gangs. Only
-    with ``relax_locality`` may tasks span racks or run away from their data.
+    group on workers of the most suitable speed, the one with the fewest free accelerators, which
+    keeps emptier racks available for larger gangs. Only with ``relax_locality`` may tasks span
+    racks or run away from their data.
     """
     request = group.request
+    preference = speed_preference(group, now_ms)
     if len(group.indexes) == 1 and not request.data_rack:
-        return _pack(group, workers, now_ms)
+        return _pack(group, workers, now_ms, preference)
     racks: dict[RackName, list[FleetWorker]] = {}
     for worker in workers:
         racks.setdefault(worker.listed.rack, []).append(worker)
     if request.data_rack:
-        local = _pack(group, racks.get(request.data_rack, []), now_ms)
+        local = _pack(group, racks.get(request.data_rack, []), now_ms, preference)
         if local is not None or not relax_locality:
             return local
     if request.prefers_one_rack:
         candidates = [
-            (_has_slow_worker(chosen), _free_accelerators(rack), name, chosen)
+            (preference.rank_all(chosen.values()), _free_accelerators(rack), name, chosen)
             for name, rack in racks.items()
-            if (chosen := _pack(group, rack, now_ms)) is not None
+            if (chosen := _pack(group, rack, now_ms, preference)) is not None
         ]
         if candidates:
             return min(candidates, key=lambda each: each[:3])[3]
         if not relax_locality:
             return None
-    return _pack(group, workers, now_ms)
-
-
-def _has_slow_worker(chosen: dict[int, FleetWorker]) -> bool:
-    return any(worker.is_typically_slow for worker in chosen.values())
+    return _pack(group, workers, now_ms, preference)
 
 
 def _free_accelerators(rack: list[FleetWorker]) -> int:
@@ -112,20 +112,21 @@
 
 
 def _pack(
-    group: TaskGroup, workers: list[FleetWorker], now_ms: int
+    group: TaskGroup, workers: list[FleetWorker], now_ms: int, preference: SpeedPreference
 ) -> dict[int, FleetWorker] | None:
-    """Packs the tasks onto the fastest workers, preferring those with the least free capacity."""
+    """Packs the tasks onto suitable workers, preferring those with the least free capacity."""
     needs = group.occupied_resources
-    prefers_slow = prefers_slow_workers(group)
     options = []
     for worker in workers:
         free = worker.free_for(group)
         copies = min(needs.count_fitting(free), remaining_task_limit(group, worker))
         if copies > 0:
-            options.append((fit_key(worker, free, now_ms, prefers_slow), copies, worker))
+            options.append((fit_key(worker, free, now_ms, preference), copies, worker))
     if sum(copies for _, copies, _ in options) < len(group.indexes):
         return None
     options.sort(key=lambda option: option[0])
+    if preference.prefers_fast and len(group.indexes) > 1:
+        options = _without_excess_speed(options, len(group.indexes))
     chosen: dict[int, FleetWorker] = {}
     unplaced = list(group.indexes)
     for _, copies, worker in options:
@@ -135,3 +136,21 @@
         if not unplaced:
             return chosen
     return None
+
+
+def _without_excess_speed(
+    options: list[tuple[FitKey, int, FleetWorker]], tasks: int
+) -> list[tuple[FitKey, int, FleetWorker]]:
+    """Returns the options, sorted fastest first, without unnecessary use of the fastest workers.
+
+    A group ends with its slowest worker. If it needs some of a slow class, it takes as many as
+    possible of that class, and leaves the faster ones to others.
+    """
+    placed_by_then = accumulate(copies for _, copies, _ in options)
+    last = next(
+        key for (key, _, _), placed in zip(options, placed_by_then, strict=True) if placed >= tasks
+    )
+    if options[0][0][:2] == last[:2]:
+        return options
+    suitable = [each for each in options if each[0][:2] <= last[:2]]
+    return sorted(suitable, key=lambda each: (each[0].slowness, -each[0].speed_rank, each[0]))
--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -249,8 +249,8 @@
         return sorted(occupants, key=lambda each: (each.loss, each.group.job.id, each.group.key))
 
 
-def _option_key(option: _Option) -> tuple[int, bool, str]:
-    return (option.cost, option.worker.is_typically_slow, option.worker.name)
+def _option_key(option: _Option) -> tuple[int, int, str]:
+    return (option.cost, option.worker.speed.speed_class, option.worker.name)
 
 
 def _max_wait_ms(group: TaskGroup, now_ms: int) -> float:
--- a/src/jujubehall/core/fleet/progress.py
+++ b/src/jujubehall/core/fleet/progress.py
@@ -21,6 +21,9 @@
         # unknown part of its work at its first report.
         self._has_baseline = is_from_scratch
         self.is_from_scratch = is_from_scratch
+        self.baseline: tuple[int, int] | None = None
+        """Percentage and time of the first report of a run that was not seen from its beginning."""
+
         self._percent = 0
         self._last_sample_ms = started_ms
         self._last_advance_ms = started_ms
@@ -67,6 +70,7 @@
         if not self._has_baseline:
             self._has_baseline = True
             self._percent = percent
+            self.baseline = (percent, now_ms)
             self._last_sample_ms = self._last_advance_ms = now_ms
             return
         if percent <= self._percent or percent >= COMPLETE_PERCENT:
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -13,7 +13,6 @@
 from jujubehall.core.fleet.reports import TaskId
 from jujubehall.core.fleet.resources import NO_RESOURCES
 from jujubehall.core.fleet.slowness import assess_worker
-from jujubehall.core.fleet.slowness import record_speeds
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -121,6 +120,7 @@
                 self._lost = lost._replace(runs=runs)
         worker.presumed_crashes = []
         worker.reported_incarnation = self._report.incarnation
+        worker.forget_speed_of_earlier_incarnation()
 
     def _may_be_present(self, task: TaskId, placement: Placement) -> bool:
         """Returns whether the reported incarnation may have started the run.
@@ -186,7 +186,10 @@
         if ended.kind is EndKind.DONE:
             self._worker.failure_history.record_success()
             if is_current and placement is not None and placement.progress.is_from_scratch:
-                group.completed_duration_ms = self._now_ms - placement.started_ms
+                duration_ms = self._now_ms - placement.started_ms
+                group.completed_duration_ms = round(
+                    duration_ms / self._worker.speed.duration_factor
+                )
             if is_current or all(each.run == ended.run for each in group.placements.values()):
                 # A run that ended before the worker's leases expired doesn't count once the task
                 # has been started again. The end of one member stands for its whole gang.
@@ -204,7 +207,7 @@
     def _complete(self, group: TaskGroup) -> None:
         if group.is_done or group.request.runs_until_cancelled:
             return
-        record_speeds(group)
+        self._fleet_state.speeds.observe_end(group, self._now_ms)
         group.is_done = True
         group.checkpoint = ""
         group.release_reservation()
@@ -277,6 +280,7 @@
         placement.confirm(self._now_ms)
         self._note_at_work(group)
         placement.progress.record(running.percent, self._now_ms)
+        self._fleet_state.speeds.observe_progress(group, placement, running.percent, self._now_ms)
 
     def _note_at_work(self, group: TaskGroup) -> None:
         if not group.crash_history.crashes or not group.is_complete:
--- a/src/jujubehall/core/fleet/slowness.py
+++ b/src/jujubehall/core/fleet/slowness.py
@@ -2,7 +2,7 @@
 
 Such a worker may still appear healthy. The progress of its tasks is compared with that of the same
 step's tasks on other workers, with their own earlier speed and, as a last resort, with the caller's
-estimate.
+estimate. Usual differences in speed between the workers are allowed for; see ``worker_speed``.
 """
 
 from __future__ import annotations
@@ -12,7 +12,6 @@
 
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.progress import COMPLETE_PERCENT
-from jujubehall.core.fleet.workers import SLOW_FACTOR
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import Placement
@@ -30,9 +29,6 @@
 ESTIMATE_TOLERANCE = 2.0
 """The caller's estimate may be wrong by this factor before a run counts as slow."""
 
-MIN_PEERS_TO_COMPARE = 2
-"""With a single other task, each of the two could be the slow one."""
-
 ASSESSMENT_VALIDITY_MS = 4_000
 """Validity of an assessment; if no report renews it, it expires and the worker is used again."""
 
@@ -48,7 +44,7 @@
         if not group.request.runs_until_cancelled
         and placement.phase is Phase.RUNNING
         and placement.progress.percent < COMPLETE_PERCENT
-        and not _is_remote(group, placement)
+        and not is_remote(group, placement)
     ]
     if not runs:
         return
@@ -63,45 +59,7 @@
     )
 
 
-def record_speeds(group: TaskGroup) -> None:
-    """Updates the typical slowness of the workers on which the group has just been completed.
-
-    Tasks of one step do similar work. Some workers are slower than others all the time by less
-    than what counts as slow, and a gang takes as long as on the slowest of its workers.
-    """
-    for placement in group.placements.values():
-        duration_ms = (
-            placement.progress.best_duration_ms
-            if group.request.is_gang
-            else group.completed_duration_ms
-        )
-        peer_durations = _durations_elsewhere(group, placement)
-        if (
-            duration_ms is None
-            or len(peer_durations) < MIN_PEERS_TO_COMPARE
-            or _is_remote(group, placement)
-        ):
-            continue
-        ratio = duration_ms / max(1.0, median(peer_durations))
-        placement.worker.record_relative_duration(min(ratio, SLOW_FACTOR))
-
-
-def _durations_elsewhere(group: TaskGroup, placement: Placement) -> list[float]:
-    """Returns durations of similar tasks on other workers: of the gang, or else of the step."""
-    if group.request.is_gang:
-        return [
-            each.progress.best_duration_ms
-            for each in group.placements.values()
-            if each.worker is not placement.worker and each.progress.best_duration_ms is not None
-        ]
-    return [
-        float(each.completed_duration_ms)
-        for each in group.job.groups[group.occurrence, group.step]
-        if each is not group and each.completed_duration_ms is not None
-    ]
-
-
-def _is_remote(group: TaskGroup, placement: Placement) -> bool:
+def is_remote(group: TaskGroup, placement: Placement) -> bool:
     """Returns whether the run is slowed down by its placement and not by its worker."""
     rack = placement.worker.listed.rack
     if group.request.data_rack and rack != group.request.data_rack:
@@ -112,7 +70,7 @@
 
 
 def typical_duration_ms(group: TaskGroup) -> float:
-    """Returns the typical duration of the group's tasks on a healthy worker, as far as known."""
+    """Returns the typical duration of the group's tasks on a usual worker, as far as known."""
     durations = _peer_durations(group, None)
     if durations:
         return median(durations)
@@ -125,24 +83,25 @@
 
 
 def _duration_ratio(group: TaskGroup, placement: Placement) -> float | None:
-    """Returns the ratio of the run's estimated duration to its normal duration."""
-    duration_ms = placement.progress.duration_ms
-    if duration_ms is None:
+    """Returns the ratio of the run's estimated duration to its normal duration on its worker."""
+    if placement.progress.duration_ms is None:
         return None
+    duration_factor = placement.worker.speed.duration_factor
+    duration_ms = placement.progress.duration_ms / duration_factor
     peer_durations = _peer_durations(group, placement.worker)
     if peer_durations:
         return duration_ms / max(1.0, median(peer_durations))
     ratios = [1.0]
     best_ms = placement.progress.best_duration_ms
     if best_ms:
-        ratios.append(duration_ms / best_ms)
+        ratios.append(placement.progress.duration_ms / best_ms)
     if group.request.expected_ms:
         ratios.append(duration_ms / group.request.expected_ms / ESTIMATE_TOLERANCE)
     return max(ratios)
 
 
 def _peer_durations(group: TaskGroup, excluded: FleetWorker | None) -> list[float]:
-    """Returns durations of the step's completed and running tasks.
+    """Returns durations of the step's completed and running tasks, as on usual workers.
 
     Running tasks on the worker ``excluded`` are left out.
     """
@@ -155,5 +114,5 @@
         for placement in each.placements.values():
             best_ms = placement.progress.best_duration_ms
             if placement.worker is not excluded and best_ms is not None:
-                durations.append(best_ms)
+                durations.append(best_ms / placement.worker.speed.duration_factor)
     return durations
--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -14,6 +14,7 @@
 from jujubehall.core.fleet.jobs import JobProgress
 from jujubehall.core.fleet.lost_workers import LossKind
 from jujubehall.core.fleet.scheduling_round import SchedulingRound
+from jujubehall.core.fleet.speed_learning import SpeedLearning
 from jujubehall.core.fleet.workers import FleetWorker
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         """Jobs whose progress has not been written to the store yet."""
 
         self.urgent_demand = UrgentDemand()
+        self.speeds = SpeedLearning()
         self.groups_to_stop: set[TaskGroup] = set()
         """Groups with tasks in phase ``STOPPING`` for which no stop request has been sent yet."""
 
@@ -149,6 +151,7 @@
                     known.is_reachable = False
                 known.departure_ms = None
                 known.update_listing(entry)
+                known.forget_speed_of_earlier_incarnation()
             elif entry.incarnation == known.listed.incarnation:
                 known.update_listing(entry)
             known.is_listed = True
@@ -250,6 +253,7 @@
 
     def run_scheduling_round(self, now_ms: int) -> list[Decision]:
         """Runs one scheduling round and returns its decisions."""
+        self.speeds.update(self.workers.values(), now_ms)
         return SchedulingRound(self, now_ms).run()
 
     def record_start(self, group: TaskGroup, workers: dict[int, FleetWorker], now_ms: int) -> None:
--- a/src/jujubehall/core/fleet/worker_candidates.py
+++ b/src/jujubehall/core/fleet/worker_candidates.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from jujubehall.core.fleet.best_fit import BestFitHeap
-from jujubehall.core.fleet.best_fit import prefers_slow_workers
+from jujubehall.core.fleet.expected_end import ANY_SPEED
+from jujubehall.core.fleet.expected_end import speed_preference
 from jujubehall.core.fleet.placement import eligible_workers
 
 if TYPE_CHECKING:
@@ -69,12 +70,14 @@
         key = _eligibility_key(group)
         if key is None:
             return None
-        prefers_slow = prefers_slow_workers(group)
-        key = (*key, prefers_slow)
+        preference = ANY_SPEED
+        if self._fleet_state.speeds.has_classes:
+            preference = speed_preference(group, self._now_ms)
+        key = (*key, preference)
         if key not in self._best_fits:
             needs = group.occupied_resources
             self._best_fits[key] = BestFitHeap(
-                needs, self._healthy_for_all_groups(group), self._now_ms, prefers_slow
+                needs, self._healthy_for_all_groups(group), self._now_ms, preference
             )
         return self._best_fits[key]
 
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -10,6 +10,7 @@
 from jujubehall.core.fleet.lost_workers import ESTABLISHED_MS
 from jujubehall.core.fleet.resources import NO_RESOURCES
 from jujubehall.core.fleet.resources import Resources
+from jujubehall.core.fleet.worker_speed import WorkerSpeed
 from jujubehall.identifiers import PoolName
 from jujubehall.identifiers import RackName
 from jujubehall.identifiers import WorkerName
@@ -23,15 +24,7 @@
 
 
 SLOW_FACTOR = 2.0
-"""Slowness from which a worker counts as slow; healthy workers differ by up to a third."""
-
-
-SPEED_SAMPLE_WEIGHT = 0.3
-"""Weight of one run in the typical slowness of a worker. Tasks of a step differ by 15 percent, so that
-two or three runs tell a worker that is slower by a third."""
-
-TYPICALLY_SLOW_FACTOR = 1.15
-"""Typical slowness from which a worker counts as one of the slower ones."""
+"""Slowness, beyond its usual speed, from which a worker counts as slow."""
 
 
 SELF_CRASH_MEMORY_MS = 30_000
@@ -118,7 +111,9 @@
         self._free: Resources | None = None
         """Cached until the next change, since a round reads it for each group and worker."""
 
-        self._typical_slowness = 1.0
+        self.speed = WorkerSpeed(listed.incarnation)
+        """The usual speed of its present incarnation, as far as learned."""
+
         self._slowness = 1.0
         self._is_stalled = False
         self._assessment_expires_ms = 0
@@ -173,14 +168,10 @@
         """Returns whether other workers should be preferred because this one is stalled or slow."""
         return self.is_stalled(now_ms) or self.slowness(now_ms) >= SLOW_FACTOR
 
-    @property
-    def is_typically_slow(self) -> bool:
-        """Whether runs usually took longer here than on the other workers."""
-        return self._typical_slowness >= TYPICALLY_SLOW_FACTOR
-
-    def record_relative_duration(self, ratio: float) -> None:
-        """Records the duration of a run here relative to that of its step on other workers."""
-        self._typical_slowness += SPEED_SAMPLE_WEIGHT * (ratio - self._typical_slowness)
+    def forget_speed_of_earlier_incarnation(self) -> None:
+        """Forgets the learned speed if the worker has restarted; it may be another machine."""
+        if self.has_restarted_since(self.speed.incarnation):
+            self.speed = WorkerSpeed(self.incarnation)
 
     def set_health(self, slowness: float, is_stalled: bool, until_ms: int) -> None:
         """Sets the assessed slowness and stall state, which stay valid until ``until_ms``."""
--- a/tests/core/fleet/test_worker_speed.py
+++ b/tests/core/fleet/test_worker_speed.py
@@ -49,9 +49,9 @@
 
 def test_urgent_gang_avoids_the_slow_worker() -> None:
     site = site_with_a_slow_worker()
-    assert [name for name, each in site.fleet_state.workers.items() if each.is_typically_slow] == [
-        SLOW
-    ]
+    assert [
+        name for name, each in site.fleet_state.workers.items() if each.speed.speed_class > 0
+    ] == [SLOW]
     gang = step(tasks=3, needs=EIGHT_GPUS, is_gang=True, prefers_one_rack=True)
     site.submit("urgent", gang, queue=URGENT)
     assert workers_of(site.start_groups()) == {"w0", "w2", "w3"}
