Start nothing in availability zones that the operators have evacuated

Cause: the request is a key in the platform's store that the owner doesn't read.

Change: where the settings contain evacuateMs, the owner lists the keys at the beginning of its term and watches their prefix, two fifths of the deadline at a time. Workers in an evacuated zone accept no work; each start is checked again right before it is sent; nothing is started while the zones have not been confirmed for four fifths of the deadline. A gang that is partly started is completed while the deadline can't have passed. Work that runs in the zone stays. Metrics, log lines, a section for operators, and a randomised simulation of evacuations among faults.

With the limit on the age of the copy taken out, the test of a store that is lost before an evacuation fails.

--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -81,6 +81,8 @@
         """Runs the round and returns the decisions in the order in which to carry them out."""
         self._stop_incomplete_gangs()
         self._evacuate()
+        if self._fleet_state.are_starts_suspended:
+            return self._decisions
         self._relocate()
         waiting = sorted(self._waiting, key=self._order.sort_key)
         self._headroom = self._compute_headroom(waiting)
--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -29,6 +29,7 @@
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import QueueName
     from jujubehall.identifiers import WorkerName
+    from jujubehall.identifiers import ZoneName
 
 DEFAULT_GANG_START_TIMEOUT_MS = 3_000
 """The shortest time that the sites set."""
@@ -57,6 +58,10 @@
         self._groups_of_earlier_owner: set[TaskGroup] = set()
         """Groups that an earlier owner has started and of which a run may have been lost since."""
 
+        self.evacuated_zones: frozenset[ZoneName] = frozenset()
+        self.are_starts_suspended = False
+        """Whether nothing may be started for now, because any zone may have been evacuated."""
+
         self.starting_gangs: set[TaskGroup] = set()
         """Gangs that have placements and of which some members may not have started yet."""
 
@@ -74,6 +79,12 @@
         for job in self.jobs.values():
             job.queue = configuration.queue(job.accepted.queue) or job.queue
 
+    def set_evacuated_zones(self, zones: frozenset[ZoneName]) -> None:
+        """Replaces the availability zones whose workers accept no work."""
+        self.evacuated_zones = zones
+        for worker in self.workers.values():
+            worker.is_zone_evacuated = worker.listed.zone in zones
+
     def add_job(
         self, accepted: AcceptedJob, stored: JobProgress | None, now_ms: int, unix_ms: int
     ) -> FleetJob:
@@ -152,6 +163,7 @@
             elif entry.incarnation == known.listed.incarnation:
                 known.update_listing(entry)
             known.is_listed = True
+            known.is_zone_evacuated = known.listed.zone in self.evacuated_zones
             if entry.leaves_in_ms is not None and known.departure_ms is None:
                 known.departure_ms = now_ms + entry.leaves_in_ms
         for name, worker in self.workers.items():
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -54,7 +54,6 @@
 
     leaves_in_ms: int | None = None
 
-
 class FleetWorker:
     """A worker and all tasks that may be running on it."""
 
@@ -72,6 +71,9 @@
         self.is_awaiting_maintenance = False
         """Whether its machine is to be taken down for maintenance."""
 
+        self.is_zone_evacuated = False
+        """Whether the operators have evacuated its availability zone."""
+
         self.departure_ms: int | None = None
         """The earliest time at which a draining worker leaves, on the scheduler's clock."""
 
@@ -271,6 +273,7 @@
             and self.is_reachable
             and not self.listed.is_draining
             and not self.is_awaiting_maintenance
+            and not self.is_zone_evacuated
             and self.backoff_until_ms <= now_ms
             and self.failure_history.quarantined_until_ms <= now_ms
         )
--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -84,6 +84,12 @@
     None lets an entry host keep serving with the configuration that it knew last.
     """
 
+    evacuation_deadline_ms: int | None = None
+    """Time from an evacuation of a zone until nothing may be started there any more.
+
+    None if the operators of the site don't evacuate zones.
+    """
+
 
 class SiteHost:
     """Entry host that accepts jobs, and schedules the whole site while it is the elected owner."""
@@ -183,6 +189,7 @@
             self._time_limits.gang_start_timeout_ms,
             self._time_limits.ended_job_retention_ms,
             self._maintenance_clients,
+            self._time_limits.evacuation_deadline_ms,
         )
         self._owner = owner
         if self.configuration.current is not None:
--- a/src/jujubehall/daemon/site_metrics.py
+++ b/src/jujubehall/daemon/site_metrics.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from jujubehall.daemon.site_host import SiteHost
+    from jujubehall.identifiers import ZoneName
     from jujubehall.services.fleet.latencies import LatencyHistogram
 
 
@@ -26,6 +27,8 @@
     def __init__(self, host: SiteHost) -> None:
         super().__init__()
         self._host = host
+        self._shown_zones: set[ZoneName] = set()
+        """Zones that have been shown as evacuated."""
 
     def render_GET(self, request: Any) -> bytes:  # noqa: N802
         """Updates the metrics and renders them; called by Twisted."""
@@ -45,6 +48,7 @@
         metrics.OWNS_SITE.set({}, int(host.owner is not None))
         self._set_latencies("submission", host.submission_latencies)
         self._set_latencies("commit", host.store.commit_latencies)
+        self._collect_evacuations()
         owner = host.owner
         if owner is None:
             return
@@ -59,6 +63,18 @@
         for name in owner.WORKER_STATES:
             metrics.WORKERS.set({"state": name}, workers[name])
 
+    def _collect_evacuations(self) -> None:
+        owner = self._host.owner
+        evacuations = owner.zone_evacuations if owner is not None else None
+        statuses = evacuations.statuses() if evacuations is not None else []
+        for zone in self._shown_zones - {each.zone for each in statuses}:
+            metrics.ZONE_EVACUATED.set({"zone": zone}, 0)
+            metrics.ZONE_RUNS.set({"zone": zone}, 0)
+        for status in statuses:
+            self._shown_zones.add(status.zone)
+            metrics.ZONE_EVACUATED.set({"zone": status.zone}, status.evacuated_ms)
+            metrics.ZONE_RUNS.set({"zone": status.zone}, status.runs)
+
     def _set_latencies(self, step: str, latencies: LatencyHistogram) -> None:
         metrics.LATENCY_COUNT.set({"step": step}, latencies.count)
         for percentile, value_ms in latencies.percentiles().items():
--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -199,4 +199,5 @@
             if limits.is_revocation_strict
             else None
         ),
+        limits.evacuation_deadline_ms,
     )
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -49,6 +49,7 @@
 JOBS_GIVEN_UP = _counter("jobs_given_up_total", "Jobs failed by a decision, by reason.")
 GROUP_STOPS = _counter("group_stops_total", "Groups stopped by a decision, by reason.")
 OWNER_CHANGES = _counter("owner_changes_total", "Terms of ownership begun or ended here.")
+ZONE_CHANGES = _counter("zone_changes_total", "Zones evacuated or returned, by change.")
 
 CONFIGURATION_AGE = _gauge(
     "configuration_age_ms", "How long ago the configuration was known to be the latest."
@@ -56,6 +57,10 @@
 OWNER_TOKEN = _gauge("owner_token", "Highest fencing token of an owner heard of here.")
 OWNS_SITE = _gauge("owns_site", "1 if this entry host owns the site.")
 WORKERS = _gauge("workers", "Workers known to the owner, by state.")
+ZONE_EVACUATED = _gauge(
+    "zone_evacuated_ms", "How long a zone has been known to be evacuated; 0 if it isn't."
+)
+ZONE_RUNS = _gauge("zone_runs", "Runs that may still be active in an evacuated zone.")
 LATENCY = _gauge("latency_ms", "Latency of a step in milliseconds, by percentile.")
 LATENCY_COUNT = _gauge("latency_count", "How many latencies of a step have been counted.")
 REQUESTS_IN_PROGRESS = _gauge("requests_in_progress", "Requests being run from here.")
--- a/src/jujubehall/platform/adapter/directory.py
+++ b/src/jujubehall/platform/adapter/directory.py
@@ -27,14 +27,18 @@
 from jujubehall.identifiers import ZoneName
 from jujubehall.platform.adapter import wire
 from jujubehall.platform.site_store import StoredConfiguration
+from jujubehall.platform.site_store import ZoneChange
+from jujubehall.platform.site_store import ZoneChanges
 
 if TYPE_CHECKING:
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteStore
     from jujubehall.platform.site_store import StoredItem
+    from jujubehall.platform.site_store import StoredItems
 
 CONFIGURATION_KEY = "op/config"
 WORKERS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 DRAINING_STATE = "draining"
 WORKER_STATES = frozenset({"ready", DRAINING_STATE})
 
@@ -86,6 +90,20 @@
             ]
         )
 
+    async def list_evacuated_zones(self) -> Result[ZoneChanges, Failure]:
+        """Lists the zones that are evacuated now."""
+        return (await self._store.list_items(EVACUATIONS_PREFIX)).map(_to_zone_changes)
+
+    async def wait_for_zone_changes(
+        self, after: Revision, wait_ms: int
+    ) -> Result[ZoneChanges, Failure]:
+        """Waits for evacuations and returns of zones after revision ``after``.
+
+        Returns no changes if there were none within ``wait_ms``, and fails with ``NOT_FOUND`` if
+        the store no longer has the history since ``after``.
+        """
+        return (await self._store.watch(EVACUATIONS_PREFIX, after, wait_ms)).map(_to_zone_changes)
+
     def _decode_item(self, item: StoredItem) -> Result[StoredConfiguration, Failure]:
         decoded = self.decode_configuration(item.value)
         return decoded.map(
@@ -121,6 +139,17 @@
     return Resources(amounts.cpu, amounts.memory_mb, amounts.accelerators)
 
 
+def _to_zone_changes(stored: StoredItems) -> ZoneChanges:
+    """Reads the zones from the keys; what their values contain doesn't matter."""
+    return ZoneChanges(
+        [
+            ZoneChange(ZoneName(item.key.removeprefix(EVACUATIONS_PREFIX)), not item.is_deleted)
+            for item in stored.items
+        ],
+        stored.revision,
+    )
+
+
 def _to_configuration(document: wire.Configuration) -> SiteConfiguration:
     return SiteConfiguration(
         document.version,
--- a/src/jujubehall/platform/adapter/settings.py
+++ b/src/jujubehall/platform/adapter/settings.py
@@ -48,6 +48,12 @@
     ended_job_retention_s: float = field(name="status_s", default=120.0)
     """How long the state of a job must remain available after the job has ended."""
 
+    evacuation_deadline_ms: int | None = field(name="evacuateMs", default=None)
+    """Time from an evacuation of a zone until nothing may be started there any more.
+
+    None if the operators of the site don't evacuate zones.
+    """
+
     stop_grace_s: float = field(name="graceS", default=6.0)
     """Time between SIGTERM and SIGKILL."""
 
--- a/src/jujubehall/platform/site_store.py
+++ b/src/jujubehall/platform/site_store.py
@@ -22,6 +22,7 @@
     from jujubehall.identifiers import FencingToken
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import WorkerName
+    from jujubehall.identifiers import ZoneName
 
 Revision = NewType("Revision", int)
 """The store's change counter; as the revision of a key, 0 means that the key is absent."""
@@ -123,8 +124,22 @@
     revision: Revision
 
 
+class ZoneChange(NamedTuple):
+    """The evacuation of a zone by the operators, or its return."""
+
+    zone: ZoneName
+    is_evacuated: bool
+
+
+class ZoneChanges(NamedTuple):
+    """Changes in their order, complete up to store revision ``revision``."""
+
+    changes: list[ZoneChange]
+    revision: Revision
+
+
 class SiteDirectory(Protocol):
-    """The operators' configuration and the worker entries in the store."""
+    """The operators' configuration, evacuated zones and the worker entries in the store."""
 
     async def read_configuration(self) -> Result[StoredConfiguration | None, Failure]:
         """Reads the latest configuration; returns None if none has been written yet."""
@@ -143,6 +158,18 @@
     async def list_workers(self) -> Result[list[ListedWorker], Failure]:
         """Lists the registered workers."""
 
+    async def list_evacuated_zones(self) -> Result[ZoneChanges, Failure]:
+        """Lists the zones that are evacuated now."""
+
+    async def wait_for_zone_changes(
+        self, after: Revision, wait_ms: int
+    ) -> Result[ZoneChanges, Failure]:
+        """Waits for evacuations and returns of zones after revision ``after``.
+
+        Returns no changes if there were none within ``wait_ms``, and fails with ``NOT_FOUND`` if
+        the store no longer has the history since ``after``.
+        """
+
 
 class StartCommand(NamedTuple):
     """A run to start.
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -31,6 +31,7 @@
 from jujubehall.services.fleet.worker_registry import WorkerRegistry
 from jujubehall.services.fleet.worker_session import MAX_CLOCK_DRIFT_FACTOR
 from jujubehall.services.fleet.worker_session import WorkerSession
+from jujubehall.services.fleet.zone_evacuations import ZoneEvacuations
 
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
@@ -112,6 +113,7 @@
         gang_start_timeout_ms: int,
         ended_job_retention_ms: int,
         maintenance_clients: MaintenanceClients | None = None,
+        evacuation_deadline_ms: int | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -144,6 +146,13 @@
             if maintenance_clients is not None
             else None
         )
+        self.zone_evacuations = (
+            ZoneEvacuations(self, reactor, clock, directory, evacuation_deadline_ms)
+            if evacuation_deadline_ms
+            else None
+        )
+        """The evacuated zones; None if the operators of the site don't evacuate zones."""
+
         self.start_latencies = LatencyHistogram()
         self.gang_start_latencies = LatencyHistogram()
         """Times between the first and the last confirmed start of a run of a gang."""
@@ -167,7 +176,7 @@
         """The time since the election of this owner."""
         return self._clock.now_ms - self._elected_ms
 
-    WORKER_STATES = ("usable", "draining", "out-of-touch", "troubled")
+    WORKER_STATES = ("usable", "draining", "evacuated", "out-of-touch", "troubled")
 
     def worker_state(self, worker: FleetWorker) -> str:
         """Returns the state of a worker as the owner sees it, one of ``WORKER_STATES``."""
@@ -176,6 +185,8 @@
             return "out-of-touch"
         if worker.listed.is_draining:
             return "draining"
+        if worker.is_zone_evacuated:
+            return "evacuated"
         return (
             "usable"
             if worker.accepts_work(now_ms) and not worker.is_degraded(now_ms)
@@ -213,6 +224,8 @@
     async def run(self) -> None:
         """Takes over: loads the stored records, fences the registered workers, then schedules."""
         self._reactor.callLater(to_seconds(MAX_LOAD_MS), self._give_up_loading)
+        if self.zone_evacuations is not None:
+            run_in_background(self.zone_evacuations.run())
         revisions = await self._load_records()
         if self.is_closed or revisions is None:
             return
@@ -331,6 +344,8 @@
         if not self.may_act or self._is_leaving:
             return
         began_ms = self._clock.now_ms
+        if self.zone_evacuations is not None:
+            self.zone_evacuations.suspend_starts()
         self._log_given_up(self.fleet_state.record_crashes_before_takeover(began_ms))
         decisions = self.fleet_state.run_scheduling_round(began_ms)
         self._last_round_duration_ms = self._clock.now_ms - began_ms
--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -108,6 +108,17 @@
         if not all(each.phase is Phase.STARTING for each in placements):
             self.discard_starts(group, run)
             return
+        refusals = {each.worker.name: self._zone_refusal(group, each) for each in placements}
+        if any(refusals.values()):
+            log.info(
+                "group not started",
+                job=group.job.id,
+                group=group.key,
+                run=run,
+                reasons={name: reason for name, reason in refusals.items() if reason is not None},
+            )
+            self.discard_starts(group, run)
+            return
         log.info(
             "group starts",
             job=group.job.id,
@@ -207,6 +218,10 @@
             # The start may have waited for others, and the capacity may have shrunk meanwhile.
             self._abandon_start(group, index, placement, "the worker has too little capacity now")
             return False
+        zone_refusal = self._zone_refusal(group, placement)
+        if zone_refusal is not None:
+            self._abandon_start(group, index, placement, zone_refusal)
+            return False
         session = self._owner.session(worker)
         until_ms = session.lease_until_ms() if session is not None else None
         if until_ms is None:
@@ -243,6 +258,10 @@
             await self._handle_start_failure(group, index, placement, outcome.err_value)
         return is_answered
 
+    def _zone_refusal(self, group: TaskGroup, placement: Placement) -> str | None:
+        evacuations = self._owner.zone_evacuations
+        return None if evacuations is None else evacuations.refusal(group, placement)
+
     def _observe_gang_start(self, group: TaskGroup) -> None:
         first_ms = group.first_running_ms
         if group.request.is_gang and group.is_complete and first_ms is not None:
--- a/src/jujubehall/testing/virtual/fleet/fault_simulation.py
+++ b/src/jujubehall/testing/virtual/fleet/fault_simulation.py
@@ -64,7 +64,7 @@
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
-        self.site = VirtualFleet(_configuration(), _workers(), HOST_COUNT, seed)
+        self.site = self.make_site(seed)
         self.accepted: dict[JobId, str] = {}
         """The queue of each accepted job."""
 
@@ -73,6 +73,10 @@
         self.unknown: dict[JobId, str] = {}
         """The queue of each job whose submission had an unknown outcome."""
 
+    def make_site(self, seed: int) -> VirtualFleet:
+        """Returns the site to simulate."""
+        return VirtualFleet(make_configuration(), make_workers(), HOST_COUNT, seed)
+
     def run(self) -> list[str]:
         """Submits jobs and injects faults, ends all faults and returns the invariant violations."""
         self.site.run_until(lambda: self.site.owner is not None, 10.0)
@@ -289,7 +293,8 @@
     simulation.random_host().workers.late_command_probability = simulation.random.choice([0.0, 0.1])
 
 
-def _configuration() -> SiteConfiguration:
+def make_configuration() -> SiteConfiguration:
+    """Returns a configuration with an urgent and a normal queue."""
     queues = tuple(
         Queue(QueueName(name), "site.example", f"/{name}/", POOL, priority=priority, max_failures=3)
         for priority, name in enumerate(("urgent", "normal"))
@@ -297,7 +302,8 @@
     return SiteConfiguration(1, queues, (Team(TeamName("studio"), frozenset({"key"}), 16),))
 
 
-def _workers() -> list[ListedWorker]:
+def make_workers() -> list[ListedWorker]:
+    """Returns workers in two racks."""
     return [
         ListedWorker(
             WorkerName(f"w{number}"),
--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -11,6 +11,7 @@
 from result import Result
 from twisted.internet.defer import Deferred
 
+from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import Clock
 from jujubehall.clock import reactor_clock
 from jujubehall.core.ownership.capacity import HostCapacity
@@ -26,6 +27,8 @@
 from jujubehall.identifiers import ZoneName
 from jujubehall.platform.site_store import StoredConfiguration
 from jujubehall.platform.site_store import Write
+from jujubehall.platform.site_store import ZoneChange
+from jujubehall.platform.site_store import ZoneChanges
 from jujubehall.services.fleet.admission import CallResponse
 from jujubehall.services.fleet.admission import IncomingCall
 from jujubehall.testing.virtual.fleet.cloud import VirtualCloud
@@ -57,11 +60,13 @@
     from jujubehall.identifiers import JobId
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteStore
+    from jujubehall.platform.site_store import StoredItems
 
 TIME_STEP_S = 0.01
 """The step by which virtual time advances between updates of the workers."""
 
 CONFIGURATION_KEY = "operators/configuration"
+EVACUATIONS_PREFIX = "operators/evacuations/"
 
 
 class VirtualDirectory:
@@ -110,10 +115,30 @@
             ]
         )
 
+    async def list_evacuated_zones(self) -> Result[ZoneChanges, Failure]:
+        """Returns the zones that are evacuated now."""
+        return (await self._store.list_items(EVACUATIONS_PREFIX)).map(_to_zone_changes)
+
+    async def wait_for_zone_changes(
+        self, after: Revision, wait_ms: int
+    ) -> Result[ZoneChanges, Failure]:
+        """Waits up to ``wait_ms`` for changes of the evacuated zones after a revision."""
+        return (await self._store.watch(EVACUATIONS_PREFIX, after, wait_ms)).map(_to_zone_changes)
+
     def _read(self, value: bytes, revision: Revision) -> StoredConfiguration:
         return StoredConfiguration(self._site.configurations[int(value)], value, revision)
 
 
+def _to_zone_changes(stored: StoredItems) -> ZoneChanges:
+    return ZoneChanges(
+        [
+            ZoneChange(ZoneName(item.key.removeprefix(EVACUATIONS_PREFIX)), not item.is_deleted)
+            for item in stored.items
+        ],
+        stored.revision,
+    )
+
+
 class VirtualHost:
     """A simulated entry host with its own connections to the store, workers, cloud and peers."""
 
@@ -151,7 +176,9 @@
                 make_waves=VirtualWaves,
                 machines=self.machines,
             ),
-            SiteTimeLimits(MAX_LEASE_MS, GANG_START_TIMEOUT_MS, 120_000, 4_000),
+            SiteTimeLimits(
+                MAX_LEASE_MS, GANG_START_TIMEOUT_MS, 120_000, 4_000, site.evacuation_deadline_ms
+            ),
             site.random,
         )
         self.site_host.start()
@@ -172,7 +199,9 @@
         hosts: int = 3,
         seed: int = 0,
         capacities: dict[str, HostCapacity] | None = None,
+        evacuation_deadline_ms: int | None = None,
     ) -> None:
+        self.evacuation_deadline_ms = evacuation_deadline_ms
         self.capacities = capacities or {}
         """The capacity of each entry host by its name; unknown if it is missing."""
 
@@ -183,6 +212,7 @@
         self.meshes: dict[str, VirtualMesh] = {}
         self.store = RevisionedStore(self.time)
         self.run_recorder = TaskRunRecorder()
+        self.run_recorder.evacuation_deadline_ms = evacuation_deadline_ms
         self.requests: dict[JobId, JobRequest] = {}
         self.configurations: dict[int, SiteConfiguration] = {}
         self.workers: dict[WorkerName, VirtualWorker] = {}
@@ -223,6 +253,16 @@
         self.configurations[configuration.version] = configuration
         self.store.commit([], [Write(CONFIGURATION_KEY, str(configuration.version).encode())], [])
 
+    def evacuate_zone(self, zone: ZoneName) -> None:
+        """Requests that nothing more be started in a zone, as the operators do."""
+        self.run_recorder.evacuated_ms.setdefault(zone, round(self.time.seconds() * MS_PER_SECOND))
+        self.store.commit([], [Write(EVACUATIONS_PREFIX + zone, b"{}")], [])
+
+    def return_zone(self, zone: ZoneName) -> None:
+        """Takes the evacuation of a zone back, as the operators do."""
+        self.run_recorder.evacuated_ms.pop(zone, None)
+        self.store.commit([], [], [EVACUATIONS_PREFIX + zone])
+
     def request_wave(self, wave: Wave) -> None:
         """Requests a maintenance wave, as the operators do."""
         self.cloud.waves[wave.number] = wave
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -33,6 +33,7 @@
     from jujubehall.identifiers import FencingToken
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import WorkerName
+    from jujubehall.identifiers import ZoneName
     from jujubehall.platform.site_store import StartCommand
     from jujubehall.testing.virtual.host_reactor import HostReactor
     from jujubehall.testing.virtual.virtual_time import VirtualTime
@@ -128,6 +129,12 @@
         """Number of starts of each task."""
 
         self.violations: list[str] = []
+        self.evacuated_ms: dict[ZoneName, int] = {}
+        """When each of the evacuated zones was evacuated."""
+
+        self.evacuation_deadline_ms: int | None = None
+        """Time after which nothing may be started in an evacuated zone; None for no limit."""
+
         self.crashing_jobs: set[JobId] = set()
         """Jobs whose tasks crash each worker that starts them."""
 
@@ -161,6 +168,16 @@
         holders.add(worker)
         self.start_counts[task] = self.start_counts.get(task, 0) + 1
 
+    def check_zone(self, task: TaskId, zone: ZoneName, now_ms: int) -> None:
+        """Records a violation if a task is started too late in an evacuated zone."""
+        evacuated_ms = self.evacuated_ms.get(zone)
+        if evacuated_ms is None or self.evacuation_deadline_ms is None:
+            return
+        if now_ms - evacuated_ms > self.evacuation_deadline_ms:
+            self.violations.append(
+                f"{now_ms} ms: {task} is started in zone {zone}, evacuated at {evacuated_ms} ms"
+            )
+
     def count_crashes(self, task: TaskId) -> int:
         """Returns how many workers have crashed under a task that crashes them."""
         return sum(each == task for each, _ in self.crashes)
@@ -314,6 +331,7 @@
         self._runs[command.task] = run
         self.last_started_ms = self._site_time_ms
         self._recorder.start(command.task, self.listed.name, self._site_time_ms)
+        self._recorder.check_zone(command.task, self.listed.zone, self._site_time_ms)
         if step.is_gang:
             self._gang_run(run).add(run.task.position, step.tasks)
         if command.task.job in self._recorder.crashing_jobs and self._crashes_at_s is None:
--- a/tests/platform/adapter/test_directory.py
+++ b/tests/platform/adapter/test_directory.py
@@ -5,16 +5,31 @@
 import base64
 import json
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 import pytest
 
+from result import Ok
+from twisted.internet.defer import Deferred
+
 from jujubehall.core.fleet.jobs import JobProgress
+from jujubehall.identifiers import ZoneName
 from jujubehall.platform.adapter import wire
 from jujubehall.platform.adapter.directory import StoreDirectory
 from jujubehall.platform.adapter.store import _decode_items
+from jujubehall.platform.site_store import Revision
+from jujubehall.platform.site_store import StoredItem
+from jujubehall.platform.site_store import StoredItems
+from jujubehall.platform.site_store import ZoneChange
+from jujubehall.platform.site_store import ZoneChanges
 from jujubehall.services.fleet.records import decode_record
 
+if TYPE_CHECKING:
+    from result import Result
+
+    from jujubehall.errors import Failure
+
 WORKER_ENTRY: dict[str, Any] = {
     "service": "desk",
     "address": "10.128.0.9:8080",
@@ -118,3 +133,46 @@
     assert team is not None
     assert team.guaranteed_accelerators == 32
     assert configuration.find_queue("other.example", "/pule/") is None
+
+
+class StoreWithChanges:
+    """Returns the same items for each list and watch, and records what was asked for."""
+
+    def __init__(self, items: list[StoredItem]) -> None:
+        self._stored = StoredItems(items, Revision(9))
+        self.prefixes: list[str] = []
+
+    async def list_items(self, prefix: str) -> Result[StoredItems, Failure]:
+        self.prefixes.append(prefix)
+        return Ok(self._stored)
+
+    async def watch(self, prefix: str, after: int, wait_ms: int) -> Result[StoredItems, Failure]:
+        self.prefixes.append(prefix)
+        return Ok(self._stored)
+
+
+def test_evacuated_zones_are_decoded_whatever_the_operators_write() -> None:
+    store = StoreWithChanges(
+        [
+            StoredItem("op/evacuate/lagos-island", b"", Revision(7)),
+            StoredItem("op/evacuate/port-harcourt", b"\xff", Revision(8)),
+            StoredItem("op/evacuate/lagos-island", b"", Revision(9), is_deleted=True),
+        ]
+    )
+    directory = StoreDirectory(store)  # type: ignore[arg-type]
+    expected = ZoneChanges(
+        [
+            ZoneChange(ZoneName("lagos-island"), is_evacuated=True),
+            ZoneChange(ZoneName("port-harcourt"), is_evacuated=True),
+            ZoneChange(ZoneName("lagos-island"), is_evacuated=False),
+        ],
+        Revision(9),
+    )
+    for call in (
+        directory.list_evacuated_zones(),
+        directory.wait_for_zone_changes(Revision(1), 2_000),
+    ):
+        results: list[Any] = []
+        Deferred.fromCoroutine(call).addCallback(results.append)
+        assert results == [Ok(expected)]
+    assert set(store.prefixes) == {"op/evacuate/"}
--- a/tests/platform/adapter/test_settings.py
+++ b/tests/platform/adapter/test_settings.py
@@ -38,6 +38,14 @@
     assert settings.bounds.revocation_deadline_ms == 5_000
 
 
+def test_zones_are_evacuated_only_where_there_is_a_deadline_for_it(tmp_path: Path) -> None:
+    path = tmp_path / "local.toml"
+    path.write_text(VALID_SETTINGS)
+    assert load_site_settings(path).unwrap().bounds.evacuation_deadline_ms is None
+    path.write_text(VALID_SETTINGS + "evacuateMs = 5000\n")
+    assert load_site_settings(path).unwrap().bounds.evacuation_deadline_ms == 5_000
+
+
 def test_capacity_is_computed_from_the_limits_of_the_machine(tmp_path: Path) -> None:
     path = tmp_path / "local.toml"
     path.write_text(VALID_SETTINGS)
