Let requests to a silent worker overlap near the end of its leases

Cause: a request to a silent worker ends only with its time limit (0.9 s), and the next one follows 0.3 s later. A worker that could be reached again in between was noticed after its leases had ended: in the known failure [2.0-3.5], silent from 2.0 to 5.5 s with leases to 6.03 s, the request of 5.03 s was waited for until 5.73 s and the next one was due at 6.03 s. Change: while a worker with runs is silent, from 1.8 s before its leases end, a report is requested every 0.3 s without waiting for the earlier requests, and the first answer counts (overlapping_requests.py). Such requests neither extend leases nor confirm ends. A refusal or a closed connection ends them, as before. The end of the leases is that of the last extension that the worker has answered.

--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -25,6 +25,7 @@
 from jujubehall.services.fleet.job_retention import JobRetention
 from jujubehall.services.fleet.latencies import LatencyHistogram
 from jujubehall.services.fleet.maintenance import MaintenanceController
+from jujubehall.services.fleet.overlapping_requests import RequestLimit
 from jujubehall.services.fleet.ownership import STORE_OUTAGE_GRACE_MS
 from jujubehall.services.fleet.progress_writer import ProgressWriter
 from jujubehall.services.fleet.worker_commands import WorkerCommands
@@ -136,6 +137,9 @@
             clock, store, self.fleet_state, term.owner_revision, ended_job_retention_ms
         )
         self.worker_commands = WorkerCommands(self, reactor, clock)
+        self.request_limit = RequestLimit()
+        """Limit of the additional requests to silent workers, shared by all sessions."""
+
         self._advisor = Advisor(self, clock, advice)
         self._maintenance_controller = (
             MaintenanceController(
--- a/src/jujubehall/services/fleet/worker_session.py
+++ b/src/jujubehall/services/fleet/worker_session.py
@@ -10,18 +10,21 @@
 import structlog
 
 from result import Err
+from result import Result
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import succeed
 
 from jujubehall.core.fleet.crash_history import STARTUP_MS
 from jujubehall.core.fleet.reconciliation import Reconciliation
 from jujubehall.core.fleet.reports import EndKind
+from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import RUN_ENDS
 from jujubehall.services.async_utils import first_result
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import run_loop
 from jujubehall.services.async_utils import sleep
+from jujubehall.services.fleet.overlapping_requests import OverlappingRequests
 
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
@@ -29,7 +32,6 @@
     from jujubehall.core.fleet.reports import EndedTask
     from jujubehall.core.fleet.reports import WorkerReport
     from jujubehall.core.fleet.workers import FleetWorker
-    from jujubehall.errors import Failure
     from jujubehall.services.fleet.site_owner import SiteOwner
 
 REPORT_WAIT_MS = 2_000
@@ -45,6 +47,10 @@
 report that identifies the incarnation is requested before any end is confirmed."""
 
 REPORT_RETRY_INTERVAL_MS = 300
+OVERLAP_WINDOW_MS = 1_800
+"""Time before the leases of a silent worker end from which requests overlap. A request without an
+answer, with the pause after it, takes 1.2 s; others have to follow it in time."""
+
 PROGRESS_FLUSH_TIMEOUT_MS = 1_500
 """How long the session waits for the ends in a report to be stored before it extends the leases
 again."""
@@ -82,6 +88,9 @@
         """Whether the present request follows the last report at once, to confirm stored ends."""
 
         self._consecutive_failures = 0
+        self._extended_ms: int | None = None
+        """When the last extension of the leases that the worker has answered was sent."""
+
         self._last_report_ms = -SAME_INCARNATION_GAP_MS
         self.leases_end_ms = 0
         """The time by which all runs on the worker have ended if no lease is extended again."""
@@ -146,6 +155,9 @@
             await sleep(self._reactor, REPORT_RETRY_INTERVAL_MS)
             return
         requested_ms = self._clock.now_ms
+        if self._must_overlap(requested_ms):
+            await self._request_overlapping_reports()
+            return
         until_ms = self.lease_until_ms() if self._consecutive_failures == 0 else None
         wait_ms = REPORT_WAIT_MS if until_ms is not None and not self._has_pending_ends else 0
         if self._worker.hosts_suspect_start(requested_ms):
@@ -165,8 +177,45 @@
         if isinstance(reported, Err):
             await self._note_failure(reported.err_value)
             return
+        if until_ms is not None:
+            self._extended_ms = requested_ms
         await self._apply_report(reported.ok_value, requested_ms)
 
+    def _must_overlap(self, now_ms: int) -> bool:
+        """Returns whether the worker is silent and the leases of its runs end soon."""
+        if not (self._consecutive_failures and self._worker.placements):
+            return False
+        if self._extended_ms is None:
+            return False
+        earliest_end_ms = self._extended_ms + int(self._longest_lease_ms / MAX_CLOCK_DRIFT_FACTOR)
+        return earliest_end_ms - OVERLAP_WINDOW_MS <= now_ms < self._answered_leases_end_ms
+
+    @property
+    def _answered_leases_end_ms(self) -> int:
+        """The latest end of the leases that the worker has answered to have extended."""
+        max_lease_ms = int(self._longest_lease_ms * MAX_CLOCK_DRIFT_FACTOR)
+        return (self._extended_ms or 0) + max_lease_ms
+
+    async def _request_overlapping_reports(self) -> None:
+        requests = OverlappingRequests(
+            self._reactor, self._clock, self._owner.request_limit, self._look
+        )
+        answer = await requests.first_answer(self._answered_leases_end_ms)
+        if self._is_closed:
+            return
+        if isinstance(answer.reported, Err):
+            await self._note_failure(answer.reported.err_value)
+            return
+        await self._apply_report(answer.reported.ok_value, answer.requested_ms)
+
+    async def _look(self) -> Result[WorkerReport, Failure]:
+        """Requests a report without any effect on the worker."""
+        if self._is_closed or not self._owner.may_act:
+            return Err(Failure(FailureKind.NOT_SENT, "report", self._worker.name, "may not act"))
+        return await self._owner.workers_api.poll(
+            self._worker.listed, self._owner.token, confirmed_ends=0, until_ms=None, wait_ms=0
+        )
+
     async def _note_failure(self, failure: Failure) -> None:
         self._consecutive_failures += 1
         if failure.kind is FailureKind.CONFLICT:
