--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -47,6 +47,7 @@
 
     leaves_in_ms: int | None = None
 
+
 class FleetWorker:
     """A worker and all tasks that may be running on it."""
 
