Store what was learned of the workers' speeds for the next owner

Cause: a new owner knew nothing of the speeds and placed urgent gangs on mixed workers for the first seconds of its term.

Change: the owner writes one record, jujubehall/worker-speeds, when a worker's class has changed, at most every 5 s, conditional on its owner record, and reads it at takeover without waiting for it. Two gauges and one bounded log line show what is known.

--- a/src/jujubehall/core/fleet/speed_learning.py
+++ b/src/jujubehall/core/fleet/speed_learning.py
@@ -200,6 +200,10 @@
             self._close(self._steps.pop(key))
         self._refresh(list(workers))
 
+    def refresh_at_next_update(self) -> None:
+        """Makes the next update recompute all factors, after speeds have been restored."""
+        self._refreshed_ms = None
+
     def take_reclassified(self) -> list[FleetWorker]:
         """Returns the workers whose speed class has changed since the last call."""
         reclassified, self._reclassified = self._reclassified, {}
--- a/src/jujubehall/core/fleet/worker_speed.py
+++ b/src/jujubehall/core/fleet/worker_speed.py
@@ -78,15 +78,11 @@
 
         self.variance = 1.0
 
-    @classmethod
-    def restore(cls, stored: StoredSpeed) -> WorkerSpeed:
-        """Returns the speed that an earlier owner has learned."""
-        speed = cls(stored.incarnation)
+    def restore(self, stored: StoredSpeed) -> None:
+        """Adds what an earlier owner has learned."""
         error = max(MIN_STANDARD_ERROR, stored.standard_error_permille / 1_000)
-        speed.precision = error**-2
-        speed.weighted_sum = speed.precision * _bounded(stored.log_factor_permille / 1_000)
-        speed.samples = float(stored.samples)
-        return speed
+        self.add(error**-2, _bounded(stored.log_factor_permille / 1_000) * error**-2)
+        self.samples += stored.samples
 
     def stored(self, worker: WorkerName) -> StoredSpeed:
         """Returns what to store for the next owner; there must be evidence."""
--- a/src/jujubehall/daemon/site_metrics.py
+++ b/src/jujubehall/daemon/site_metrics.py
@@ -56,6 +56,8 @@
         workers: Counter[str] = Counter(
             owner.worker_state(worker) for worker in owner.fleet_state.workers.values()
         )
+        metrics.WORKER_SPEEDS_KNOWN.set({}, owner.fleet_state.speeds.known_workers)
+        metrics.WORKER_SPEED_SPREAD.set({}, owner.fleet_state.speeds.spread)
         for name in owner.WORKER_STATES:
             metrics.WORKERS.set({"state": name}, workers[name])
 
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -56,6 +56,10 @@
 OWNER_TOKEN = _gauge("owner_token", "Highest fencing token of an owner heard of here.")
 OWNS_SITE = _gauge("owns_site", "1 if this entry host owns the site.")
 WORKERS = _gauge("workers", "Workers known to the owner, by state.")
+WORKER_SPEEDS_KNOWN = _gauge("worker_speeds_known", "Workers of which the speed was observed.")
+WORKER_SPEED_SPREAD = _gauge(
+    "worker_speed_spread", "Standard deviation of the logarithms of the workers' durations."
+)
 LATENCY = _gauge("latency_ms", "Latency of a step in milliseconds, by percentile.")
 LATENCY_COUNT = _gauge("latency_count", "How many latencies of a step have been counted.")
 REQUESTS_IN_PROGRESS = _gauge("requests_in_progress", "Requests being run from here.")
--- a/src/jujubehall/services/fleet/records.py
+++ b/src/jujubehall/services/fleet/records.py
@@ -24,6 +24,7 @@
 CANCELLATION_PREFIX = INTAKE_PREFIX + "cancellation/"
 HOST_PREFIX = INTAKE_PREFIX + "host/"
 WORKERS_KEY = "jujubehall/workers"
+SPEEDS_KEY = "jujubehall/worker-speeds"
 PROGRESS_PREFIX = "jujubehall/progress/"
 WAVE_PREFIX = "jujubehall/wave/"
 
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -28,6 +28,7 @@
 from jujubehall.services.fleet.overlapping_requests import RequestLimit
 from jujubehall.services.fleet.ownership import STORE_OUTAGE_GRACE_MS
 from jujubehall.services.fleet.progress_writer import ProgressWriter
+from jujubehall.services.fleet.speed_records import SpeedRecords
 from jujubehall.services.fleet.worker_commands import WorkerCommands
 from jujubehall.services.fleet.worker_registry import WorkerRegistry
 from jujubehall.services.fleet.worker_session import MAX_CLOCK_DRIFT_FACTOR
@@ -136,6 +137,7 @@
         self._job_retention = JobRetention(
             clock, store, self.fleet_state, term.owner_revision, ended_job_retention_ms
         )
+        self._speed_records = SpeedRecords(clock, store, self.fleet_state, term.owner_revision)
         self.worker_commands = WorkerCommands(self, reactor, clock)
         self.request_limit = RequestLimit()
         """Limit of the additional requests to silent workers, shared by all sessions."""
@@ -233,6 +235,7 @@
         self.is_loaded = True
         self._ownership.note_taken_over()
         log.info("took over", jobs=len(self.fleet_state.jobs), token=self.token)
+        run_in_background(self._speed_records.load())
         run_in_background(self._intake_watcher.run())
         if self._maintenance_controller is not None:
             run_in_background(self._maintenance_controller.run())
@@ -339,6 +342,7 @@
         decisions = self.fleet_state.run_scheduling_round(began_ms)
         self._last_round_duration_ms = self._clock.now_ms - began_ms
         self.worker_commands.note_round(self._last_round_duration_ms)
+        self._speed_records.note_round()
         starts = [each for each in decisions if isinstance(each, StartGroup)]
         for decision in decisions:
             if isinstance(decision, StopGroup):
