--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -61,6 +61,10 @@
     "zone_evacuated_ms", "How long a zone has been known to be evacuated; 0 if it isn't."
 )
 ZONE_RUNS = _gauge("zone_runs", "Runs that may still be active in an evacuated zone.")
+WORKER_SPEEDS_KNOWN = _gauge("worker_speeds_known", "Workers of which the speed was observed.")
+WORKER_SPEED_SPREAD = _gauge(
+    "worker_speed_spread", "Standard deviation of the logarithms of the workers' durations."
+)
 LATENCY = _gauge("latency_ms", "Latency of a step in milliseconds, by percentile.")
 LATENCY_COUNT = _gauge("latency_count", "How many latencies of a step have been counted.")
 REQUESTS_IN_PROGRESS = _gauge("requests_in_progress", "Requests being run from here.")
