Keep urgent work and gangs off workers that are cold, and don't count them as slow

Change: the value is decoded, and FleetWorker keeps until when it is cold; an unchanged value counts from its first listing. Urgent groups and gangs are placed on warm workers first, and on cold ones before they preempt others; other work uses both. assess_worker skips cold workers and record_speeds the runs that began on them. A stored list of workers says nothing about how cold they are now. Entries without the value count as warm, so nothing changes there.

--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -156,7 +156,10 @@
         if not self._leaves_headroom(group):
             self._unplaceable_steps.add(self._step_key(group))
             return
-        if self._place_on_healthy_workers(group, healthy):
+        preferred = self._candidates.preferred(group)
+        if self._place_on_healthy_workers(group, preferred):
+            return
+        if len(preferred) < len(healthy) and self._place(group, healthy, relax_locality=False):
             return
         if group.job.priority == HIGHEST_PRIORITY and not group.reserved_workers:
             self._preempt(group, healthy)
--- a/src/jujubehall/core/fleet/slowness.py
+++ b/src/jujubehall/core/fleet/slowness.py
@@ -40,8 +40,11 @@
 def assess_worker(worker: FleetWorker, now_ms: int) -> None:
     """Updates the health of a worker from its current runs.
 
-    Without any suitable run, the last assessment stays in effect until it expires.
+    Without any suitable run, and while the worker is cold, the last assessment stays in effect
+    until it expires.
     """
+    if worker.is_cold(now_ms):
+        return
     runs = [
         (group, placement)
         for (group, _), placement in worker.placements.items()
@@ -66,7 +69,7 @@
 def record_speeds(group: TaskGroup) -> None:
     """Updates the typical slowness of the workers on which the group has just been completed.
 
-    Tasks of one step do similar work. Some workers are slower than others all the time by less
+    Runs that began while their worker was cold are left out. Tasks of one step do similar work. Some workers are slower than others all the time by less
     than what counts as slow, and a gang takes as long as on the slowest of its workers.
     """
     for placement in group.placements.values():
@@ -80,6 +83,7 @@
             duration_ms is None
             or len(peer_durations) < MIN_PEERS_TO_COMPARE
             or _is_remote(group, placement)
+            or placement.worker.is_cold(placement.started_ms)
         ):
             continue
         ratio = duration_ms / max(1.0, median(peer_durations))
--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -164,6 +164,7 @@
                 known.update_listing(entry)
             known.is_listed = True
             known.is_zone_evacuated = known.listed.zone in self.evacuated_zones
+            known.update_cold_until(now_ms)
             if entry.leaves_in_ms is not None and known.departure_ms is None:
                 known.departure_ms = now_ms + entry.leaves_in_ms
         for name, worker in self.workers.items():
--- a/src/jujubehall/core/fleet/worker_candidates.py
+++ b/src/jujubehall/core/fleet/worker_candidates.py
@@ -7,6 +7,7 @@
 from jujubehall.core.fleet.best_fit import BestFitHeap
 from jujubehall.core.fleet.best_fit import prefers_slow_workers
 from jujubehall.core.fleet.placement import eligible_workers
+from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,6 +30,7 @@
         self._now_ms = now_ms
         self._eligible: dict[EligibilityKey, list[FleetWorker]] = {}
         self._healthy: dict[EligibilityKey, list[FleetWorker]] = {}
+        self._warm: dict[EligibilityKey, list[FleetWorker]] = {}
         self._free_accelerators: dict[EligibilityKey, int] = {}
         self._best_fits: dict[EligibilityKey, BestFitHeap] = {}
 
@@ -45,10 +47,11 @@
 
     def healthy(self, group: TaskGroup) -> list[FleetWorker]:
         """Returns the healthy eligible workers that the group doesn't avoid."""
-        healthy = self._healthy_for_all_groups(group)
-        if group.avoided_workers:
-            return [each for each in healthy if each.name not in group.avoided_workers]
-        return healthy
+        return _without_avoided(group, self._healthy_for_all_groups(group))
+
+    def preferred(self, group: TaskGroup) -> list[FleetWorker]:
+        """Returns the healthy workers, without cold ones for urgent groups and gangs."""
+        return _without_avoided(group, self._preferred_for_all_groups(group))
 
     def free_accelerators(self, group: TaskGroup) -> int:
         """Returns the total number of free accelerators on the group's healthy workers."""
@@ -62,7 +65,7 @@
         return self._free_accelerators[key]
 
     def best_fit(self, group: TaskGroup) -> BestFitHeap | None:
-        """Returns the heap for placing single tasks on healthy workers.
+        """Returns the heap for placing single tasks on the workers of ``preferred``.
 
         Returns None if the group's eligible workers can't be cached.
         """
@@ -70,11 +73,11 @@
         if key is None:
             return None
         prefers_slow = prefers_slow_workers(group)
-        key = (*key, prefers_slow)
+        key = (*key, prefers_slow, _avoids_cold_workers(group))
         if key not in self._best_fits:
             needs = group.occupied_resources
             self._best_fits[key] = BestFitHeap(
-                needs, self._healthy_for_all_groups(group), self._now_ms, prefers_slow
+                needs, self._preferred_for_all_groups(group), self._now_ms, prefers_slow
             )
         return self._best_fits[key]
 
@@ -82,6 +85,7 @@
         """Discards the cached data after workers have become ineligible within the round."""
         self._eligible.clear()
         self._healthy.clear()
+        self._warm.clear()
         self._free_accelerators.clear()
         self._best_fits.clear()
 
@@ -101,6 +105,32 @@
             self._healthy[key] = healthy
         return healthy
 
+    def _preferred_for_all_groups(self, group: TaskGroup) -> list[FleetWorker]:
+        healthy = self._healthy_for_all_groups(group)
+        if not _avoids_cold_workers(group):
+            return healthy
+        key = _eligibility_key(group)
+        if key is not None and key in self._warm:
+            return self._warm[key]
+        warm = [each for each in healthy if not each.is_cold(self._now_ms)]
+        if key is not None:
+            self._warm[key] = warm
+        return warm
+
+
+def _avoids_cold_workers(group: TaskGroup) -> bool:
+    """Returns whether the group has no time for a slow start of a worker.
+
+    A gang is as slow as the slowest of its members.
+    """
+    return group.job.priority == HIGHEST_PRIORITY or group.request.is_gang
+
+
+def _without_avoided(group: TaskGroup, workers: list[FleetWorker]) -> list[FleetWorker]:
+    if not group.avoided_workers:
+        return workers
+    return [each for each in workers if each.name not in group.avoided_workers]
+
 
 def _eligibility_key(group: TaskGroup) -> EligibilityKey | None:
     """Returns the cache key for the eligible workers of a group.
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -53,6 +53,9 @@
     """Start time of the worker as Unix time in ms; distinguishes it from earlier incarnations."""
 
     leaves_in_ms: int | None = None
+    cold_remaining_ms: int = 0
+    """How much longer the worker remains slow after its start, when its entry was written."""
+
 
 class FleetWorker:
     """A worker and all tasks that may be running on it."""
@@ -74,6 +77,12 @@
         self.is_zone_evacuated = False
         """Whether the operators have evacuated its availability zone."""
 
+        self.cold_until_ms = 0
+        """Until when the worker is slow after its start, on the scheduler's clock."""
+
+        self._cold_entry = (listed.incarnation, 0)
+        """The incarnation and the remaining cold time in ms that were last listed."""
+
         self.departure_ms: int | None = None
         """The earliest time at which a draining worker leaves, on the scheduler's clock."""
 
@@ -148,6 +157,25 @@
         """Returns how many times longer tasks take here than on other workers."""
         return self._slowness if now_ms < self._assessment_expires_ms else 1.0
 
+    def is_cold(self, now_ms: int) -> bool:
+        """Returns whether the worker is still slow because it has just started."""
+        return now_ms < self.cold_until_ms
+
+    def update_cold_until(self, now_ms: int) -> None:
+        """Updates until when the worker is cold, if its entry says something new about it.
+
+        The worker may list the same value for longer, which then counts from its first listing.
+        """
+        entry = (self.listed.incarnation, self.listed.cold_remaining_ms)
+        if entry == self._cold_entry:
+            return
+        self._cold_entry = entry
+        remaining_ms = self.listed.cold_remaining_ms
+        # The end of an earlier cold time is kept, to tell the runs that began in it.
+        self.cold_until_ms = (
+            now_ms + remaining_ms if remaining_ms else min(self.cold_until_ms, now_ms)
+        )
+
     def is_stalled(self, now_ms: int) -> bool:
         """Returns whether no task on the worker makes progress."""
         return self._is_stalled and now_ms < self._assessment_expires_ms
--- a/src/jujubehall/platform/adapter/directory.py
+++ b/src/jujubehall/platform/adapter/directory.py
@@ -131,6 +131,7 @@
             entry.state == DRAINING_STATE,
             entry.born,
             entry.remaining_ms,
+            max(0, round(entry.cold_remaining_ms)),
         )
 
 
--- a/src/jujubehall/platform/adapter/wire.py
+++ b/src/jujubehall/platform/adapter/wire.py
@@ -111,6 +111,8 @@
 
     born: int = 0
     remaining_ms: int | None = field(name="remainingMs", default=None)
+    cold_remaining_ms: float = field(name="coldRemainingMs", default=0.0)
+    """How much longer the worker remains slow after its start."""
 
 
 class Route(msgspec.Struct, frozen=True):
--- a/src/jujubehall/services/fleet/worker_registry.py
+++ b/src/jujubehall/services/fleet/worker_registry.py
@@ -64,7 +64,9 @@
         if item is None:
             return []
         self._revision = item.revision
-        return decode_record(item.key, item.value, list[ListedWorker]) or []
+        workers = decode_record(item.key, item.value, list[ListedWorker]) or []
+        # How long a worker remained cold when it was stored says nothing about now.
+        return [msgspec.structs.replace(each, cold_remaining_ms=0) for each in workers]
 
     async def save(self, workers: list[ListedWorker], is_closed: Callable[[], bool]) -> bool:
         """Writes the list of workers; returns False if the term ends before it is stored."""
--- a/tests/platform/adapter/test_directory.py
+++ b/tests/platform/adapter/test_directory.py
@@ -37,7 +37,7 @@
     "version": "v1",
     "slots": 8,
     "state": "ready",
-    "coldRemainingMs": 0,
+    "coldRemainingMs": 4_500,
     "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 8},
     "labels": ["a", "r1-3"],
     "clockMs": 482_113,
@@ -79,6 +79,7 @@
     assert worker.rack == "r1-3"
     assert worker.capacity.accelerators == 8
     assert worker.incarnation == 17
+    assert worker.cold_remaining_ms == 4_500
     assert not worker.is_draining
 
 
