--- a/src/jujubehall/console/job_history.py
+++ b/src/jujubehall/console/job_history.py
@@ -20,6 +20,10 @@
         "store lost",
         "store regained",
         "process stood still",
+        "zone evacuated",
+        "zone returned",
+        "starts suspended",
+        "starts resumed",
     }
 )
 """Log events of the whole site, which affect every job that is unfinished at that time."""
--- a/tests/console/test_job_history.py
+++ b/tests/console/test_job_history.py
@@ -31,6 +31,7 @@
     log_line(4, "b", "group stops", job=JOB, group="0.0", run=1, reason="preempted", by="f0"),
     log_line(4, "b", "job known", job="another", queue="q"),
     log_line(5, "b", "ownership lost", token=7, reason="the lease has ended"),
+    log_line(5, "b", "zone evacuated", zone="lagos-island", runs=1),
     log_line(6, "b", "run ended", job=JOB, task="(0, 0, 0)", run=1, worker="w1", how="stopped"),
     log_line(9, "b", "store lost", failures=2),
 ]
@@ -52,8 +53,9 @@
     assert texts[2] == "group 0.0 starts as run 1 on w1, 12 ms after it became ready"
     assert texts[3] == "group 0.0, run 1, is stopped: preempted for job f0"
     assert texts[4] == "ownership lost token=7 reason=the lease has ended"
-    assert texts[5] == "task (0, 0, 0), run 1, ended on w1: stopped"
-    assert len(texts) == 6
+    assert texts[5] == "zone evacuated zone=lagos-island runs=1"
+    assert texts[6] == "task (0, 0, 0), run 1, ended on w1: stopped"
+    assert len(texts) == 7
 
 
 def test_history_shows_the_crashes_after_which_a_job_was_given_up() -> None:
