List the evacuated zones when the answer to a watch is overdue

Cause: a watch whose answer is lost fails only after its own timeout and a second more.

Change: the owner waits a tenth of the deadline for the answer beyond the duration of the watch.

Result: with all answers to watches lost, no start is suspended in 10 s of virtual time. tests/core/fleet and tests/services/fleet/test_zone_evacuations.py pass.

--- a/src/jujubehall/services/fleet/zone_evacuations.py
+++ b/src/jujubehall/services/fleet/zone_evacuations.py
@@ -11,23 +11,32 @@
 
 from jujubehall.core.fleet.evacuated_zones import EvacuatedZones
 from jujubehall.metrics import ZONE_CHANGES
+from jujubehall.services.async_utils import first_result
+from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import run_loop
 from jujubehall.services.async_utils import sleep
 
 if TYPE_CHECKING:
+    from result import Result
+
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.errors import Failure
     from jujubehall.identifiers import ZoneName
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteDirectory
+    from jujubehall.platform.site_store import ZoneChanges
     from jujubehall.services.fleet.site_owner import SiteOwner
 
 WATCH_DEADLINE_SHARE = 0.4
 """Duration of one watch as a share of the deadline. After a watch that delivered nothing, there is
 time left to list the zones."""
 
+ANSWER_DEADLINE_SHARE = 0.1
+"""How long the answer to a watch may take beyond its duration, as a share of the deadline."""
+
 RETRY_DEADLINE_SHARE = 0.05
 """Delay before the zones are listed after a failure, as a share of the deadline."""
 
@@ -62,6 +71,7 @@
         self._directory = directory
         self._zones = EvacuatedZones(deadline_ms)
         self._watch_timeout_ms = int(deadline_ms * WATCH_DEADLINE_SHARE)
+        self._answer_timeout_ms = int(deadline_ms * ANSWER_DEADLINE_SHARE)
         self._retry_delay_ms = int(deadline_ms * RETRY_DEADLINE_SHARE)
         self._revision: Revision | None = None
         """The revision from which to watch; None if the zones are to be listed."""
@@ -104,10 +114,13 @@
         found = (
             await self._directory.list_evacuated_zones()
             if self._revision is None
-            else await self._directory.wait_for_zone_changes(self._revision, self._watch_timeout_ms)
+            else await self._watch(self._revision)
         )
         if self._owner.is_closed:
             return
+        if found is None:
+            self._revision = None
+            return
         if isinstance(found, Err):
             log.info("reading evacuated zones failed", failure=str(found.err_value))
             self._revision = None
@@ -130,6 +143,16 @@
             self._revision = None
         self._log_vacated_zones()
 
+    async def _watch(self, revision: Revision) -> Result[ZoneChanges, Failure] | None:
+        """Waits for changes; returns None if the answer is overdue, as if it were lost."""
+        answer: Result[ZoneChanges, Failure] | None = await first_result(
+            run_in_background(
+                self._directory.wait_for_zone_changes(revision, self._watch_timeout_ms)
+            ),
+            sleep(self._reactor, self._watch_timeout_ms + self._answer_timeout_ms),
+        )
+        return answer
+
     def _apply(self, zones: set[ZoneName]) -> None:
         evacuated = zones - self._zones.zones
         returned = self._zones.zones - zones
--- a/tests/services/fleet/test_zone_evacuations.py
+++ b/tests/services/fleet/test_zone_evacuations.py
@@ -309,3 +309,23 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_evacuations_among_faults_break_no_invariant(seed: int) -> None:
     assert EvacuationSimulation(seed).run() == []
+
+
+def test_lost_answer_to_a_watch_suspends_no_starts(
+    zoned_site: VirtualFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The call itself fails only after some time more."""
+    watch = VirtualDirectory.wait_for_zone_changes
+
+    async def watch_in_vain(directory: VirtualDirectory, after: Any, wait_ms: int) -> Any:
+        await watch(directory, after, wait_ms)
+        await sleep(owner_of(zoned_site).reactor, DEADLINE_MS)
+        return Err(Failure(FailureKind.NO_ANSWER, "watch", "store", "timed out"))
+
+    monkeypatch.setattr(VirtualDirectory, "wait_for_zone_changes", watch_in_vain)
+    for _ in range(100):
+        zoned_site.run(0.1)
+        evacuations_of(zoned_site).suspend_starts()
+        owner = owner_of(zoned_site).site_host.owner
+        assert owner is not None
+        assert not owner.fleet_state.are_starts_suspended
