Place urgent tasks on cold workers by the heap too

Cause: urgent tasks that find no warm worker examined every worker for each task. At the start of a site, when most workers are cold, that is a burst of tasks times all workers.

Change: the heap is used for both attempts, with one heap for each.

--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -157,9 +157,11 @@
             self._unplaceable_steps.add(self._step_key(group))
             return
         preferred = self._candidates.preferred(group)
-        if self._place_on_healthy_workers(group, preferred):
+        if self._place_on_healthy_workers(group, preferred, include_cold=False):
             return
-        if len(preferred) < len(healthy) and self._place(group, healthy, relax_locality=False):
+        if len(preferred) < len(healthy) and self._place_on_healthy_workers(
+            group, healthy, include_cold=True
+        ):
             return
         if group.job.priority == HIGHEST_PRIORITY and not group.reserved_workers:
             self._preempt(group, healthy)
@@ -293,7 +295,9 @@
         required = group.occupied_resources.accelerators * len(group.indexes)
         return self._candidates.free_accelerators(group) - required >= headroom * share
 
-    def _place_on_healthy_workers(self, group: TaskGroup, healthy: list[FleetWorker]) -> bool:
+    def _place_on_healthy_workers(
+        self, group: TaskGroup, healthy: list[FleetWorker], include_cold: bool
+    ) -> bool:
         """Places the group on healthy workers, near its data if it has a data rack."""
         request = group.request
         is_unconstrained = len(group.indexes) == 1 and not (
@@ -302,7 +306,7 @@
             or group.avoided_workers
             or group.reserved_workers
         )
-        best_fit = self._candidates.best_fit(group) if is_unconstrained else None
+        best_fit = self._candidates.best_fit(group, include_cold) if is_unconstrained else None
         if best_fit is None:
             return self._place(group, healthy, relax_locality=False)
         worker = best_fit.find()
--- a/src/jujubehall/core/fleet/worker_candidates.py
+++ b/src/jujubehall/core/fleet/worker_candidates.py
@@ -64,8 +64,8 @@
             )
         return self._free_accelerators[key]
 
-    def best_fit(self, group: TaskGroup) -> BestFitHeap | None:
-        """Returns the heap for placing single tasks on the workers of ``preferred``.
+    def best_fit(self, group: TaskGroup, include_cold: bool) -> BestFitHeap | None:
+        """Returns the heap for placing single tasks on preferred or on all healthy workers.
 
         Returns None if the group's eligible workers can't be cached.
         """
@@ -73,12 +73,16 @@
         if key is None:
             return None
         prefers_slow = prefers_slow_workers(group)
-        key = (*key, prefers_slow, _avoids_cold_workers(group))
+        include_cold = include_cold or not _avoids_cold_workers(group)
+        key = (*key, prefers_slow, include_cold)
         if key not in self._best_fits:
             needs = group.occupied_resources
-            self._best_fits[key] = BestFitHeap(
-                needs, self._preferred_for_all_groups(group), self._now_ms, prefers_slow
+            workers = (
+                self._healthy_for_all_groups(group)
+                if include_cold
+                else self._preferred_for_all_groups(group)
             )
+            self._best_fits[key] = BestFitHeap(needs, workers, self._now_ms, prefers_slow)
         return self._best_fits[key]
 
     def clear(self) -> None:
