--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -163,9 +163,14 @@
         if not self._leaves_headroom(group):
             self._unplaceable_steps.add(self._step_key(group))
             return
-        if self._prefers_to_preempt(group, healthy) and self._preempt_for_speed(group, healthy):
+        preferred = self._candidates.preferred(group)
+        if self._prefers_to_preempt(group, preferred) and self._preempt_for_speed(group, healthy):
             return
-        if self._place_on_healthy_workers(group, healthy):
+        if self._place_on_healthy_workers(group, preferred, include_cold=False):
+            return
+        if len(preferred) < len(healthy) and self._place_on_healthy_workers(
+            group, healthy, include_cold=True
+        ):
             return
         if group.job.priority == HIGHEST_PRIORITY and not group.reserved_workers:
             self._preempt(group, healthy)
@@ -299,7 +304,9 @@
         required = group.occupied_resources.accelerators * len(group.indexes)
         return self._candidates.free_accelerators(group) - required >= headroom * share
 
-    def _place_on_healthy_workers(self, group: TaskGroup, healthy: list[FleetWorker]) -> bool:
+    def _place_on_healthy_workers(
+        self, group: TaskGroup, healthy: list[FleetWorker], include_cold: bool
+    ) -> bool:
         """Places the group on healthy workers, near its data if it has a data rack."""
         request = group.request
         is_unconstrained = len(group.indexes) == 1 and not (
@@ -308,7 +315,7 @@
             or group.avoided_workers
             or group.reserved_workers
         )
-        best_fit = self._candidates.best_fit(group) if is_unconstrained else None
+        best_fit = self._candidates.best_fit(group, include_cold) if is_unconstrained else None
         if best_fit is None:
             return self._place(group, healthy, relax_locality=False)
         worker = best_fit.find()
--- a/src/jujubehall/core/fleet/slowness.py
+++ b/src/jujubehall/core/fleet/slowness.py
@@ -36,8 +36,11 @@
 def assess_worker(worker: FleetWorker, now_ms: int) -> None:
     """Updates the health of a worker from its current runs.
 
-    Without any suitable run, the last assessment stays in effect until it expires.
+    Without any suitable run, and while the worker is cold, the last assessment stays in effect
+    until it expires.
     """
+    if worker.is_cold(now_ms):
+        return
     runs = [
         (group, placement)
         for (group, _), placement in worker.placements.items()
--- a/src/jujubehall/core/fleet/speed_learning.py
+++ b/src/jujubehall/core/fleet/speed_learning.py
@@ -376,6 +376,7 @@
 def _is_disturbed(placement: Placement, now_ms: int) -> bool:
     return (
         placement.worker.slowness(now_ms) >= PASSING_SLOWNESS
+        or placement.worker.is_cold(placement.started_ms)
         or placement.worker.is_stalled(now_ms)
         or placement.progress.stalled_ms >= MIN_STALL_MS
     )
