--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -185,6 +185,15 @@
         times_ms = (each.running_since_ms for each in self.placements.values())
         return min((each for each in times_ms if each is not None), default=None)
 
+    @property
+    def is_remote(self) -> bool:
+        """Whether its placement slows it down: across racks, or away from the rack of its data."""
+        racks = {each.worker.listed.rack for each in self.placements.values()}
+        data_rack = self.request.data_rack
+        return (bool(data_rack) and racks != {data_rack}) or (
+            self.request.prefers_one_rack and len(racks) > 1
+        )
+
     @property
     def total_millicore_equivalents(self) -> int:
         """The resources of all its tasks in millicores, with accelerators converted to millicores.
--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -137,6 +138,20 @@
         }
         return self._longest_chain_ms(frozenset(finished))
 
+    @cached_property
+    def expected_core_ms(self) -> float:
+        """The expected work of all its tasks in core-ms; an accelerator counts as 8 cores."""
+        return sum(step.tasks * _task_core_ms(step) for step in self.accepted.request.steps)
+
+    def expected_remaining_core_ms(self) -> float:
+        """Returns the expected work in core-ms of all created tasks that are not done yet."""
+        return sum(
+            len(group.indexes) * _task_core_ms(group.request)
+            for step in self._unfinished_steps
+            for group in self.groups[step]
+            if not group.is_done
+        )
+
     def _longest_chain_ms(self, finished: frozenset[int]) -> int:
         ends_ms: list[int] = []
         for number, step in enumerate(self.accepted.request.steps):
@@ -242,3 +257,7 @@
             if stored is not None:
                 group.restore(stored)
         return groups
+
+
+def _task_core_ms(step: StepRequest) -> float:
+    return step.expected_ms * step.needs.millicore_equivalents / 1_000
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -205,6 +205,12 @@
         if group.is_done or group.request.runs_until_cancelled:
             return
         record_speeds(group)
+        # One run for each step, so that a job of many tasks doesn't outweigh the others.
+        is_sample = group.indexes.start == 0 and not group.is_remote
+        if is_sample and group.completed_duration_ms is not None:
+            self._fleet_state.work_history.record_duration(
+                group.job, group.request.expected_ms, group.completed_duration_ms
+            )
         group.is_done = True
         group.checkpoint = ""
         group.release_reservation()
--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -14,6 +14,7 @@
 from jujubehall.core.fleet.jobs import JobProgress
 from jujubehall.core.fleet.lost_workers import LossKind
 from jujubehall.core.fleet.scheduling_round import SchedulingRound
+from jujubehall.core.fleet.work_history import WorkHistory
 from jujubehall.core.fleet.workers import FleetWorker
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         """Jobs whose progress has not been written to the store yet."""
 
         self.urgent_demand = UrgentDemand()
+        self.work_history = WorkHistory()
         self.groups_to_stop: set[TaskGroup] = set()
         """Groups with tasks in phase ``STOPPING`` for which no stop request has been sent yet."""
 
@@ -91,6 +93,7 @@
                 each for each in job.all_groups() if each.stored_workers
             )
         self.jobs[accepted.id] = job
+        self.work_history.record_job(job)
         job.create_due_occurrences(now_ms, unix_ms)
         if job.state is not job.stored_state:
             self.unsaved_jobs.add(job)
