Sort waiting groups by what their delay costs callers

Cause: within a priority, in-time work was placed first come, first served, and work that is worth nothing any more went before all work of lower priorities.

Change: within a standing, the group goes first with the most value at stake per core-second of the work that its job still needs. Work that has expired goes behind all priorities. No group is passed for more than 30 s; guaranteed work goes first as before.

--- a/src/jujubehall/core/fleet/delay_cost.py
+++ b/src/jujubehall/core/fleet/delay_cost.py
@@ -34,13 +34,19 @@
 MAX_RELATIVE_VALUE = 4.0
 """Limit of a job's value, as a multiple of the value of its queue's mean job."""
 
-URGENCY_HORIZON_MS = 4_000
-"""How far ahead of its latest start work becomes urgent: about as long as capacity takes to become
-free."""
+QUEUE_HORIZON_MS = 30_000
+"""How far ahead of its latest start waiting work becomes urgent: about as long as a backlog lasts."""
+
+RESTART_HORIZON_MS = 4_000
+"""The same for work that has been stopped: about as long as capacity takes to become free."""
 
 RESTART_DELAY_MS = 500
 """Time from the stop of a group to its next start: the stop, its report and the start."""
 
+WAIT_ERROR_MS = 150
+"""By how much the expected end of a running task is usually wrong: progress is reported in whole
+percent, and the report of the end takes a few milliseconds."""
+
 MIN_CORE_MS = 1_000.0
 """Work of less than one core-second counts as one, since each run costs commands and records."""
 
@@ -73,18 +79,28 @@
             return Lateness.IN_TIME
         return Lateness.LATE if self.expiry_slack_ms >= 0 else Lateness.EXPIRED
 
-    def value_at_stake(self, delay_ms: float = 0.0) -> float:
-        """Returns the value expected to be lost if the job waits on after a delay.
+    def value_at_stake(self) -> float:
+        """Returns the value that the job may lose if it waits on.
 
         It rises as the slack runs out, and falls again once the objective has passed.
         """
         at_stake = 0.0
         if self.slack_ms >= 0:
-            at_stake += (1 - LATE_VALUE_SHARE) * _urgency(self.slack_ms - delay_ms)
+            at_stake += (1 - LATE_VALUE_SHARE) * _risk(self.slack_ms, QUEUE_HORIZON_MS)
         if self.expiry_slack_ms >= 0:
-            at_stake += LATE_VALUE_SHARE * _urgency(self.expiry_slack_ms - delay_ms)
+            at_stake += LATE_VALUE_SHARE * _risk(self.expiry_slack_ms, QUEUE_HORIZON_MS)
         return self.value * at_stake
 
+    def expected_value(self, delay_ms: float) -> float:
+        """Returns what the job's end is expected to be worth if it is delayed.
+
+        A delay of less than 0 ms means that it will end sooner.
+        """
+        late_risk = _risk(self.slack_ms - delay_ms, RESTART_HORIZON_MS)
+        expiry_risk = _risk(self.expiry_slack_ms - delay_ms, RESTART_HORIZON_MS)
+        lost_share = (1 - LATE_VALUE_SHARE) * late_risk + LATE_VALUE_SHARE * expiry_risk
+        return self.value * (1 - lost_share)
+
 
 class DelayCost:
     """Computes the cost of delay for the jobs of one scheduling round.
@@ -127,17 +143,26 @@
         That is the value of the work that has to be done again, and what its job may lose by ending
         later. A group whose checkpoint is saved loses little.
         """
-        outlook = self.outlook(group.job)
-        if outlook is None:
-            return 0.0
         done_ms = float(self._now_ms - min(each.started_ms for each in group.placements.values()))
         repeated_ms = RESTART_DELAY_MS + (0.0 if group.request.saves_checkpoints else done_ms)
-        # The outlook assumes that the whole step is still to be done.
-        delay_ms = RESTART_DELAY_MS - (done_ms if group.request.saves_checkpoints else 0.0)
-        at_risk = outlook.value_at_stake(delay_ms) - outlook.value_at_stake(-done_ms)
-        repeated_core_ms = repeated_ms * group.total_millicore_equivalents / 1_000
-        job_core_ms = max(MIN_CORE_MS, group.job.expected_core_ms)
-        return max(0.0, at_risk) + outlook.value * repeated_core_ms / job_core_ms
+        loss = self.value(group.job) * _share_of_job(group, repeated_ms)
+        outlook = self.outlook(group.job)
+        if outlook is not None:
+            # The outlook assumes that all of the step is still to be done.
+            value_if_stopped = outlook.expected_value(repeated_ms - done_ms)
+            loss += outlook.expected_value(-done_ms) - value_if_stopped
+        return loss
+
+    def loss_by_wait(self, group: TaskGroup, wait_ms: float) -> float:
+        """Returns the value put at risk if a group waits for other work that should end by then.
+
+        Such an end is well known, so that waiting costs little until the slack is used up.
+        """
+        outlook = self.outlook(group.job)
+        if outlook is None or not wait_ms:
+            return 0.0
+        risk = _risk(outlook.slack_ms - wait_ms, WAIT_ERROR_MS)
+        return (1 - LATE_VALUE_SHARE) * outlook.value * risk
 
     def outlook(self, job: FleetJob) -> JobOutlook | None:
         """Returns what is expected of a job, or None if it has no objective."""
@@ -165,6 +190,17 @@
         )
 
 
-def _urgency(slack_ms: float) -> float:
-    """Returns how likely work with this slack is to miss its latest start if it waits on."""
-    return math.exp(-max(0.0, slack_ms) / URGENCY_HORIZON_MS)
+def _share_of_job(group: TaskGroup, work_ms: float) -> float:
+    """Returns which share of the work of its job the group does in ``work_ms``."""
+    job = group.job
+    job_core_ms = job.expected_core_ms
+    if work_ms > group.request.expected_ms:
+        # The estimate is too low or missing; other tasks of the job should take as long.
+        job_core_ms = max(job_core_ms, work_ms * job.total_millicore_equivalents / 1_000)
+    group_core_ms = work_ms * group.total_millicore_equivalents / 1_000
+    return group_core_ms / max(MIN_CORE_MS, job_core_ms)
+
+
+def _risk(slack_ms: float, horizon_ms: float) -> float:
+    """Returns the risk that work with this slack misses its latest start if it waits on."""
+    return math.exp(-max(0.0, slack_ms) / horizon_ms)
--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -138,6 +138,13 @@
         }
         return self._longest_chain_ms(frozenset(finished))
 
+    @cached_property
+    def total_millicore_equivalents(self) -> int:
+        """The resources of all its tasks in millicores, with accelerators converted."""
+        return sum(
+            step.tasks * step.needs.millicore_equivalents for step in self.accepted.request.steps
+        )
+
     @cached_property
     def expected_core_ms(self) -> float:
         """The expected work of all its tasks in core-ms; an accelerator counts as 8 cores."""
--- a/src/jujubehall/core/fleet/queue_order.py
+++ b/src/jujubehall/core/fleet/queue_order.py
@@ -3,28 +3,32 @@
 The load that this answers: bursts and losses of workers after which more work waits than can be
 done in time. First come, first served then makes every job late, since each waits behind those that
 are late already; and one team's burst of urgent jobs takes the accelerators that other teams are
-guaranteed.
+guaranteed. What waits is therefore what costs callers least, for a limited time.
 """
 
 from __future__ import annotations
 
+import math
+
 from enum import IntEnum
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
+from jujubehall.core.fleet.delay_cost import Lateness
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from jujubehall.core.fleet.configuration import Team
+    from jujubehall.core.fleet.delay_cost import DelayCost
     from jujubehall.core.fleet.groups import TaskGroup
-    from jujubehall.core.fleet.jobs import FleetJob
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import TeamName
 
-MAX_LATE_WAIT_MS = 30_000
-"""Longest time for which late work lets work pass that can still be in time. Late jobs are still
-worth something and must end even if the overload lasts."""
+MAX_PASSED_MS = 30_000
+"""Longest time for which work of the same or a lower priority may pass a group. Every accepted job
+must end even if the overload lasts."""
 
 
 class Standing(IntEnum):
@@ -37,6 +41,32 @@
     LATE = 2
     """Work that is expected to miss the objective of its queue even if it starts now."""
 
+    EXPIRED = 3
+    """Work whose end is expected to be worth nothing to its caller any more."""
+
+
+_STANDINGS = {
+    Lateness.IN_TIME: Standing.IN_TIME,
+    Lateness.LATE: Standing.LATE,
+    Lateness.EXPIRED: Standing.EXPIRED,
+}
+
+
+class QueueKey(NamedTuple):
+    """Sort key of a waiting group: first those to place first.
+
+    Work of a lower priority passes work that has expired. Within a standing, the group goes first
+    whose delay costs most for the work that it needs.
+    """
+
+    is_expired: bool
+    priority: int
+    standing: Standing
+    negative_rate: float
+    ready_since_ms: int
+    job: str
+    group: str
+
 
 class QueueOrder:
     """Computes the standing of the groups of one scheduling round.
@@ -49,24 +79,29 @@
         teams: Iterable[Team],
         workers: Iterable[FleetWorker],
         waiting: Iterable[TaskGroup],
+        delay_cost: DelayCost,
         now_ms: int,
     ) -> None:
         self._now_ms = now_ms
+        self._delay_cost = delay_cost
         self._left = {team.name: team.guaranteed_accelerators for team in teams}
         """Guaranteed accelerators that are neither in use nor counted for a waiting group yet."""
 
         self._borrowing: set[TaskGroup] = set()
-        self._is_late: dict[FleetJob, bool] = {}
         self._guaranteed: set[TaskGroup] = set()
         self._count_running(workers)
         self._count_waiting(waiting)
 
-    def sort_key(self, group: TaskGroup) -> tuple[int, int, int, str, str]:
+    def sort_key(self, group: TaskGroup) -> QueueKey:
         """Returns the key by which groups are sorted: first those to place first."""
         job = group.job
-        return (
+        standing = self.standing(group)
+        is_by_cost = standing is not Standing.GUARANTEED and not self._has_been_passed(group)
+        return QueueKey(
+            standing is Standing.EXPIRED,
             job.priority,
-            self.standing(group),
+            standing,
+            -self._delay_cost.rate(group) if is_by_cost else -math.inf,
             group.ready_since_ms or 0,
             job.id,
             group.key,
@@ -76,12 +111,9 @@
         """Returns the standing of a waiting group."""
         if group in self._guaranteed:
             return Standing.GUARANTEED
-        if group.job not in self._is_late:
-            self._is_late[group.job] = self._is_expected_late(group.job)
-        waited_ms = self._now_ms - (group.ready_since_ms or self._now_ms)
-        if self._is_late[group.job] and waited_ms < MAX_LATE_WAIT_MS:
-            return Standing.LATE
-        return Standing.IN_TIME
+        if self._has_been_passed(group):
+            return Standing.IN_TIME
+        return _STANDINGS[self._delay_cost.standing(group.job)]
 
     def may_reclaim(self, group: TaskGroup, other: TaskGroup) -> bool:
         """Returns whether ``group`` may preempt urgent work that uses more than its team's share."""
@@ -114,16 +146,10 @@
         self._left[team] = left - required
         return True
 
-    def _is_expected_late(self, job: FleetJob) -> bool:
-        queue = job.queue
-        request = job.accepted.request
-        if queue is None or request.occurrences:
-            return False
-        if any(step.runs_until_cancelled for step in request.steps):
-            return False
-        objective_ms = queue.objective_ms + queue.objective_factor * job.expected_chain_ms()
-        waited_ms = self._now_ms - job.accepted_ms
-        return waited_ms + job.expected_remaining_ms() > objective_ms
+    def _has_been_passed(self, group: TaskGroup) -> bool:
+        """Returns whether the group has waited for as long as others may pass it."""
+        ready_since_ms = group.ready_since_ms
+        return ready_since_ms is not None and self._now_ms - ready_since_ms >= MAX_PASSED_MS
 
 
 def _by_start(group: TaskGroup) -> tuple[int, str, str]:
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -8,6 +8,7 @@
 from jujubehall.core.fleet.decisions import ReserveCapacity
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopReason
+from jujubehall.core.fleet.delay_cost import DelayCost
 from jujubehall.core.fleet.gang_starts import incomplete_gangs
 from jujubehall.core.fleet.placement import choose_workers
 from jujubehall.core.fleet.preemption import PreemptionPlanner
@@ -72,8 +73,13 @@
 
         self._candidates = WorkerCandidates(fleet_state, now_ms)
         self._waiting = list(fleet_state.waiting_groups(now_ms))
+        self._delay_cost = DelayCost(now_ms, fleet_state.work_history)
         self._order = QueueOrder(
-            fleet_state.configuration.teams, fleet_state.workers.values(), self._waiting, now_ms
+            fleet_state.configuration.teams,
+            fleet_state.workers.values(),
+            self._waiting,
+            self._delay_cost,
+            now_ms,
         )
         self._planner = PreemptionPlanner(now_ms, self._order)
 
