--- a/tests/services/fleet/test_crashing_simulation.py
+++ b/tests/services/fleet/test_crashing_simulation.py
@@ -9,11 +9,19 @@
 
 SEED_WITH_CRASHES = 3
 SEEDS_OF_GANGS_WITHOUT_WORKERS = (116, 3_001)
-SEED_OF_AN_INNOCENT_JOB = 424
+SEEDS_OF_INNOCENT_JOBS = (69, 424)
+SEED_OF_A_TASK_STARTED_TOO_OFTEN = 80
 
 
 @pytest.mark.parametrize(
-    "seed", [3_000, 3_002, *SEEDS_OF_GANGS_WITHOUT_WORKERS, SEED_OF_AN_INNOCENT_JOB]
+    "seed",
+    [
+        3_000,
+        3_002,
+        *SEEDS_OF_GANGS_WITHOUT_WORKERS,
+        *SEEDS_OF_INNOCENT_JOBS,
+        SEED_OF_A_TASK_STARTED_TOO_OFTEN,
+    ],
 )
 def test_only_jobs_that_crash_their_workers_are_given_up(seed: int) -> None:
     assert CrashingTaskSimulation(seed).run() == []
