Make the last attempt of a job on workers that have proved themselves

Cause: a worker that begins to fail whatever it starts is quarantined only once it has failed. A group whose job fails with its next failure is placed only on proven workers, up to 0.8 s after it may be placed again, then on any. First attempts and jobs with one attempt are placed as before.

--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -146,6 +146,11 @@
         """The number of failed runs."""
         return len(self.failed_runs)
 
+    @property
+    def is_at_last_attempt(self) -> bool:
+        """Whether it has failed before, and its job fails with its next failure."""
+        return 0 < self.failures == self.job.max_failures - 1
+
     @property
     def avoided_workers(self) -> set[WorkerName]:
         """Workers on which it has failed or that have crashed under it."""
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -185,6 +185,8 @@
             group.checkpoint = ended.checkpoint
         if ended.kind is EndKind.DONE:
             self._worker.failure_history.record_success()
+            if is_current:
+                _record_survivals(group)
             if is_current and placement is not None and placement.progress.is_from_scratch:
                 group.completed_duration_ms = self._now_ms - placement.started_ms
             if is_current or all(each.run == ended.run for each in group.placements.values()):
@@ -275,6 +277,8 @@
 
     def _confirm(self, group: TaskGroup, placement: Placement, running: RunningTask) -> None:
         placement.confirm(self._now_ms)
+        if placement.is_past_start(self._now_ms):
+            self._worker.failure_history.record_survival(placement.started_ms)
         self._note_at_work(group)
         placement.progress.record(running.percent, self._now_ms)
 
@@ -305,3 +309,9 @@
         group.remove_placement(index)
         if not group.placements and not group.is_done:
             group.not_before_ms = max(group.not_before_ms, self._now_ms)
+
+
+def _record_survivals(group: TaskGroup) -> None:
+    """Records that all members of a group that is done have survived on their workers."""
+    for each in group.placements.values():
+        each.worker.failure_history.record_survival(each.started_ms)
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -39,6 +39,10 @@
 SUSPECT_WAIT_MS = 1_000
 """How long a group that may have crashed a worker waits for workers on which nothing runs."""
 
+PROVEN_WORKER_WAIT_MS = 800
+"""How long a group whose job fails with its next failure waits for workers that have proved
+themselves."""
+
 HEALTHY_WORKER_WAIT_MS = 1_000
 """After this wait, a group may use workers that are slow or on which it has failed."""
 
@@ -147,6 +151,8 @@
         ):
             return
         healthy = self._candidates.healthy(group)
+        if self._needs_proven_workers(group):
+            healthy = [each for each in healthy if each.failure_history.is_proven(self._now_ms)]
         if group.is_suspect and self._schedule_suspect(group, healthy):
             return
         if group.reserved_workers and not self._resume_reservation(group, healthy):
@@ -164,8 +170,10 @@
             return
         # Few workers may be left to a large gang that avoids those on which it was.
         relax_locality = bool(group.avoided_workers) and self._may_relax_locality(group)
-        if self._waited_ms(group) >= HEALTHY_WORKER_WAIT_MS and self._place(
-            group, self._candidates.eligible(group), relax_locality
+        if (
+            self._waited_ms(group) >= HEALTHY_WORKER_WAIT_MS
+            and not self._needs_proven_workers(group)
+            and self._place(group, self._candidates.eligible(group), relax_locality)
         ):
             return
         self._unplaceable_steps.add(self._step_key(group))
@@ -202,6 +210,14 @@
             count *= 2
         return False
 
+    def _needs_proven_workers(self, group: TaskGroup) -> bool:
+        """Returns whether the group is only placed on workers that have proved themselves.
+
+        Workers that have begun to fail whatever they start would otherwise use up its attempts.
+        """
+        waited_ms = self._now_ms - group.not_before_ms
+        return group.is_at_last_attempt and waited_ms < PROVEN_WORKER_WAIT_MS
+
     def _loss_in_crash(self, worker: FleetWorker) -> tuple[bool, int, str]:
         """Returns a key by which workers are sorted whose crash would lose least."""
         groups = {group for group, _ in worker.placements}
@@ -228,6 +244,7 @@
             or request.is_filler
             or request.target_latency_ms
             or group.avoided_workers
+            or group.is_at_last_attempt
             or (request.data_rack and not self._may_relax_locality(group))
         ):
             return None
@@ -243,6 +260,7 @@
             frozenset(group.avoided_workers),
             bool(group.reserved_workers),
             group.is_suspect,
+            self._needs_proven_workers(group),
         )
         return (
             group.job.id,
@@ -296,6 +314,7 @@
             or request.tasks_per_worker
             or group.avoided_workers
             or group.reserved_workers
+            or group.is_at_last_attempt
         )
         best_fit = self._candidates.best_fit(group) if is_unconstrained else None
         if best_fit is None:
