--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -85,6 +85,8 @@
         """Runs the round and returns the decisions in the order in which to carry them out."""
         self._stop_incomplete_gangs()
         self._evacuate()
+        if self._fleet_state.are_starts_suspended:
+            return self._decisions
         self._relocate()
         waiting = sorted(self._waiting, key=self._order.sort_key)
         self._headroom = self._compute_headroom(waiting)
@@ -160,7 +162,12 @@
         if not self._leaves_headroom(group):
             self._unplaceable_steps.add(self._step_key(group))
             return
-        if self._place_on_healthy_workers(group, healthy):
+        preferred = self._candidates.preferred(group)
+        if self._place_on_healthy_workers(group, preferred, include_cold=False):
+            return
+        if len(preferred) < len(healthy) and self._place_on_healthy_workers(
+            group, healthy, include_cold=True
+        ):
             return
         if group.job.priority == HIGHEST_PRIORITY and not group.reserved_workers:
             self._preempt(group, healthy)
@@ -306,7 +313,9 @@
         required = group.occupied_resources.accelerators * len(group.indexes)
         return self._candidates.free_accelerators(group) - required >= headroom * share
 
-    def _place_on_healthy_workers(self, group: TaskGroup, healthy: list[FleetWorker]) -> bool:
+    def _place_on_healthy_workers(
+        self, group: TaskGroup, healthy: list[FleetWorker], include_cold: bool
+    ) -> bool:
         """Places the group on healthy workers, near its data if it has a data rack."""
         request = group.request
         is_unconstrained = len(group.indexes) == 1 and not (
@@ -316,7 +325,7 @@
             or group.reserved_workers
             or group.is_at_last_attempt
         )
-        best_fit = self._candidates.best_fit(group) if is_unconstrained else None
+        best_fit = self._candidates.best_fit(group, include_cold) if is_unconstrained else None
         if best_fit is None:
             return self._place(group, healthy, relax_locality=False)
         worker = best_fit.find()
