--- a/src/jujubehall/core/fleet/expected_end.py
+++ b/src/jujubehall/core/fleet/expected_end.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Iterable
 
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.workers import FleetWorker
@@ -72,6 +73,15 @@
 """Used where all workers are alike."""
 
 
+def preference_among(
+    group: TaskGroup, workers: Iterable[FleetWorker], now_ms: int, delay_ms: float = 0.0
+) -> SpeedPreference:
+    """Returns the preference of a group for workers of which some may differ in speed."""
+    if any(each.speed.speed_class for each in workers):
+        return speed_preference(group, now_ms, delay_ms)
+    return ANY_SPEED
+
+
 def speed_preference(group: TaskGroup, now_ms: int, delay_ms: float = 0.0) -> SpeedPreference:
     """Returns the preference of a group that starts after ``delay_ms``."""
     is_urgent = group.job.priority == HIGHEST_PRIORITY
--- a/src/jujubehall/core/fleet/placement.py
+++ b/src/jujubehall/core/fleet/placement.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from jujubehall.core.fleet.best_fit import fit_key
-from jujubehall.core.fleet.expected_end import speed_preference
+from jujubehall.core.fleet.expected_end import preference_among
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -84,7 +84,7 @@
     racks or run away from their data.
     """
     request = group.request
-    preference = speed_preference(group, now_ms)
+    preference = preference_among(group, workers, now_ms)
     if len(group.indexes) == 1 and not request.data_rack:
         return _pack(group, workers, now_ms, preference)
     racks: dict[RackName, list[FleetWorker]] = {}
--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -6,8 +6,7 @@
 from typing import NamedTuple
 
 from jujubehall.core.fleet.decisions import StopGroup
-from jujubehall.core.fleet.expected_end import ANY_SPEED
-from jujubehall.core.fleet.expected_end import speed_preference
+from jujubehall.core.fleet.expected_end import preference_among
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.placement import remaining_task_limit
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
@@ -149,11 +148,7 @@
 
     def _cheapest_plan(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
         """Returns the cheapest plan on workers that are fast enough, or else on all workers."""
-        preference = (
-            speed_preference(group, self._now_ms, EXPECTED_STOP_MS)
-            if any(each.speed.speed_class for each in workers)
-            else ANY_SPEED
-        )
+        preference = preference_among(group, workers, self._now_ms, EXPECTED_STOP_MS)
         fast = [each for each in workers if preference.is_in_time([each])]
         plan = self._cheapest_plan_on(group, fast)
         if plan is not None or len(fast) == len(workers):
--- a/src/jujubehall/core/fleet/speed_learning.py
+++ b/src/jujubehall/core/fleet/speed_learning.py
@@ -137,7 +137,7 @@
         self, group: TaskGroup, placement: Placement, percent: int, now_ms: int
     ) -> None:
         """Takes in a report of the progress of a run."""
-        if group.request.runs_until_cancelled or percent < MIN_PERCENT:
+        if group.request.runs_until_cancelled or group.job.is_final or percent < MIN_PERCENT:
             return
         key = (group.job, group.occurrence, group.step)
         step = self._steps.get(key)
--- a/src/jujubehall/core/fleet/worker_candidates.py
+++ b/src/jujubehall/core/fleet/worker_candidates.py
@@ -12,7 +12,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from jujubehall.core.fleet.expected_end import SpeedPreference
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.jobs import FleetJob
     from jujubehall.core.fleet.state import FleetState
     from jujubehall.core.fleet.workers import FleetWorker
 
@@ -32,6 +34,7 @@
         self._healthy: dict[EligibilityKey, list[FleetWorker]] = {}
         self._free_accelerators: dict[EligibilityKey, int] = {}
         self._best_fits: dict[EligibilityKey, BestFitHeap] = {}
+        self._preferences: dict[tuple[FleetJob, int, int], SpeedPreference] = {}
 
     def eligible(self, group: TaskGroup) -> list[FleetWorker]:
         """Returns the workers that may run the group and accept new tasks."""
@@ -70,9 +73,7 @@
         key = _eligibility_key(group)
         if key is None:
             return None
-        preference = ANY_SPEED
-        if self._fleet_state.speeds.has_classes:
-            preference = speed_preference(group, self._now_ms)
+        preference = self._preference(group)
         key = (*key, preference)
         if key not in self._best_fits:
             needs = group.occupied_resources
@@ -95,6 +96,15 @@
             for best_fit in self._best_fits.values():
                 best_fit.refresh(worker)
 
+    def _preference(self, group: TaskGroup) -> SpeedPreference:
+        """Returns the speed preference of the group, which all groups of its step share."""
+        if not self._fleet_state.speeds.has_classes:
+            return ANY_SPEED
+        key = (group.job, group.occurrence, group.step)
+        if key not in self._preferences:
+            self._preferences[key] = speed_preference(group, self._now_ms)
+        return self._preferences[key]
+
     def _healthy_for_all_groups(self, group: TaskGroup) -> list[FleetWorker]:
         key = _eligibility_key(group)
         if key is not None and key in self._healthy:
