Choose what is preempted by the cost of delay

Cause: an urgent group compared the work lost by stops with its own wait only.

Change: plans are compared by what callers may lose, including the slack that victims have left to restart; victims that aren't needed are spared; a group stops nothing if that loses more than its own wait. Guaranteed work, and work that has waited for 30 s, always may. A second, longer wait for runs that end soon is considered. Plans with waits are skipped if nothing ends in time for them.

A test is renamed since the longest wait is no longer half of the slack; its assertions are the same.

--- a/src/jujubehall/core/fleet/delay_cost.py
+++ b/src/jujubehall/core/fleet/delay_cost.py
@@ -40,6 +40,9 @@
 RESTART_HORIZON_MS = 4_000
 """The same for work that has been stopped: about as long as capacity takes to become free."""
 
+MAX_RISK_HORIZONS = 5
+"""With more slack than this multiple of the horizon, the risk is less than one percent."""
+
 RESTART_DELAY_MS = 500
 """Time from the stop of a group to its next start: the stop, its report and the start."""
 
@@ -102,6 +105,17 @@
         return self.value * (1 - lost_share)
 
 
+class StopLoss(NamedTuple):
+    """The value put at risk if a running group is stopped and started again."""
+
+    waste: float
+    """The value of the work that has to be done again."""
+
+    risk: float
+    """What its job may lose because it ends later; other groups of the job that are stopped at the
+    same time add nothing to it."""
+
+
 class DelayCost:
     """Computes the cost of delay for the jobs of one scheduling round.
 
@@ -113,6 +127,9 @@
         self._now_ms = now_ms
         self._history = history
         self._outlooks: dict[FleetJob, JobOutlook | None] = {}
+        self._values: dict[FleetJob, float] = {}
+        self._rates: dict[FleetJob, float] = {}
+        self._stop_losses: dict[tuple[FleetJob, int, int], StopLoss] = {}
 
     def standing(self, job: FleetJob) -> Lateness:
         """Returns whether the job can still be in time, if all its work starts now."""
@@ -121,21 +138,28 @@
 
     def value(self, job: FleetJob) -> float:
         """Returns what the end of the job is worth to its caller if it is in time."""
-        relative_value = FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * self._history.relative_work(
-            job
-        )
-        weight = LOWER_PRIORITY_VALUE_SHARE**job.priority
-        return weight * min(MAX_RELATIVE_VALUE, relative_value)
+        value = self._values.get(job)
+        if value is None:
+            size_share = (1 - FIXED_VALUE_SHARE) * self._history.relative_work(job)
+            value = LOWER_PRIORITY_VALUE_SHARE**job.priority
+            value *= min(MAX_RELATIVE_VALUE, FIXED_VALUE_SHARE + size_share)
+            self._values[job] = value
+        return value
 
     def rate(self, group: TaskGroup) -> float:
         """Returns the value at stake per core-second of the work that its job still needs.
 
         Returns infinity for a job without an objective.
         """
-        outlook = self.outlook(group.job)
-        if outlook is None:
-            return math.inf
-        return outlook.value_at_stake() / (outlook.remaining_core_ms / 1_000)
+        job = group.job
+        rate = self._rates.get(job)
+        if rate is None:
+            outlook = self.outlook(job)
+            rate = math.inf
+            if outlook is not None:
+                rate = outlook.value_at_stake() / (outlook.remaining_core_ms / 1_000)
+            self._rates[job] = rate
+        return rate
 
     def loss_if_stopped(self, group: TaskGroup) -> float:
         """Returns the value put at risk if a running group is stopped and started again.
@@ -143,16 +167,30 @@
         That is the value of the work that has to be done again, and what its job may lose by ending
         later. A group whose checkpoint is saved loses little.
         """
-        done_ms = float(self._now_ms - min(each.started_ms for each in group.placements.values()))
-        repeated_ms = RESTART_DELAY_MS + (0.0 if group.request.saves_checkpoints else done_ms)
-        loss = self.value(group.job) * _share_of_job(group, repeated_ms)
-        outlook = self.outlook(group.job)
-        if outlook is not None:
-            # The outlook assumes that all of the step is still to be done.
-            value_if_stopped = outlook.expected_value(repeated_ms - done_ms)
-            loss += outlook.expected_value(-done_ms) - value_if_stopped
+        return sum(self.stop_loss(group))
+
+    def stop_loss(self, group: TaskGroup) -> StopLoss:
+        """Returns the parts of ``loss_if_stopped``."""
+        # Tasks of one step that were started together lose the same.
+        started_ms = min(each.started_ms for each in group.placements.values())
+        key = (group.job, group.step, started_ms)
+        loss = self._stop_losses.get(key)
+        if loss is None:
+            loss = self._compute_stop_loss(group, self._now_ms - started_ms)
+            self._stop_losses[key] = loss
         return loss
 
+    def loss_if_not_started(self, group: TaskGroup) -> float:
+        """Returns the value that its job loses at most if the group waits for room.
+
+        Nothing is lost by the wait of a job that has expired.
+        """
+        value = self.value(group.job)
+        standing = self.standing(group.job)
+        if standing is Lateness.IN_TIME:
+            return value
+        return LATE_VALUE_SHARE * value if standing is Lateness.LATE else 0.0
+
     def loss_by_wait(self, group: TaskGroup, wait_ms: float) -> float:
         """Returns the value put at risk if a group waits for other work that should end by then.
 
@@ -170,6 +208,17 @@
             self._outlooks[job] = self._compute_outlook(job)
         return self._outlooks[job]
 
+    def _compute_stop_loss(self, group: TaskGroup, done_ms: int) -> StopLoss:
+        repeated_ms = RESTART_DELAY_MS + (0 if group.request.saves_checkpoints else done_ms)
+        waste = self.value(group.job) * _share_of_job(group, repeated_ms)
+        outlook = self.outlook(group.job)
+        if outlook is None or outlook.slack_ms > MAX_RISK_HORIZONS * RESTART_HORIZON_MS:
+            return StopLoss(waste, 0.0)
+        # The outlook assumes that all of the step is still to be done.
+        value_if_stopped = outlook.expected_value(repeated_ms - done_ms)
+        risk = outlook.expected_value(-done_ms) - value_if_stopped
+        return StopLoss(waste, max(0.0, risk))
+
     def _compute_outlook(self, job: FleetJob) -> JobOutlook | None:
         queue = job.queue
         request = job.accepted.request
--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import math
+
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.placement import remaining_task_limit
-from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from jujubehall.core.fleet.decisions import StopReason
+    from jujubehall.core.fleet.delay_cost import DelayCost
+    from jujubehall.core.fleet.delay_cost import StopLoss
     from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.jobs import FleetJob
     from jujubehall.core.fleet.queue_order import QueueOrder
     from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.workers import FleetWorker
@@ -24,13 +31,17 @@
 """Cost of preempting a task even if its checkpoint is saved, in milliseconds of its work: the stop,
 the wait for free capacity and the restore."""
 
-MAX_WAIT_SLACK_SHARE = 0.5
-"""Share of the slack before its latency objective that a group may wait for other work to finish;
-with a higher share, ``benchmarks.site_load`` shows urgent jobs late."""
+WAIT_SLACK_SHARES = (0.5, 0.8)
+"""Shares of the slack before its latency objective that a group may wait for other work to finish.
+The higher one is only considered if work would have to be stopped with the lower one."""
+
+WASTE_WEIGHT = 4.0
+"""Weight of the value that is put at risk by a stop. Work that is repeated also delays whatever waits
+for the same capacity."""
 
-WAIT_COST_WEIGHT = 2
-"""Weight of the work that a group can't do while it waits, relative to the work lost by preemption;
-a late job is worse than repeated work."""
+GIVE_UP_WEIGHT = 2.0
+"""The same for the decision to stop nothing and leave the group waiting for room. That loses for
+certain what a stop only puts at risk, so the weight is lower."""
 
 MAX_WAIT_MS = 1_200
 """Longest wait of a group for other work to finish. Afterwards there must still be time for a stop
@@ -41,17 +52,13 @@
 """Added to the expected remaining time of a task: the report of its end takes a few milliseconds,
 and progress is only reported in whole percent."""
 
-URGENT_LOSS_WEIGHT = 10
-"""Weight of urgent work that is preempted to give another team what it is guaranteed. On the sites,
-urgent jobs are worth over ten times as much for each core-second as other jobs."""
-
 MILLICORE_MS_PER_CORE_S = 1_000_000
 
 
 class PreemptionPlan(NamedTuple):
-    """Workers for a group, the groups to stop there, and the cost in millicore-milliseconds."""
+    """Workers for a group, the groups to stop there, and the expected cost in value to callers."""
 
-    cost: int
+    cost: float
     workers: dict[int, FleetWorker]
     victims: frozenset[TaskGroup]
     wait_ms: float
@@ -61,7 +68,7 @@
 class _Occupant(NamedTuple):
     """The tasks of one group on one worker that are not being stopped."""
 
-    loss: int
+    loss: StopLoss
     group: TaskGroup
     needs: Resources
     remaining_ms: float | None
@@ -71,7 +78,7 @@
 class _Option(NamedTuple):
     """The additional cost of placing one more task on a worker."""
 
-    cost: int
+    cost: float
     worker: FleetWorker
     victims: frozenset[TaskGroup]
     wait_ms: float
@@ -100,9 +107,10 @@
     the round and recomputed only after a change on that worker.
     """
 
-    def __init__(self, now_ms: int, order: QueueOrder) -> None:
+    def __init__(self, now_ms: int, order: QueueOrder, delay_cost: DelayCost) -> None:
         self._now_ms = now_ms
         self._order = order
+        self._delay_cost = delay_cost
         self._occupants: dict[FleetWorker, list[_Occupant]] = {}
 
     def invalidate(self, group: TaskGroup) -> None:
@@ -117,6 +125,18 @@
         so that bursts of urgent work don't discard work that is nearly done. A group that prefers
         one rack, or has a data rack, is only placed within such a rack.
         """
+        must_start = self._order.must_start(group)
+        max_loss = math.inf if must_start else self._delay_cost.loss_if_not_started(group)
+        if not max_loss:
+            return None
+        plan = self._find_cheapest(group, workers)
+        if plan is not None and len(plan.victims) > 1:
+            plan = self._without_unneeded(group, plan)
+        if plan is None or GIVE_UP_WEIGHT * self._loss(plan.victims) > max_loss:
+            return None
+        return plan
+
+    def _find_cheapest(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
         if group.request.data_rack:
             local_workers = [
                 worker for worker in workers if worker.listed.rack == group.request.data_rack
@@ -134,20 +154,29 @@
         return best_plan
 
     def _cheapest_plan(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
-        """Returns the cheaper of two plans: preempt now, or wait for work that finishes soon."""
-        immediate = self._plan(group, workers, 0.0)
-        max_wait_ms = _max_wait_ms(group, self._now_ms)
-        if max_wait_ms <= 0 or (immediate is not None and not immediate.cost):
-            return immediate
-        deferred = self._plan(group, workers, max_wait_ms)
-        if immediate is None or (deferred is not None and deferred.cost < immediate.cost):
-            return deferred
-        return immediate
+        """Returns the cheapest of the plans that preempt now or wait for work that ends soon."""
+        cheapest = self._plan(group, workers, 0.0)
+        for share in WAIT_SLACK_SHARES:
+            max_wait_ms = _max_wait_ms(group, self._now_ms, share)
+            if max_wait_ms <= 0 or (cheapest is not None and not cheapest.victims):
+                return cheapest
+            if not self._has_work_ending_within(workers, max_wait_ms):
+                continue
+            plan = self._plan(group, workers, max_wait_ms)
+            if cheapest is None or (plan is not None and plan.cost < cheapest.cost):
+                cheapest = plan
+        return cheapest
+
+    def _has_work_ending_within(self, workers: list[FleetWorker], limit_ms: float) -> bool:
+        return any(
+            _ends_within(occupant, limit_ms)
+            for worker in workers
+            for occupant in self._occupants_of(worker)
+        )
 
     def _plan(
         self, group: TaskGroup, workers: list[FleetWorker], max_wait_ms: float
     ) -> PreemptionPlan | None:
-        cost = 0
         wait_ms = 0.0
         victims: set[TaskGroup] = set()
         chosen: dict[int, FleetWorker] = {}
@@ -166,7 +195,6 @@
             if not options:
                 return None
             best = min(options.values(), key=_option_key)
-            cost += best.cost
             victims |= best.victims
             chosen[index] = best.worker
             wait_ms = max(wait_ms, best.wait_ms)
@@ -176,9 +204,58 @@
                 # Stopping a gang frees capacity on all its workers.
                 stale.update(each.worker for each in victim.placements.values())
             stale &= set(workers)
-        cost += round(wait_ms * WAIT_COST_WEIGHT * group.total_millicore_equivalents)
+        cost = self._delay_cost.loss_by_wait(group, wait_ms)
+        cost += WASTE_WEIGHT * self._loss(victims)
         return PreemptionPlan(cost, chosen, frozenset(victims), wait_ms)
 
+    def _without_unneeded(self, group: TaskGroup, plan: PreemptionPlan) -> PreemptionPlan:
+        """Returns the plan without victims that the group doesn't need, most expensive first.
+
+        A gang that was chosen for one worker may free enough on others, where smaller groups had
+        been chosen before.
+        """
+        victims = set(plan.victims)
+        placed_counts = Counter(plan.workers.values())
+        for victim in sorted(victims, key=self._dearest_first):
+            workers = {each.worker for each in victim.placements.values()}
+            others = victims - {victim}
+            if all(
+                self._fits_without(others, group, worker, placed_counts[worker], plan.wait_ms)
+                for worker in workers & placed_counts.keys()
+            ):
+                victims.discard(victim)
+        return plan._replace(victims=frozenset(victims))
+
+    def _dearest_first(self, group: TaskGroup) -> tuple[float, str, str]:
+        return (-self._loss([group]), group.job.id, group.key)
+
+    def _fits_without(
+        self,
+        victims: set[TaskGroup],
+        group: TaskGroup,
+        worker: FleetWorker,
+        placed: int,
+        wait_ms: float,
+    ) -> bool:
+        required = group.occupied_resources.times(placed)
+        if required.fits_in(worker.free_for(group)):
+            return True
+        retained = worker.untracked_usage + worker.reserved_for_others(group)
+        for occupant in self._occupants_of(worker):
+            if occupant.group not in victims and not _ends_within(occupant, wait_ms):
+                retained = retained + occupant.needs
+        return required.fits_in(worker.listed.capacity.minus(retained))
+
+    def _loss(self, victims: Iterable[TaskGroup]) -> float:
+        """Returns the value put at risk by stopping all these groups."""
+        waste = 0.0
+        risks: dict[FleetJob, float] = {}
+        for group in victims:
+            loss = self._delay_cost.stop_loss(group)
+            waste += loss.waste
+            risks[group.job] = max(loss.risk, risks.get(group.job, 0.0))
+        return waste + sum(risks.values())
+
     def _find_option(
         self,
         group: TaskGroup,
@@ -213,17 +290,20 @@
                 reclaimable.append(occupant)
         capacity = worker.listed.capacity
         new_victims = []
-        cost = 0
+        stopped_jobs = {each.job for each in victims}
+        cost = 0.0
         for occupant in preemptible + reclaimable:
             if required.fits_in(capacity.minus(retained)):
                 break
             new_victims.append(occupant.group)
-            is_urgent = occupant.group.job.priority == HIGHEST_PRIORITY
-            cost += occupant.loss * (URGENT_LOSS_WEIGHT if is_urgent else 1)
+            cost += occupant.loss.waste
+            if occupant.group.job not in stopped_jobs:
+                cost += occupant.loss.risk
+                stopped_jobs.add(occupant.group.job)
             retained = retained.minus(occupant.needs)
         if not required.fits_in(capacity.minus(retained)):
             return None
-        return _Option(cost, worker, frozenset(new_victims), wait_ms)
+        return _Option(WASTE_WEIGHT * cost, worker, frozenset(new_victims), wait_ms)
 
     def _occupants_of(self, worker: FleetWorker) -> list[_Occupant]:
         """Returns the occupants of a worker that are not being stopped, cheapest to stop first."""
@@ -239,28 +319,31 @@
                 placements.setdefault(group, []).append(placement)
         occupants = [
             _Occupant(
-                preemption_loss(group, self._now_ms),
+                self._delay_cost.stop_loss(group),
                 group,
                 group.occupied_resources.times(len(group_placements)),
                 _remaining_ms(group_placements, self._now_ms),
             )
             for group, group_placements in placements.items()
         ]
-        return sorted(occupants, key=lambda each: (each.loss, each.group.job.id, each.group.key))
+        return sorted(
+            occupants,
+            key=lambda each: (sum(each.loss), each.group.job.id, each.group.key),
+        )
 
 
-def _option_key(option: _Option) -> tuple[int, bool, str]:
+def _option_key(option: _Option) -> tuple[float, bool, str]:
     return (option.cost, option.worker.is_typically_slow, option.worker.name)
 
 
-def _max_wait_ms(group: TaskGroup, now_ms: int) -> float:
+def _max_wait_ms(group: TaskGroup, now_ms: int, slack_share: float) -> float:
     """Returns how long the group may wait for other work to finish."""
     queue = group.job.queue
     if queue is None or group.ready_since_ms is None:
         return 0.0
     waited_ms = now_ms - group.ready_since_ms
     slack_ms = queue.objective_ms + (queue.objective_factor - 1) * group.request.expected_ms
-    return min(MAX_WAIT_SLACK_SHARE * (slack_ms - waited_ms), MAX_WAIT_MS - waited_ms)
+    return min(slack_share * (slack_ms - waited_ms), MAX_WAIT_MS - waited_ms)
 
 
 def _remaining_ms(placements: list[Placement], now_ms: int) -> float | None:
--- a/src/jujubehall/core/fleet/queue_order.py
+++ b/src/jujubehall/core/fleet/queue_order.py
@@ -96,12 +96,14 @@
         """Returns the key by which groups are sorted: first those to place first."""
         job = group.job
         standing = self.standing(group)
-        is_by_cost = standing is not Standing.GUARANTEED and not self._has_been_passed(group)
+        rate = math.inf
+        if standing is not Standing.GUARANTEED and not self._has_been_passed(group):
+            rate = self._delay_cost.rate(group)
         return QueueKey(
             standing is Standing.EXPIRED,
             job.priority,
             standing,
-            -self._delay_cost.rate(group) if is_by_cost else -math.inf,
+            -rate,
             group.ready_since_ms or 0,
             job.id,
             group.key,
@@ -115,6 +117,13 @@
             return Standing.IN_TIME
         return _STANDINGS[self._delay_cost.standing(group.job)]
 
+    def must_start(self, group: TaskGroup) -> bool:
+        """Returns whether the group has to start whatever that costs other callers.
+
+        It is within what its team is guaranteed, or has waited for as long as others may pass it.
+        """
+        return group in self._guaranteed or self._has_been_passed(group)
+
     def may_reclaim(self, group: TaskGroup, other: TaskGroup) -> bool:
         """Returns whether ``group`` may preempt urgent work that uses more than its team's share."""
         return group in self._guaranteed and other in self._borrowing
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -81,7 +81,7 @@
             self._delay_cost,
             now_ms,
         )
-        self._planner = PreemptionPlanner(now_ms, self._order)
+        self._planner = PreemptionPlanner(now_ms, self._order, self._delay_cost)
 
     def run(self) -> list[Decision]:
         """Runs the round and returns the decisions in the order in which to carry them out."""
--- a/tests/core/fleet/test_scheduling_round.py
+++ b/tests/core/fleet/test_scheduling_round.py
@@ -136,7 +136,7 @@
     assert [group.job.id for group in site.start_groups()] == ["now"]
 
 
-def test_urgent_task_waits_at_most_half_of_its_slack() -> None:
+def test_urgent_task_waits_only_for_a_share_of_its_slack() -> None:
     site = SmallSite(workers=1)
     site.submit("old", step(needs=EIGHT_GPUS, expected_ms=10_000), queue=OVERNIGHT)
     (old,) = site.start_groups()
