Show where a job would be placed now, and why, without submitting it

Cause: operators could see why a job had waited (job explain), and not where one would go. Change: the owner previews a job on its live state without changing it; any entry host answers on the address of its metrics, the command 'job locate' shows it as text or JSON. Result: tests at the decision, on the virtual site (any host, refusals, no owner, store down) and of the command.

--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -10,6 +10,7 @@
 
 from twisted.internet import reactor as _reactor
 from twisted.internet.error import CannotListenError
+from twisted.web.resource import Resource
 from twisted.web.server import Site
 
 from jujubehall.clock import MS_PER_SECOND
@@ -31,6 +32,8 @@
 from jujubehall.platform.adapter.directory import StoreDirectory
 from jujubehall.platform.adapter.job_api import JobApiResource
 from jujubehall.platform.adapter.job_api import ReadinessResource
+from jujubehall.platform.adapter.placement_api import LOCATE_PATH
+from jujubehall.platform.adapter.placement_api import PlacementResource
 from jujubehall.platform.adapter.store import StoreClient
 from jujubehall.platform.adapter.waves import StoreWaves
 from jujubehall.platform.adapter.workers import WorkerCommandClient
@@ -87,7 +90,10 @@
         self._listen(self._settings.listen.front, self._site)
         readiness = Site(ReadinessResource(lambda: self._host.is_ready))
         self._listen(self._settings.listen.readiness, readiness)
-        self._listen(f"{self._settings.ip}:{METRICS_PORT}", Site(MetricsResource(self._host)))
+        operators: Any = Resource()
+        operators.putChild(b"metrics", MetricsResource(self._host))
+        operators.putChild(LOCATE_PATH[1:].encode(), PlacementResource(self._host.admission))
+        self._listen(f"{self._settings.ip}:{METRICS_PORT}", Site(operators))
 
     def run(self) -> None:
         """Runs the reactor until the shutdown is complete."""
--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from jujubehall.core.fleet.placement_preview import JobPreview
+from jujubehall.core.fleet.requests import AcceptedJob
 from jujubehall.core.jobs.job import JobState
 from jujubehall.core.ownership.record import Member
 from jujubehall.core.requests.request import Answer
@@ -243,6 +245,18 @@
     count: int
 
 
+class PlacementWanted(msgspec.Struct, frozen=True, tag="placement-wanted"):
+    """Asks the owner where a job would be placed now, without submitting it."""
+
+    job: AcceptedJob
+
+
+class PlacementKnown(msgspec.Struct, frozen=True, tag="placement-known"):
+    """Response to ``PlacementWanted``."""
+
+    preview: JobPreview
+
+
 class StoreWriteWanted(msgspec.Struct, frozen=True, tag="store-write-wanted"):
     """Request to create a record on behalf of the sender, which can't reach the store."""
 
@@ -279,6 +293,8 @@
     | JobStateKnown
     | PendingWanted
     | PendingKnown
+    | PlacementWanted
+    | PlacementKnown
     | StoreWriteWanted
     | StoreWriteSettled
     | Heartbeat
--- a/src/jujubehall/platform/adapter/job_api.py
+++ b/src/jujubehall/platform/adapter/job_api.py
@@ -10,6 +10,9 @@
 import msgspec
 import structlog
 
+from result import Err
+from result import Ok
+from result import Result
 from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
@@ -36,7 +39,7 @@
 TOKEN_SCHEME = "Token "
 MAX_DEADLINE_MS = 600_000
 
-_STATUS_BY_OUTCOME = {
+STATUS_BY_OUTCOME = {
     Outcome.ACCEPTED: 200,
     Outcome.SHOWN: 200,
     Outcome.NO_SUCH_QUEUE: 404,
@@ -78,16 +81,17 @@
 
     async def _dispatch(self, request: Any) -> CallResponse:
         method = _decode_text(request.method)
-        admitted = self._admission.check(_to_call(request))
+        admitted = self._admission.check(to_call(request))
         if isinstance(admitted, CallResponse):
             return admitted
         if not admitted.subpath:
             if method == "GET":
                 return await self._admission.pending(admitted)
             return CallResponse(Outcome.MALFORMED, "the path has no job identifier")
-        if JOB_ID_PATTERN.fullmatch(admitted.subpath) is None:
-            return _invalid_job_id(method)
-        job = JobId(admitted.subpath)
+        parsed = parse_job_id(admitted.subpath)
+        if isinstance(parsed, Err):
+            return _invalid_job_id(method, parsed.err_value)
+        job = parsed.ok_value
         if method == "POST":
             return await self._submit(admitted, job, request.content.read())
         if method == "GET":
@@ -99,12 +103,11 @@
         )
 
     async def _submit(self, admitted: AdmittedCall, job: JobId, body: bytes) -> CallResponse:
-        try:
-            request = _to_request(decode_json(body, wire.Submission))
-        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
-            log.info("invalid job submission", job=job, error=str(error))
-            return CallResponse(Outcome.MALFORMED, str(error))
-        return await self._admission.submit(admitted, job, request)
+        request = decode_submission(body)
+        if isinstance(request, Err):
+            log.info("invalid job submission", job=job, error=request.err_value)
+            return CallResponse(Outcome.MALFORMED, request.err_value)
+        return await self._admission.submit(admitted, job, request.ok_value)
 
     def _write_response(self, request: Any, response: CallResponse) -> None:
         body: dict[str, object] = {}
@@ -115,7 +118,7 @@
         if response.detail:
             body["error"] = response.detail
         content = msgspec.json.encode(body)
-        request.setResponseCode(_STATUS_BY_OUTCOME[response.outcome])
+        request.setResponseCode(STATUS_BY_OUTCOME[response.outcome])
         request.setHeader("Content-Type", "application/json")
         request.setHeader("Content-Length", str(len(content)))
         if response.retry_after_ms:
@@ -141,7 +144,8 @@
         return b""
 
 
-def _to_call(request: Any) -> IncomingCall:
+def to_call(request: Any) -> IncomingCall:
+    """Returns the target, the key and the timeout of an HTTP request."""
     host = _decode_text(request.getHeader(b"host") or b"").partition(":")[0]
     authorization = _decode_text(request.getHeader(b"authorization") or b"")
     key = authorization.removeprefix(TOKEN_SCHEME).strip()
@@ -152,12 +156,24 @@
     return IncomingCall(host, _decode_text(request.path), key, timeout_ms)
 
 
-def _invalid_job_id(method: str) -> CallResponse:
+def parse_job_id(subpath: str) -> Result[JobId, str]:
+    """Returns the job identifier in the part of a path that follows the queue's prefix."""
+    if JOB_ID_PATTERN.fullmatch(subpath) is None:
+        return Err("invalid job identifier in the path: 16 hexadecimal digits are required")
+    return Ok(JobId(subpath))
+
+
+def decode_submission(body: bytes) -> Result[JobRequest, str]:
+    """Decodes the body of a submission; the error names the invalid field."""
+    try:
+        return Ok(_to_request(decode_json(body, wire.Submission)))
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        return Err(str(error))
+
+
+def _invalid_job_id(method: str, error: str) -> CallResponse:
     if method == "POST":
-        return CallResponse(
-            Outcome.MALFORMED,
-            "invalid job identifier in the path: 16 hexadecimal digits are required",
-        )
+        return CallResponse(Outcome.MALFORMED, error)
     return CallResponse(Outcome.NO_SUCH_JOB, "no such job")
 
 
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -13,6 +13,7 @@
 import structlog
 
 from result import Err
+from result import Ok
 
 from jujubehall.core.fleet.requests import AcceptedJob
 from jujubehall.core.fleet.requests import find_request_error
@@ -25,10 +26,13 @@
 from jujubehall.services.fleet.records import job_key
 
 if TYPE_CHECKING:
+    from result import Result
+
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.configuration import Queue
     from jujubehall.core.fleet.configuration import SiteConfiguration
+    from jujubehall.core.fleet.placement_preview import JobPreview
     from jujubehall.core.fleet.requests import JobRequest
     from jujubehall.core.jobs.job import JobState
     from jujubehall.identifiers import JobId
@@ -188,14 +192,7 @@
         if error is not None:
             return CallResponse(Outcome.MALFORMED, error)
         started_ms = self._clock.now_ms
-        accepted = AcceptedJob(
-            job,
-            admitted.queue.name,
-            admitted.team,
-            request,
-            self._wall_clock.now_ms,
-            admitted.queue,
-        )
+        accepted = self._accepted(admitted, job, request)
         write_result = await self._write(
             job_key(job), msgspec.json.encode(accepted), admitted.timeout_ms
         )
@@ -214,6 +211,38 @@
         )
         return response
 
+    async def preview(
+        self, admitted: AdmittedCall, job: JobId, request: JobRequest
+    ) -> Result[JobPreview, CallResponse]:
+        """Returns where a job would be placed now, without accepting it.
+
+        Returns the response that the caller would get if the job would be refused, or if the owner
+        doesn't answer.
+        """
+        error = find_request_error(request)
+        if error is not None:
+            return Err(CallResponse(Outcome.MALFORMED, error))
+        found = await self._peers.placement(self._accepted(admitted, job, request))
+        if found is None:
+            return Err(
+                CallResponse(
+                    Outcome.NOT_RUN,
+                    "the owner of the site is not known",
+                    retry_after_ms=RETRY_AFTER_MS,
+                )
+            )
+        return Ok(found)
+
+    def _accepted(self, admitted: AdmittedCall, job: JobId, request: JobRequest) -> AcceptedJob:
+        return AcceptedJob(
+            job,
+            admitted.queue.name,
+            admitted.team,
+            request,
+            self._wall_clock.now_ms,
+            admitted.queue,
+        )
+
     async def show(self, admitted: AdmittedCall, job: JobId) -> CallResponse:
         """Returns a job's state as the owner knows it, or else as it is stored.
 
--- a/src/jujubehall/services/fleet/peer_request_handlers.py
+++ b/src/jujubehall/services/fleet/peer_request_handlers.py
@@ -16,6 +16,8 @@
 from jujubehall.entry_hosts.messages import OwnerContactWanted
 from jujubehall.entry_hosts.messages import PendingKnown
 from jujubehall.entry_hosts.messages import PendingWanted
+from jujubehall.entry_hosts.messages import PlacementKnown
+from jujubehall.entry_hosts.messages import PlacementWanted
 from jujubehall.entry_hosts.messages import Refused
 from jujubehall.entry_hosts.messages import SiteConfigurationOffered
 from jujubehall.entry_hosts.messages import SiteConfigurationWanted
@@ -71,6 +73,7 @@
         mesh.register(SiteConfigurationWanted, self._on_configuration_wanted)
         mesh.register(JobStateWanted, self._on_job_state_wanted)
         mesh.register(PendingWanted, self._on_pending_wanted)
+        mesh.register(PlacementWanted, self._on_placement_wanted)
         mesh.register(IntakeKept, self._on_intake_kept)
         mesh.register(StoreWriteWanted, self._on_store_write_wanted)
         mesh.register(OwnerContactWanted, self._on_owner_contact_wanted)
@@ -104,6 +107,13 @@
             return Refused("not the owner")
         return PendingKnown(owner.fleet_state.count_unstarted_jobs(request.queue))
 
+    async def _on_placement_wanted(
+        self, sender: EntryHostName, request: PlacementWanted
+    ) -> Message:
+        if (owner := self._loaded_owner) is None:
+            return Refused("not the owner")
+        return PlacementKnown(owner.preview(request.job))
+
     async def _on_intake_kept(self, sender: EntryHostName, notice: IntakeKept) -> Message:
         if (owner := self._loaded_owner) is None:
             return Refused("not the owner")
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -19,6 +19,8 @@
 from jujubehall.entry_hosts.messages import OwnerContactWanted
 from jujubehall.entry_hosts.messages import PendingKnown
 from jujubehall.entry_hosts.messages import PendingWanted
+from jujubehall.entry_hosts.messages import PlacementKnown
+from jujubehall.entry_hosts.messages import PlacementWanted
 from jujubehall.entry_hosts.messages import SiteConfigurationOffered
 from jujubehall.entry_hosts.messages import SiteConfigurationWanted
 from jujubehall.entry_hosts.messages import SiteHeartbeat
@@ -35,6 +37,8 @@
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.jobs import FleetJob
+    from jujubehall.core.fleet.placement_preview import JobPreview
+    from jujubehall.core.fleet.requests import AcceptedJob
     from jujubehall.core.ownership.record import Member
     from jujubehall.entry_hosts.mesh import Mesh
     from jujubehall.entry_hosts.messages import Message
@@ -247,6 +251,13 @@
         response = await self._request_from_owner(PendingWanted(queue), PendingKnown)
         return None if response is None else response.count
 
+    async def placement(self, job: AcceptedJob) -> JobPreview | None:
+        """Returns where the owner would place a job now; None without a response."""
+        if self._owner is not None and self._owner.is_loaded:
+            return self._owner.preview(job)
+        response = await self._request_from_owner(PlacementWanted(job), PlacementKnown)
+        return None if response is None else response.preview
+
     def notify_owner(self, key: str, value: bytes) -> None:
         """Notifies the owner of a stored record.
 
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -14,6 +14,7 @@
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.lost_workers import LossKind
 from jujubehall.core.fleet.lost_workers import lost_worker
+from jujubehall.core.fleet.placement_preview import preview_job
 from jujubehall.core.fleet.state import FleetState
 from jujubehall.metrics import JOBS_GIVEN_UP
 from jujubehall.metrics import RUNS_LOST
@@ -42,6 +43,7 @@
     from jujubehall.core.fleet.jobs import FleetJob
     from jujubehall.core.fleet.jobs import JobProgress
     from jujubehall.core.fleet.lost_workers import LostWorker
+    from jujubehall.core.fleet.placement_preview import JobPreview
     from jujubehall.core.fleet.requests import AcceptedJob
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.core.fleet.workers import ListedWorker
@@ -270,6 +272,10 @@
         self.fleet_state.add_job(accepted, progress, self._clock.now_ms, self._wall_clock.now_ms)
         self.schedule_round()
 
+    def preview(self, accepted: AcceptedJob) -> JobPreview:
+        """Returns where a job would be placed now, without adding it."""
+        return preview_job(self.fleet_state, accepted, self._clock.now_ms)
+
     def cancel(self, job: JobId) -> None:
         """Cancels a job and stops its tasks."""
         self.fleet_state.cancel(job, self._clock.now_ms)
