--- a/benchmarks/site_load/__main__.py
+++ b/benchmarks/site_load/__main__.py
@@ -4,6 +4,7 @@
 figures of each seed in DIR. To measure an earlier version, run the same command with ``PYTHONPATH``
 set to its ``src`` and ``--version NAME``. ``--compare DIR`` prints and plots all figures in DIR.
 ``--admission NAME`` lets a policy refuse jobs; callers return after the time that it names.
+``--evacuate`` empties one availability zone for some seconds.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from benchmarks.site_load.baseline import decide_first_fit
 from benchmarks.site_load.figures import day_figures
 from benchmarks.site_load.intervals import mean_with_interval
+from benchmarks.site_load.replay import EVACUATION
 from benchmarks.site_load.replay import Replay
 from benchmarks.site_load.shapes import LARGE_SITES
 from benchmarks.site_load.shapes import SITES
@@ -40,6 +42,7 @@
     seed: int
     version: str
     admission: str | None = None
+    evacuates: bool = False
 
 
 def replay(task: ReplayTask) -> dict[str, float]:
@@ -49,11 +52,12 @@
         decide_first_fit if task.version == FIRST_FIT_VERSION else FleetState.run_scheduling_round
     )
     jobs = draw_jobs(site, task.load, task.seed)
-    outcome = Replay(site, jobs, policy, task.seed).replay_day()
+    evacuation = EVACUATION if task.evacuates else None
+    outcome = Replay(site, jobs, policy, task.seed, evacuation=evacuation).replay_day()
     if task.admission is None:
         return day_figures(outcome)
     admission = ADMISSIONS[task.admission]()
-    with_refusals = Replay(site, jobs, policy, task.seed, admission).replay_day()
+    with_refusals = Replay(site, jobs, policy, task.seed, admission, evacuation).replay_day()
     return day_figures(with_refusals, outcome)
 
 
@@ -79,6 +83,7 @@
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--version", default=SHIPPED_VERSION)
     parser.add_argument("--admission", choices=sorted(ADMISSIONS))
+    parser.add_argument("--evacuate", action="store_true")
     parser.add_argument("--processes", type=int, default=DEFAULT_PROCESSES)
     parser.add_argument("--keep", type=Path)
     parser.add_argument("--compare", type=Path)
@@ -103,7 +108,14 @@
         return
     seeds = range(options.first_seed, options.first_seed + options.seeds)
     tasks = [
-        ReplayTask(options.site, options.load, seed, options.version, options.admission)
+        ReplayTask(
+            options.site,
+            options.load,
+            seed,
+            options.version,
+            options.admission,
+            options.evacuate,
+        )
         for seed in seeds
     ]
     with ProcessPoolExecutor(options.processes) as pool:
--- a/benchmarks/site_load/replay.py
+++ b/benchmarks/site_load/replay.py
@@ -20,6 +20,7 @@
 from jujubehall.core.fleet.reports import RunningTask
 from jujubehall.core.fleet.reports import WorkerReport
 from jujubehall.core.fleet.requests import AcceptedJob
+from jujubehall.identifiers import ZoneName
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -77,6 +78,17 @@
         return 0.0
 
 
+class Evacuation(NamedTuple):
+    """A period in which the workers of one availability zone accept no work."""
+
+    zone: ZoneName
+    start_ms: int
+    end_ms: int
+
+
+EVACUATION = Evacuation(ZoneName("z0"), 12_000, 22_000)
+
+
 class DayOutcome(NamedTuple):
     """The outcomes of one day's jobs, and the cost of scheduling them."""
 
@@ -120,9 +132,11 @@
         policy: Policy,
         seed: int,
         admission: Admission | None = None,
+        evacuation: Evacuation | None = None,
     ) -> None:
         self._policy = policy
         self._admission = admission
+        self._evacuation = evacuation
         self._restore_ms = site.checkpoint_restore_ms
         self._returning: set[JobId] = set()
         """Refused jobs whose callers will submit them again."""
@@ -159,6 +173,10 @@
         """Replays until every job has ended, at most until ``REPLAY_LIMIT_MS``."""
         for job in self._jobs_by_id.values():
             self._schedule(job.submitted_ms, lambda job=job: self._submit(job, 0))  # type: ignore[misc]
+        if self._evacuation is not None:
+            zones = frozenset({self._evacuation.zone})
+            self._schedule(self._evacuation.start_ms, lambda: self._evacuate(zones))
+            self._schedule(self._evacuation.end_ms, lambda: self._evacuate(frozenset()))
         self._schedule(ROUND_INTERVAL_MS, self._request_rounds_periodically)
         for number, worker in enumerate(self._fleet_state.workers.values()):
             first_ms = number * REPORT_INTERVAL_MS // len(self._runs_by_worker)
@@ -219,6 +237,10 @@
         self._send_stops()
         self._request_round()
 
+    def _evacuate(self, zones: frozenset[ZoneName]) -> None:
+        self._fleet_state.set_evacuated_zones(zones)
+        self._request_round()
+
     def _request_rounds_periodically(self) -> None:
         self._request_round()
         self._schedule(self._now_ms + ROUND_INTERVAL_MS, self._request_rounds_periodically)
--- a/tests/benchmarks/test_site_load.py
+++ b/tests/benchmarks/test_site_load.py
@@ -13,6 +13,7 @@
 from benchmarks.site_load.baseline import decide_first_fit
 from benchmarks.site_load.figures import day_figures
 from benchmarks.site_load.intervals import student_quantile
+from benchmarks.site_load.replay import EVACUATION
 from benchmarks.site_load.replay import MAX_RETURNS
 from benchmarks.site_load.replay import Replay
 from benchmarks.site_load.shapes import GUARANTEED_SHARE
@@ -20,13 +21,16 @@
 from benchmarks.site_load.shapes import SITES
 from benchmarks.site_load.shapes import draw_jobs
 from jujubehall.core.fleet import preemption
+from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.state import FleetState
 
 if TYPE_CHECKING:
     from benchmarks.site_load.replay import DayOutcome
+    from jujubehall.core.fleet.decisions import Decision
     from jujubehall.core.fleet.requests import AcceptedJob
     from jujubehall.core.fleet.requests import StepRequest
     from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import ZoneName
 
 HEAVY_LOAD = 1.18
 SEEDS = (1, 2, 3)
@@ -207,6 +211,31 @@
     assert 0.0 <= figures["worst team"] <= figures["worst tenth of teams"] <= 1.0
 
 
+def test_nothing_starts_in_a_zone_while_it_is_evacuated() -> None:
+    """The replay must start work there before and after, and every job must end."""
+    site = LARGE_SITES["brennholt"]._replace(workers=SMALL_WORKERS, workers_per_rack=4)
+    starts: list[tuple[int, ZoneName]] = []
+
+    def run_round(fleet_state: FleetState, now_ms: int) -> list[Decision]:
+        decisions = fleet_state.run_scheduling_round(now_ms)
+        starts.extend(
+            (now_ms, worker.listed.zone)
+            for each in decisions
+            if isinstance(each, StartGroup)
+            for worker in each.workers.values()
+        )
+        return decisions
+
+    outcome = Replay(
+        site, draw_jobs(site, HEAVY_LOAD, 1), run_round, 1, evacuation=EVACUATION
+    ).replay_day()
+    times_ms = [at_ms for at_ms, zone in starts if zone == EVACUATION.zone]
+    assert min(times_ms) < EVACUATION.start_ms
+    assert max(times_ms) > EVACUATION.end_ms
+    assert not any(EVACUATION.start_ms < each < EVACUATION.end_ms for each in times_ms)
+    assert all(each.ended_ms is not None for each in outcome.jobs)
+
+
 @pytest.mark.parametrize(
     ("degrees", "quantile"), [(1, 12.706), (5, 2.571), (8, 2.306), (39, 2.023)]
 )
