Choose among proven workers in WorkerCandidates, for preferred workers as well

Change: the filter and its wait are in WorkerCandidates, for healthy and preferred workers alike, and such counts of free accelerators are not cached for other groups.

--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -19,6 +19,7 @@
 from jujubehall.core.fleet.relocation import should_evacuate
 from jujubehall.core.fleet.relocation import should_relocate
 from jujubehall.core.fleet.worker_candidates import WorkerCandidates
+from jujubehall.core.fleet.worker_candidates import needs_proven_workers
 
 if TYPE_CHECKING:
     from jujubehall.core.fleet.groups import TaskGroup
@@ -39,10 +40,6 @@
 SUSPECT_WAIT_MS = 1_000
 """How long a group that may have crashed a worker waits for workers on which nothing runs."""
 
-PROVEN_WORKER_WAIT_MS = 800
-"""How long a group whose job fails with its next failure waits for workers that have proved
-themselves."""
-
 HEALTHY_WORKER_WAIT_MS = 1_000
 """After this wait, a group may use workers that are slow or on which it has failed."""
 
@@ -153,8 +150,6 @@
         ):
             return
         healthy = self._candidates.healthy(group)
-        if self._needs_proven_workers(group):
-            healthy = [each for each in healthy if each.failure_history.is_proven(self._now_ms)]
         if group.is_suspect and self._schedule_suspect(group, healthy):
             return
         if group.reserved_workers and not self._resume_reservation(group, healthy):
@@ -179,7 +174,7 @@
         relax_locality = bool(group.avoided_workers) and self._may_relax_locality(group)
         if (
             self._waited_ms(group) >= HEALTHY_WORKER_WAIT_MS
-            and not self._needs_proven_workers(group)
+            and not needs_proven_workers(group, self._now_ms)
             and self._place(group, self._candidates.eligible(group), relax_locality)
         ):
             return
@@ -217,14 +212,6 @@
             count *= 2
         return False
 
-    def _needs_proven_workers(self, group: TaskGroup) -> bool:
-        """Returns whether the group is only placed on workers that have proved themselves.
-
-        Workers that have begun to fail whatever they start would otherwise use up its attempts.
-        """
-        waited_ms = self._now_ms - group.not_before_ms
-        return group.is_at_last_attempt and waited_ms < PROVEN_WORKER_WAIT_MS
-
     def _loss_in_crash(self, worker: FleetWorker) -> tuple[bool, int, str]:
         """Returns a key by which workers are sorted whose crash would lose least."""
         groups = {group for group, _ in worker.placements}
@@ -267,7 +254,7 @@
             frozenset(group.avoided_workers),
             bool(group.reserved_workers),
             group.is_suspect,
-            self._needs_proven_workers(group),
+            needs_proven_workers(group, self._now_ms),
         )
         return (
             group.job.id,
--- a/src/jujubehall/core/fleet/worker_candidates.py
+++ b/src/jujubehall/core/fleet/worker_candidates.py
@@ -18,6 +18,10 @@
 
 EligibilityKey = tuple[object, ...]
 
+PROVEN_WORKER_WAIT_MS = 800
+"""How long a group whose job fails with its next failure waits for workers that have proved
+themselves."""
+
 
 class WorkerCandidates:
     """Caches the candidate workers by eligibility key, which most groups share.
@@ -46,17 +50,20 @@
         return self._eligible[key]
 
     def healthy(self, group: TaskGroup) -> list[FleetWorker]:
-        """Returns the healthy eligible workers that the group doesn't avoid."""
-        return _without_avoided(group, self._healthy_for_all_groups(group))
+        """Returns the healthy eligible workers that the group doesn't avoid.
+
+        At its last attempt, these are at first only workers that have proved themselves.
+        """
+        return self._suitable(group, self._healthy_for_all_groups(group))
 
     def preferred(self, group: TaskGroup) -> list[FleetWorker]:
         """Returns the healthy workers, without cold ones for urgent groups and gangs."""
-        return _without_avoided(group, self._preferred_for_all_groups(group))
+        return self._suitable(group, self._preferred_for_all_groups(group))
 
     def free_accelerators(self, group: TaskGroup) -> int:
         """Returns the total number of free accelerators on the group's healthy workers."""
         key = _eligibility_key(group)
-        if key is None or group.avoided_workers:
+        if key is None or group.avoided_workers or needs_proven_workers(group, self._now_ms):
             return sum(worker.free.accelerators for worker in self.healthy(group))
         if key not in self._free_accelerators:
             self._free_accelerators[key] = sum(
@@ -109,6 +116,13 @@
             self._healthy[key] = healthy
         return healthy
 
+    def _suitable(self, group: TaskGroup, workers: list[FleetWorker]) -> list[FleetWorker]:
+        if needs_proven_workers(group, self._now_ms):
+            workers = [each for each in workers if each.failure_history.is_proven(self._now_ms)]
+        if group.avoided_workers:
+            workers = [each for each in workers if each.name not in group.avoided_workers]
+        return workers
+
     def _preferred_for_all_groups(self, group: TaskGroup) -> list[FleetWorker]:
         healthy = self._healthy_for_all_groups(group)
         if not _avoids_cold_workers(group):
@@ -130,10 +144,12 @@
     return group.job.priority == HIGHEST_PRIORITY or group.request.is_gang
 
 
-def _without_avoided(group: TaskGroup, workers: list[FleetWorker]) -> list[FleetWorker]:
-    if not group.avoided_workers:
-        return workers
-    return [each for each in workers if each.name not in group.avoided_workers]
+def needs_proven_workers(group: TaskGroup, now_ms: int) -> bool:
+    """Returns whether the group is only placed on workers that have proved themselves.
+
+    Workers that have begun to fail whatever they start would otherwise use up its attempts.
+    """
+    return group.is_at_last_attempt and now_ms - group.not_before_ms < PROVEN_WORKER_WAIT_MS
 
 
 def _eligibility_key(group: TaskGroup) -> EligibilityKey | None:
--- a/tests/core/fleet/test_last_attempt.py
+++ b/tests/core/fleet/test_last_attempt.py
@@ -10,7 +10,7 @@
 from jujubehall.core.fleet.reconciliation import FAILURE_RETRY_DELAY_MS
 from jujubehall.core.fleet.reports import EndKind
 from jujubehall.core.fleet.reports import RunningTask
-from jujubehall.core.fleet.scheduling_round import PROVEN_WORKER_WAIT_MS
+from jujubehall.core.fleet.worker_candidates import PROVEN_WORKER_WAIT_MS
 from tests.core.fleet.small_site import EIGHT_GPUS
 from tests.core.fleet.small_site import SmallSite
 from tests.core.fleet.small_site import step
