--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -179,8 +179,6 @@
             self._unplaceable_steps.add(self._step_key(group))
             return
         preferred = self._candidates.preferred(group)
-        if self._needs_proven_workers(group):
-            preferred = [each for each in preferred if each in healthy]
         if self._prefers_to_preempt(group, preferred) and self._preempt_for_speed(group, healthy):
             return
         if self._place_on_healthy_workers(group, preferred, include_cold=False):
