--- a/tests/services/fleet/test_whole_path.py
+++ b/tests/services/fleet/test_whole_path.py
@@ -61,6 +61,7 @@
 
 def test_pending_counts_jobs_without_started_task(site: VirtualFleet) -> None:
     site.submit(JOB, JobRequest("spec", (step(tasks=32, expected_ms=5_000),)))
+    site.run(0.1)
     site.submit(OTHER_JOB, GANG_REQUEST)
     site.run(0.2)
     host = site.hosts[1]
