Compare preemption plans on fast workers with those on all workers by their rank

Cause: within a rack, a plan on workers that are fast enough was taken whatever it cost.

Change: both plans are made and the better rank wins, so that a late end has its price there too.

--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -147,14 +147,20 @@
         return best_plan
 
     def _cheapest_plan(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
-        """Returns the cheapest plan on workers that are fast enough, or else on all workers."""
+        """Returns the better of two plans: on workers that are fast enough, or on all workers."""
         preference = preference_among(group, workers, self._now_ms, EXPECTED_STOP_MS)
         fast = [each for each in workers if preference.is_in_time([each])]
-        plan = self._cheapest_plan_on(group, fast)
-        if plan is not None or len(fast) == len(workers):
-            return plan
+        fast_plan = self._cheapest_plan_on(group, fast)
+        if len(fast) == len(workers) or (fast_plan is not None and not fast_plan.cost):
+            return fast_plan
         plan = self._cheapest_plan_on(group, workers)
-        return plan._replace(is_in_time=False) if plan is not None else None
+        if plan is not None:
+            plan = plan._replace(is_in_time=preference.is_in_time(plan.workers.values()))
+        if plan is None or (
+            fast_plan is not None and _rank(fast_plan, group) <= _rank(plan, group)
+        ):
+            return fast_plan
+        return plan
 
     def _cheapest_plan_on(
         self, group: TaskGroup, workers: list[FleetWorker]
