Leave slow workers to deferrable work; place normal work on usual ones

Cause: normal gangs took the slow workers, so that overnight tasks spread over the others and were preempted there.

Change: work that is neither urgent nor deferrable prefers usual workers, then slow, then fast ones.

--- a/src/jujubehall/core/fleet/expected_end.py
+++ b/src/jujubehall/core/fleet/expected_end.py
@@ -1,8 +1,8 @@
 """Which workers are fast enough for a group to end within its latency objective.
 
-Urgent groups are placed on the fastest workers with room for them. Other groups are placed on the
-slowest workers on which they are still expected to be in time, so that fast workers stay free for
-urgent work. Where the workers are alike, all of this has no effect.
+Urgent groups are placed on the fastest workers with room for them. Deferrable work is placed on the
+slowest workers on which it is still expected to be in time, and other work on usual ones, so that fast
+workers stay free for urgent work. Where the workers are alike, all of this has no effect.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
+from jujubehall.core.fleet.priorities import MIN_DEFERRABLE_PRIORITY
 from jujubehall.core.fleet.worker_speed import FASTEST_CLASS
 from jujubehall.core.fleet.worker_speed import SLOWEST_CLASS
 from jujubehall.core.fleet.worker_speed import SPEED_CLASS_RATIO
@@ -33,7 +34,7 @@
 MAX_FACTOR = float(SPEED_CLASS_RATIO ** (SLOWEST_CLASS + 0.5))
 MIN_FACTOR = float(SPEED_CLASS_RATIO ** (FASTEST_CLASS - 0.5))
 
-TOO_SLOW_RANK = 2 * SLOWEST_CLASS
+TOO_SLOW_RANK = 4 * SLOWEST_CLASS
 """Added to the rank of workers on which a group is expected to be late."""
 
 
@@ -44,6 +45,9 @@
     """The slowest class, relative to estimates, in which the group is expected to end in time."""
 
     prefers_fast: bool
+    prefers_usual: bool = False
+    """Whether it leaves the slow workers to work that can be deferred, which would otherwise spread
+    over workers on which urgent groups preempt it."""
 
     def rank(self, worker: FleetWorker) -> int:
         """Returns the rank of a worker; workers of the lowest rank are used first."""
@@ -52,7 +56,7 @@
             return speed_class
         if worker.speed.end_class > self.slowest_class:
             return TOO_SLOW_RANK + speed_class
-        return -speed_class
+        return self._rank_in_time(speed_class)
 
     def rank_all(self, workers: Collection[FleetWorker]) -> int:
         """Returns the rank of the workers of a whole group, which ends with the slowest of them."""
@@ -62,12 +66,18 @@
             return TOO_SLOW_RANK * len(workers) * slowest + unused_speed
         if not self.is_in_time(workers):
             return TOO_SLOW_RANK * len(workers) + slowest
-        return unused_speed
+        return sum(self._rank_in_time(each.speed.speed_class) for each in workers)
 
     def is_in_time(self, workers: Collection[FleetWorker]) -> bool:
         """Returns whether a group is expected to end in time on these workers."""
         return all(each.speed.end_class <= self.slowest_class for each in workers)
 
+    def _rank_in_time(self, speed_class: int) -> int:
+        """Returns the rank of a worker on which the group is expected to be in time."""
+        if not self.prefers_usual:
+            return -speed_class
+        return speed_class if speed_class >= 0 else SLOWEST_CLASS - speed_class
+
 
 ANY_SPEED = SpeedPreference(SLOWEST_CLASS, prefers_fast=False)
 """Used where all workers are alike."""
@@ -91,7 +101,9 @@
     if slowest_class < FASTEST_CLASS and not is_urgent:
         # It is late wherever it runs, so it leaves the fast workers to work that can be in time.
         return ANY_SPEED
-    return SpeedPreference(slowest_class, prefers_fast=is_urgent)
+    return SpeedPreference(
+        slowest_class, is_urgent, not is_urgent and group.job.priority < MIN_DEFERRABLE_PRIORITY
+    )
 
 
 def _max_duration_factor(group: TaskGroup, start_ms: float) -> float:
--- a/tests/core/fleet/test_expected_end.py
+++ b/tests/core/fleet/test_expected_end.py
@@ -89,6 +89,14 @@
     assert names(gang) == {"w5", "w7"}
 
 
+def test_normal_work_leaves_slow_workers_to_work_that_can_be_deferred() -> None:
+    site = learned_site()
+    pair = step(tasks=2, needs=EIGHT_GPUS, is_gang=True, prefers_one_rack=True, expected_ms=6_000)
+    site.submit("normal", pair, queue=NORMAL)
+    (group,) = site.start_groups()
+    assert names(group) == {"w5", "w7"}
+
+
 def test_work_that_has_waited_uses_workers_on_which_it_is_still_in_time() -> None:
     site = learned_site()
     job = site.submit("normal", step(expected_ms=1_000), queue=NORMAL)
