--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -189,13 +189,15 @@
         preference = preference_among(group, workers, self._now_ms, EXPECTED_STOP_MS)
         fast = [each for each in workers if preference.is_in_time([each])]
         fast_plan = self._cheapest_plan_on(group, fast)
-        if len(fast) == len(workers) or (fast_plan is not None and not fast_plan.cost):
+        if len(fast) == len(workers):
+            return fast_plan
+        if fast_plan is not None and fast_plan.cost <= self._delay_cost.loss_if_late(group):
             return fast_plan
         plan = self._cheapest_plan_on(group, workers)
         if plan is not None:
             plan = plan._replace(is_in_time=preference.is_in_time(plan.workers.values()))
         if plan is None or (
-            fast_plan is not None and _rank(fast_plan, group) <= _rank(plan, group)
+            fast_plan is not None and self._rank(fast_plan, group) <= self._rank(plan, group)
         ):
             return fast_plan
         return plan
