--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -10,6 +10,7 @@
 from jujubehall.core.fleet.groups import GroupProgress
 from jujubehall.core.fleet.groups import TaskGroup
 from jujubehall.core.fleet.priorities import LOWEST_PRIORITY
+from jujubehall.core.fleet.requests import longest_chain_ms
 from jujubehall.core.fleet.tickets import StepTickets
 from jujubehall.core.jobs.job import JobState
 
@@ -38,7 +39,7 @@
         # queue settings stored at its acceptance.
         self.queue = queue or accepted.accepted_under
         self.accepted_ms = now_ms
-        """When this owner learned of the job, on its own clock."""
+        """When this owner learned of the job or first refused it, on its own clock."""
 
         self.state = JobState.QUEUED
         self.stored_state = JobState.QUEUED
@@ -96,6 +97,13 @@
         """Returns the tickets of one step in one occurrence."""
         return self._tickets.setdefault((occurrence, step), StepTickets())
 
+    def count_waiting_from(self, first_attempt_ms: int) -> None:
+        """Counts its wait from its caller's first attempt, if earlier ones were refused."""
+        self.accepted_ms = min(self.accepted_ms, first_attempt_ms)
+        for group in self.all_groups():
+            if group.ready_since_ms is not None:
+                group.ready_since_ms = min(group.ready_since_ms, first_attempt_ms)
+
     def all_groups(self) -> Iterator[TaskGroup]:
         """Yields the groups of all occurrences that have been created."""
         for groups in self.groups.values():
@@ -127,7 +135,7 @@
 
     def expected_chain_ms(self) -> int:
         """Returns the expected duration of the longest chain of dependent steps."""
-        return self._longest_chain_ms(frozenset())
+        return longest_chain_ms(self.accepted.request.steps)
 
     def expected_remaining_ms(self) -> int:
         """Returns the expected duration of the longest chain of steps that are not done yet."""
@@ -136,7 +144,7 @@
             for occurrence, step in self.groups
             if (occurrence, step) not in self._unfinished_steps
         }
-        return self._longest_chain_ms(frozenset(finished))
+        return longest_chain_ms(self.accepted.request.steps, frozenset(finished))
 
     @cached_property
     def expected_core_ms(self) -> float:
@@ -152,13 +160,6 @@
             if not group.is_done
         )
 
-    def _longest_chain_ms(self, finished: frozenset[int]) -> int:
-        ends_ms: list[int] = []
-        for number, step in enumerate(self.accepted.request.steps):
-            starts_ms = max((ends_ms[earlier] for earlier in step.after), default=0)
-            ends_ms.append(starts_ms + (0 if number in finished else step.expected_ms))
-        return max(ends_ms)
-
     def due_unix_ms(self, occurrence: int) -> int:
         """Returns the earliest start of an occurrence as Unix time in ms.
 
--- a/src/jujubehall/core/fleet/requests.py
+++ b/src/jujubehall/core/fleet/requests.py
@@ -77,6 +77,18 @@
     """The queue settings at acceptance, used if the configuration no longer has the queue."""
 
 
+def longest_chain_ms(steps: tuple[StepRequest, ...], finished: frozenset[int] = frozenset()) -> int:
+    """Returns the expected duration of the longest chain of dependent steps.
+
+    The steps whose indexes are in ``finished`` take no more time.
+    """
+    ends_ms: list[int] = []
+    for number, step in enumerate(steps):
+        starts_ms = max((ends_ms[earlier] for earlier in step.after), default=0)
+        ends_ms.append(starts_ms + (0 if number in finished else step.expected_ms))
+    return max(ends_ms)
+
+
 def find_request_error(request: JobRequest) -> str | None:
     """Returns why the request is invalid, or None if it is valid."""
     if not request.steps:
