--- a/src/jujubehall/daemon/settings_errors.py
+++ b/src/jujubehall/daemon/settings_errors.py
@@ -23,8 +23,8 @@
 _UNQUOTED_KEY = re.compile(r"[A-Za-z_][A-Za-z0-9_]*")
 
 
-def find_errors(content: bytes) -> list[str]:
-    """Validates the content of a settings file against the JSON schema of ``Settings``.
+def find_errors(content: bytes, settings_type: type = Settings) -> list[str]:
+    """Validates the content of a settings file against the JSON schema of its type.
 
     Returns one line per error, sorted. Each line begins with the path of the invalid value:
 
@@ -34,7 +34,7 @@
         document = json.loads(content)
     except (ValueError, RecursionError) as error:
         return [f"$: not JSON: {error}"]
-    validator = Draft202012Validator(msgspec.json.schema(Settings))
+    validator = Draft202012Validator(msgspec.json.schema(settings_type))
     errors = [line for error in validator.iter_errors(document) for line in _error_lines(error)]
     return sorted(errors)
 
