Ask the owner about jobs that may have to be refused for load

Cause: entry hosts accept every job by writing its record, whatever waits. Change: the owner's heartbeats name the queues that have too much work ahead; without such queues nothing is added to them. For a job that may be affected, the entry host asks the owner before it writes. It refuses only if the owner says so and the store has no record of the job; without limits, without an answer, with an unreachable store or after a takeover it admits. The owner counts the wait of an accepted job from its first refusal.

--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -11,6 +11,8 @@
 from result import Err
 
 from jujubehall.core.ownership.record import Member
+from jujubehall.daemon.scheduling_settings import DEFAULT_SCHEDULING
+from jujubehall.daemon.scheduling_settings import SchedulingSettings
 from jujubehall.platform.site_store import Write
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import run_loop
@@ -97,6 +99,7 @@
         clients: SiteClients,
         time_limits: SiteTimeLimits,
         random: Random,
+        scheduling: SchedulingSettings = DEFAULT_SCHEDULING,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -112,6 +115,7 @@
             else None
         )
         self._time_limits = time_limits
+        self._scheduling = scheduling
         self._owner: SiteOwner | None = None
         self._is_stopping = False
         self.configuration = ConfigurationFollower(reactor, clock, self._directory)
@@ -183,6 +187,7 @@
             self._time_limits.gang_start_timeout_ms,
             self._time_limits.ended_job_retention_ms,
             self._maintenance_clients,
+            self._scheduling.refuse_when_overloaded,
         )
         self._owner = owner
         if self.configuration.current is not None:
--- a/src/jujubehall/daemon/site_metrics.py
+++ b/src/jujubehall/daemon/site_metrics.py
@@ -41,6 +41,7 @@
         metrics.PLATFORM_CONNECTED.set({}, int(not host.store.is_lost))
         metrics.CONFIGURATION_NUMBER.set({}, host.configuration.version)
         metrics.CONFIGURATION_AGE.set({}, host.configuration.age_ms or 0)
+        metrics.LIMITED_QUEUES.set({}, len(host.peers.admission_limits.waits_ms))
         metrics.OWNER_TOKEN.set({}, host.ownership.highest_token)
         metrics.OWNS_SITE.set({}, int(host.owner is not None))
         self._set_latencies("submission", host.submission_latencies)
--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -40,6 +40,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from jujubehall.daemon.scheduling_settings import SchedulingSettings
     from jujubehall.platform.adapter.settings import SiteSettings
 
 INCARNATION_BITS = 64
@@ -138,7 +139,9 @@
 """Half of the file descriptors that the smallest entry hosts may open."""
 
 
-def start_site_process(settings: SiteSettings, random: Random) -> SiteProcess | str:
+def start_site_process(
+    settings: SiteSettings, scheduling: SchedulingSettings, random: Random
+) -> SiteProcess | str:
     """Binds the addresses and starts the services.
 
     Returns an error message instead of a process if an address can't be bound.
@@ -176,6 +179,7 @@
         ),
         _site_time_limits(settings),
         random,
+        scheduling,
     )
     process = SiteProcess(settings, mesh, host)
     try:
--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from jujubehall.core.fleet.admission_limits import AdmissionLimits
+from jujubehall.core.fleet.job_demand import JobDemand
 from jujubehall.core.jobs.job import JobState
 from jujubehall.core.ownership.record import Member
 from jujubehall.core.requests.request import Answer
@@ -18,6 +20,7 @@
 from jujubehall.identifiers import Incarnation
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import QueueName
+from jujubehall.identifiers import TeamName
 from jujubehall.identifiers import Version
 
 
@@ -130,7 +133,7 @@
     settled: bool
 
 
-class SiteHeartbeat(msgspec.Struct, frozen=True, tag="site-heartbeat"):
+class SiteHeartbeat(msgspec.Struct, frozen=True, omit_defaults=True, tag="site-heartbeat"):
     """Sent by the owner of the site to every entry host.
 
     A network partition may delay it, so it doesn't prove that any data is up to date.
@@ -143,6 +146,9 @@
     is_resigning: bool = False
     """Whether the owner is resigning; any receiver may then take over at once."""
 
+    limits: AdmissionLimits | None = None
+    """The queues whose jobs may have to be refused for load; None if there are none."""
+
 
 class OwnerContactWanted(msgspec.Struct, frozen=True, tag="owner-contact-wanted"):
     """Asks how long ago the receiver last heard from an owner with this or a higher token."""
@@ -241,6 +247,21 @@
     count: int
 
 
+class AdmissionWanted(msgspec.Struct, frozen=True, tag="admission-wanted"):
+    """Asks the owner whether to admit a job to a queue that has too much work ahead."""
+
+    job: JobId
+    queue: QueueName
+    team: TeamName
+    demand: JobDemand
+
+
+class AdmissionDecided(msgspec.Struct, frozen=True, tag="admission-decided"):
+    """Response to ``AdmissionWanted``: None to admit the job, or the time until the next attempt."""
+
+    retry_after_ms: int | None = None
+
+
 class StoreWriteWanted(msgspec.Struct, frozen=True, tag="store-write-wanted"):
     """Request to create a record on behalf of the sender, which can't reach the store."""
 
@@ -277,6 +298,8 @@
     | JobStateKnown
     | PendingWanted
     | PendingKnown
+    | AdmissionWanted
+    | AdmissionDecided
     | StoreWriteWanted
     | StoreWriteSettled
     | Heartbeat
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -41,6 +41,7 @@
 HTTP_EVICTIONS = _counter("http_evictions_total", "Unused connections closed to make room.")
 
 SUBMISSIONS = _counter("submissions_total", "Calls to submit a job, by outcome.")
+JOBS_REFUSED = _counter("jobs_refused_total", "Jobs refused for load, by queue and reason.")
 RUN_STARTS = _counter("run_starts_total", "Starts of runs at workers, by result.")
 RUN_ENDS = _counter("run_ends_total", "Runs that ended, by how.")
 RUNS_LOST = _counter(
@@ -58,6 +59,9 @@
 WORKERS = _gauge("workers", "Workers known to the owner, by state.")
 LATENCY = _gauge("latency_ms", "Latency of a step in milliseconds, by percentile.")
 LATENCY_COUNT = _gauge("latency_count", "How many latencies of a step have been counted.")
+LIMITED_QUEUES = _gauge(
+    "limited_queues", "Queues that have too much work ahead, so that jobs may be refused."
+)
 REQUESTS_IN_PROGRESS = _gauge("requests_in_progress", "Requests being run from here.")
 JOBS = _gauge("jobs", "Known jobs, by state.")
 OWNERSHIP_EPOCH = _gauge("ownership_epoch", "Epoch of the ownership record in force here.")
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -14,10 +14,12 @@
 
 from result import Err
 
+from jujubehall.core.fleet.job_demand import job_demand
 from jujubehall.core.fleet.requests import AcceptedJob
 from jujubehall.core.fleet.requests import find_request_error
 from jujubehall.entry_hosts.messages import StoreWriteSettled
 from jujubehall.identifiers import TeamName
+from jujubehall.metrics import JOBS_REFUSED
 from jujubehall.metrics import SUBMISSIONS
 from jujubehall.services.async_utils import sleep
 from jujubehall.services.fleet.peers import MAX_JOB_END_WAIT_MS
@@ -188,6 +190,9 @@
         if error is not None:
             return CallResponse(Outcome.MALFORMED, error)
         started_ms = self._clock.now_ms
+        refusal = await self._refuse_for_load(admitted, job, request)
+        if refusal is not None:
+            return refusal
         accepted = AcceptedJob(
             job,
             admitted.queue.name,
@@ -197,7 +202,9 @@
             admitted.queue,
         )
         write_result = await self._write(
-            job_key(job), msgspec.json.encode(accepted), admitted.timeout_ms
+            job_key(job),
+            msgspec.json.encode(accepted),
+            admitted.timeout_ms - (self._clock.now_ms - started_ms),
         )
         took_ms = self._clock.now_ms - started_ms
         self._submission_latencies.observe(took_ms)
@@ -259,6 +266,42 @@
             )
         return CallResponse(Outcome.SHOWN, pending=count)
 
+    async def _refuse_for_load(
+        self, admitted: AdmittedCall, job: JobId, request: JobRequest
+    ) -> CallResponse | None:
+        """Returns a refusal if the job is expected to be of no more use at its end; else None."""
+        limits = self._peers.admission_limits
+        if not limits.waits_ms:
+            return None
+        demand = job_demand(request)
+        if demand is None or not limits.may_refuse(admitted.queue, demand):
+            return None
+        retry_after_ms = await self._peers.decide_admission(
+            job, admitted.queue.name, admitted.team, demand
+        )
+        if retry_after_ms is None:
+            return None
+        stored = await self._records.find(job)
+        if isinstance(stored, Err) or stored.ok_value is not None:
+            # An earlier attempt may have taken effect, so that a refusal would be wrong.
+            return None
+        JOBS_REFUSED.inc({"queue": admitted.queue.name, "reason": "beyond-use"})
+        SUBMISSIONS.inc({"outcome": Outcome.NOT_RUN.value})
+        log.info(
+            "job refused",
+            job=job,
+            queue=admitted.queue.name,
+            team=admitted.team,
+            reason="it would end when it is of no more use",
+            least_wait_ms=limits.waits_ms[admitted.queue.name],
+            retry_after_ms=retry_after_ms,
+        )
+        return CallResponse(
+            Outcome.NOT_RUN,
+            "too much work is waiting for the job to end in time",
+            retry_after_ms=retry_after_ms,
+        )
+
     async def _write(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
         """Creates a record and notifies the owner if this write has created it."""
         write_result = await self._create(key, value, timeout_ms)
--- /dev/null
+++ b/src/jujubehall/services/fleet/overload_monitor.py
@@ -0,0 +1,74 @@
+"""Keeps the limits on the admission of jobs up to date during a term."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from jujubehall.core.fleet.overload import Overload
+
+if TYPE_CHECKING:
+    from jujubehall.clock import Clock
+    from jujubehall.core.fleet.admission_limits import AdmissionLimits
+    from jujubehall.core.fleet.job_demand import JobDemand
+    from jujubehall.core.fleet.jobs import FleetJob
+    from jujubehall.core.fleet.state import FleetState
+    from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import QueueName
+    from jujubehall.identifiers import TeamName
+
+UPDATE_INTERVAL_MS = 1_000
+"""How often the expected waits are computed; they change over seconds."""
+
+log = structlog.get_logger()
+
+
+class OverloadMonitor:
+    """Updates an ``Overload`` from the state of the site and logs when its limits change."""
+
+    def __init__(self, fleet_state: FleetState, clock: Clock) -> None:
+        self._fleet_state = fleet_state
+        self._clock = clock
+        self._overload = Overload(clock.now_ms)
+        self._updated_ms = clock.now_ms
+
+    @property
+    def limits(self) -> AdmissionLimits:
+        """The limits in force."""
+        return self._overload.limits
+
+    def update_if_due(self) -> None:
+        """Computes the limits again if the last time was long enough ago."""
+        now_ms = self._clock.now_ms
+        if now_ms - self._updated_ms < UPDATE_INTERVAL_MS:
+            return
+        self._updated_ms = now_ms
+        earlier = self._overload.limits.waits_ms
+        waits_ms = self._overload.update(self._fleet_state, now_ms).waits_ms
+        if waits_ms.keys() != earlier.keys():
+            log.info(
+                "admission limits changed",
+                waits_ms=waits_ms,
+                earlier_waits_ms=earlier,
+                jobs=len(self._fleet_state.jobs),
+                refused_jobs=len(self._overload.refused_jobs),
+            )
+
+    def decide(
+        self, job: JobId, queue_name: QueueName, team: TeamName, demand: JobDemand
+    ) -> int | None:
+        """Returns None to admit a job, or the time in ms after which its caller may try again."""
+        queue = self._fleet_state.configuration.queue(queue_name)
+        if queue is None:
+            return None
+        return self._overload.decide(
+            self._fleet_state, job, queue, team, demand, self._clock.now_ms
+        )
+
+    def note_accepted(self, job: FleetJob) -> None:
+        """Counts the wait of an accepted job from its first attempt."""
+        first_refused_ms = self._overload.refused_jobs.first_refused_ms(job.id)
+        if first_refused_ms is not None:
+            job.count_waiting_from(first_refused_ms)
+            self._overload.refused_jobs.forget(job.id)
--- a/src/jujubehall/services/fleet/peer_request_handlers.py
+++ b/src/jujubehall/services/fleet/peer_request_handlers.py
@@ -9,6 +9,8 @@
 from twisted.internet.defer import TimeoutError
 
 from jujubehall.clock import to_seconds
+from jujubehall.entry_hosts.messages import AdmissionDecided
+from jujubehall.entry_hosts.messages import AdmissionWanted
 from jujubehall.entry_hosts.messages import IntakeKept
 from jujubehall.entry_hosts.messages import IntakeNoted
 from jujubehall.entry_hosts.messages import JobStateWanted
@@ -66,6 +68,7 @@
         mesh.register(SiteConfigurationWanted, self._on_configuration_wanted)
         mesh.register(JobStateWanted, self._on_job_state_wanted)
         mesh.register(PendingWanted, self._on_pending_wanted)
+        mesh.register(AdmissionWanted, self._on_admission_wanted)
         mesh.register(IntakeKept, self._on_intake_kept)
         mesh.register(StoreWriteWanted, self._on_store_write_wanted)
         mesh.register(OwnerContactWanted, self._on_owner_contact_wanted)
@@ -97,6 +100,15 @@
             return Refused("not the owner")
         return PendingKnown(owner.fleet_state.count_unstarted_jobs(request.queue))
 
+    async def _on_admission_wanted(
+        self, sender: EntryHostName, request: AdmissionWanted
+    ) -> Message:
+        if (owner := self._loaded_owner) is None:
+            return Refused("not the owner")
+        return AdmissionDecided(
+            owner.decide_admission(request.job, request.queue, request.team, request.demand)
+        )
+
     async def _on_intake_kept(self, sender: EntryHostName, notice: IntakeKept) -> Message:
         if (owner := self._loaded_owner) is None:
             return Refused("not the owner")
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -10,8 +10,11 @@
 
 from result import Err
 
+from jujubehall.core.fleet.admission_limits import NO_LIMITS
 from jujubehall.core.fleet.completion import ends_within
 from jujubehall.core.jobs.job import JobState
+from jujubehall.entry_hosts.messages import AdmissionDecided
+from jujubehall.entry_hosts.messages import AdmissionWanted
 from jujubehall.entry_hosts.messages import IntakeKept
 from jujubehall.entry_hosts.messages import JobStateKnown
 from jujubehall.entry_hosts.messages import JobStateWanted
@@ -34,6 +37,8 @@
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.admission_limits import AdmissionLimits
+    from jujubehall.core.fleet.job_demand import JobDemand
     from jujubehall.core.fleet.jobs import FleetJob
     from jujubehall.core.ownership.record import Member
     from jujubehall.entry_hosts.mesh import Mesh
@@ -43,6 +48,7 @@
     from jujubehall.identifiers import Incarnation
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import QueueName
+    from jujubehall.identifiers import TeamName
     from jujubehall.services.fleet.configuration_follower import ConfigurationFollower
     from jujubehall.services.fleet.ownership import Ownership
     from jujubehall.services.fleet.site_owner import SiteOwner
@@ -109,6 +115,7 @@
         self._term_began_ms = 0
         self._owner_member: Member | None = None
         self._owner_heard_ms = -OWNER_HEARTBEAT_TIMEOUT_MS
+        self._owner_limits = NO_LIMITS
         self._members: dict[EntryHostName, Member] = {}
         self._last_response_ms: dict[EntryHostName, int] = {}
         self._sent_members: dict[Incarnation, frozenset[Incarnation]] = {}
@@ -127,6 +134,13 @@
             return None
         return self._owner_member
 
+    @property
+    def admission_limits(self) -> AdmissionLimits:
+        """The limits of the present owner; none if its last heartbeat was too long ago."""
+        if self._owner is not None:
+            return self._owner.limits
+        return self._owner_limits if self.owner_member is not None else NO_LIMITS
+
     @property
     def others(self) -> list[Member]:
         """The other entry hosts, ordered from the most recent response to the oldest."""
@@ -243,6 +257,20 @@
         response = await self._request_from_owner(PendingWanted(queue), PendingKnown)
         return None if response is None else response.count
 
+    async def decide_admission(
+        self, job: JobId, queue: QueueName, team: TeamName, demand: JobDemand
+    ) -> int | None:
+        """Returns the owner's decision on a job: None to admit it, or when to come back.
+
+        A job is admitted if the owner doesn't respond, since it can still order the queue.
+        """
+        if self._owner is not None:
+            return self._owner.decide_admission(job, queue, team, demand)
+        decided = await self._request_from_owner(
+            AdmissionWanted(job, queue, team, demand), AdmissionDecided
+        )
+        return None if decided is None else decided.retry_after_ms
+
     def notify_owner(self, key: str, value: bytes) -> None:
         """Notifies the owner of a stored record.
 
@@ -322,6 +350,7 @@
             self._configuration.version,
             () if is_list_known else tuple(self._members.values()),
             is_resigning,
+            owner.limits if owner.limits.waits_ms else None,
         )
         response = await self._mesh.request(member, heartbeat, HEARTBEAT_TIMEOUT_MS)
         if isinstance(response, Err) or not isinstance(response.ok_value, SiteHeartbeatAnswer):
@@ -343,6 +372,7 @@
                 log.info("new owner observed", owner=heartbeat.owner.name, token=heartbeat.token)
             self._owner_member = heartbeat.owner
             self._owner_heard_ms = self._clock.now_ms
+            self._owner_limits = heartbeat.limits or NO_LIMITS
             self.note_member(heartbeat.owner)
             for member in heartbeat.members:
                 self.note_member(member)
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from jujubehall.clock import to_seconds
+from jujubehall.core.fleet.admission_limits import NO_LIMITS
 from jujubehall.core.fleet.decisions import ReserveCapacity
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopGroup
@@ -25,6 +26,7 @@
 from jujubehall.services.fleet.job_retention import JobRetention
 from jujubehall.services.fleet.latencies import LatencyHistogram
 from jujubehall.services.fleet.maintenance import MaintenanceController
+from jujubehall.services.fleet.overload_monitor import OverloadMonitor
 from jujubehall.services.fleet.ownership import STORE_OUTAGE_GRACE_MS
 from jujubehall.services.fleet.progress_writer import ProgressWriter
 from jujubehall.services.fleet.worker_commands import WorkerCommands
@@ -35,7 +37,9 @@
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
+    from jujubehall.core.fleet.admission_limits import AdmissionLimits
     from jujubehall.core.fleet.configuration import SiteConfiguration
+    from jujubehall.core.fleet.job_demand import JobDemand
     from jujubehall.core.fleet.jobs import FleetJob
     from jujubehall.core.fleet.jobs import JobProgress
     from jujubehall.core.fleet.lost_workers import LostWorker
@@ -44,6 +48,8 @@
     from jujubehall.core.fleet.workers import ListedWorker
     from jujubehall.identifiers import FencingToken
     from jujubehall.identifiers import JobId
+    from jujubehall.identifiers import QueueName
+    from jujubehall.identifiers import TeamName
     from jujubehall.identifiers import WorkerName
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteAdvice
@@ -112,6 +118,7 @@
         gang_start_timeout_ms: int,
         ended_job_retention_ms: int,
         maintenance_clients: MaintenanceClients | None = None,
+        refuses_when_overloaded: bool = False,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -144,6 +151,8 @@
             if maintenance_clients is not None
             else None
         )
+        self._refuses_when_overloaded = refuses_when_overloaded
+        self._overload_monitor: OverloadMonitor | None = None
         self.start_latencies = LatencyHistogram()
         self.gang_start_latencies = LatencyHistogram()
         """Times between the first and the last confirmed start of a run of a gang."""
@@ -167,6 +176,11 @@
         """The time since the election of this owner."""
         return self._clock.now_ms - self._elected_ms
 
+    @property
+    def limits(self) -> AdmissionLimits:
+        """The limits on the admission of jobs that are in force."""
+        return NO_LIMITS if self._overload_monitor is None else self._overload_monitor.limits
+
     WORKER_STATES = ("usable", "draining", "out-of-touch", "troubled")
 
     def worker_state(self, worker: FleetWorker) -> str:
@@ -233,6 +247,8 @@
         if self._maintenance_controller is not None:
             run_in_background(self._maintenance_controller.run())
         self._last_cleanup_ms = self._clock.now_ms
+        if self._refuses_when_overloaded:
+            self._overload_monitor = OverloadMonitor(self.fleet_state, self._clock)
         for name, step in (("workers", self._poll_workers), ("rounds", self._run_periodic_work)):
             run_in_background(run_loop(self._reactor, name, step, lambda: self.is_closed))
 
@@ -241,13 +257,25 @@
         if self.is_loaded and not self.is_closed:
             self._intake_watcher.apply_record(key, value)
 
+    def decide_admission(
+        self, job: JobId, queue: QueueName, team: TeamName, demand: JobDemand
+    ) -> int | None:
+        """Returns None to admit a job, or the time in ms after which its caller may try again."""
+        if self._overload_monitor is None or self.is_closed:
+            return None
+        return self._overload_monitor.decide(job, queue, team, demand)
+
     def accept(self, accepted: AcceptedJob, progress: JobProgress | None) -> None:
         """Adds an accepted job, with the progress that an earlier owner stored."""
         if self._job_retention.is_removed(accepted.id):
             return
         if accepted.id not in self.fleet_state.jobs:
             log.info("job added", job=accepted.id, queue=accepted.queue, team=accepted.team)
-        self.fleet_state.add_job(accepted, progress, self._clock.now_ms, self._wall_clock.now_ms)
+        job = self.fleet_state.add_job(
+            accepted, progress, self._clock.now_ms, self._wall_clock.now_ms
+        )
+        if self._overload_monitor is not None:
+            self._overload_monitor.note_accepted(job)
         self.schedule_round()
 
     def cancel(self, job: JobId) -> None:
@@ -356,6 +384,8 @@
 
     async def _run_periodic_work(self) -> None:
         self.fleet_state.create_due_occurrences(self._clock.now_ms, self._wall_clock.now_ms)
+        if self._overload_monitor is not None:
+            self._overload_monitor.update_if_due()
         self.schedule_round()
         if self._clock.now_ms - self._last_cleanup_ms >= CLEANUP_INTERVAL_MS:
             self._last_cleanup_ms = self._clock.now_ms
--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -15,6 +15,7 @@
 from jujubehall.clock import reactor_clock
 from jujubehall.core.ownership.capacity import HostCapacity
 from jujubehall.core.ownership.record import Member
+from jujubehall.daemon.scheduling_settings import DEFAULT_SCHEDULING
 from jujubehall.daemon.site_host import SiteClients
 from jujubehall.daemon.site_host import SiteHost
 from jujubehall.daemon.site_host import SiteTimeLimits
@@ -54,6 +55,7 @@
     from jujubehall.core.fleet.requests import StepRequest
     from jujubehall.core.fleet.workers import ListedWorker
     from jujubehall.core.maintenance.wave import Wave
+    from jujubehall.daemon.scheduling_settings import SchedulingSettings
     from jujubehall.identifiers import JobId
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteStore
@@ -153,6 +155,7 @@
             ),
             SiteTimeLimits(MAX_LEASE_MS, GANG_START_TIMEOUT_MS, 120_000, 4_000),
             site.random,
+            site.scheduling,
         )
         self.site_host.start()
 
@@ -172,7 +175,9 @@
         hosts: int = 3,
         seed: int = 0,
         capacities: dict[str, HostCapacity] | None = None,
+        scheduling: SchedulingSettings = DEFAULT_SCHEDULING,
     ) -> None:
+        self.scheduling = scheduling
         self.capacities = capacities or {}
         """The capacity of each entry host by its name; unknown if it is missing."""
 
