Sum up the load of a step at once, and bound the time for it

Cause: with 28,000 waiting tasks on 820 workers an update took 160 ms, each second. Change: work is summed up by step instead of by task; an update that takes long is made less often, so that it takes about 5 % of the time at most. Result: 75 to 85 ms for the same state (process time, on a busy machine).

--- a/src/jujubehall/core/fleet/overload.py
+++ b/src/jujubehall/core/fleet/overload.py
@@ -151,22 +151,28 @@
 def _job_load(job: FleetJob, factor: float, standing: Lateness) -> JobLoad:
     """Returns the work of a job, if its tasks take ``factor`` times as long as estimated."""
     running = waiting = NO_WORK
-    for group in job.all_groups():
-        request = group.request
-        if group.is_done or request.runs_until_cancelled:
+    for groups in job.groups.values():
+        request = groups[0].request
+        if request.runs_until_cancelled:
             continue
-        if not group.placements:
-            waiting = waiting.plus(
-                work_of(group.occupied_resources, request.expected_ms), len(group.indexes)
-            )
-        for placement in group.placements.values():
-            left = 1 - placement.progress.percent / COMPLETE_PERCENT
-            running = running.plus(work_of(group.occupied_resources, request.expected_ms * left))
+        waiting_tasks = 0
+        running_tasks = 0.0
+        for group in groups:
+            if group.placements:
+                running_tasks += sum(
+                    1 - each.progress.percent / COMPLETE_PERCENT
+                    for each in group.placements.values()
+                )
+            elif not group.is_done:
+                waiting_tasks += len(group.indexes)
+        task = work_of(groups[0].occupied_resources, factor * request.expected_ms)
+        running = running.plus(task, running_tasks)
+        waiting = waiting.plus(task, waiting_tasks)
     return JobLoad(
         job.accepted_ms,
         job.priority,
-        NO_WORK.plus(running, factor),
-        NO_WORK.plus(waiting, factor),
+        running,
+        waiting,
         standing,
     )
 
--- a/src/jujubehall/services/fleet/overload_monitor.py
+++ b/src/jujubehall/services/fleet/overload_monitor.py
@@ -21,6 +21,10 @@
 UPDATE_INTERVAL_MS = 1_000
 """How often the expected waits are computed; they change over seconds."""
 
+MAX_TIME_SHARE = 0.05
+"""Upper limit, approximately, of the share of time spent on updates: with 28,000 waiting tasks on 820
+workers one takes 80 ms."""
+
 log = structlog.get_logger()
 
 
@@ -32,6 +36,7 @@
         self._clock = clock
         self._overload = Overload(clock.now_ms)
         self._updated_ms = clock.now_ms
+        self._interval_ms = UPDATE_INTERVAL_MS
 
     @property
     def limits(self) -> AdmissionLimits:
@@ -41,11 +46,13 @@
     def update_if_due(self) -> None:
         """Computes the limits again if the last time was long enough ago."""
         now_ms = self._clock.now_ms
-        if now_ms - self._updated_ms < UPDATE_INTERVAL_MS:
+        if now_ms - self._updated_ms < self._interval_ms:
             return
         self._updated_ms = now_ms
         earlier = self._overload.limits.waits_ms
         waits_ms = self._overload.update(self._fleet_state, now_ms).waits_ms
+        took_ms = self._clock.now_ms - now_ms
+        self._interval_ms = max(UPDATE_INTERVAL_MS, round(took_ms / MAX_TIME_SHARE))
         if waits_ms.keys() != earlier.keys():
             log.info(
                 "admission limits changed",
