--- a/src/jujubehall/core/fleet/overload.py
+++ b/src/jujubehall/core/fleet/overload.py
@@ -23,6 +23,7 @@
 from jujubehall.core.fleet.refused_jobs import RefusedJobs
 from jujubehall.core.fleet.resources import NO_RESOURCES
 from jujubehall.core.fleet.work import NO_WORK
+from jujubehall.core.fleet.work import UNLIMITED_WORK
 from jujubehall.core.fleet.work import work_of
 
 if TYPE_CHECKING:
@@ -114,7 +115,10 @@
         submitted_ms = now_ms if first_ms is None else first_ms
         waited_ms = now_ms - submitted_ms
         wait_ms = load.least_wait_ms(
-            queue.priority, submitted_ms, demand.in_time_slack_ms(queue) - waited_ms
+            queue.priority,
+            submitted_ms,
+            demand.work,
+            demand.in_time_slack_ms(queue) - waited_ms,
         )
         remaining_ms = demand.start_limit_ms(queue) - waited_ms
         if not is_beyond_use(wait_ms, remaining_ms) or _is_guaranteed(
@@ -134,7 +138,7 @@
             limit_ms *= RELEASE_SHARE
         if not is_beyond_use(load.total_ms, limit_ms):
             return None
-        wait_ms = load.least_wait_ms(queue.priority, now_ms, queue.objective_ms)
+        wait_ms = load.least_wait_ms(queue.priority, now_ms, UNLIMITED_WORK, queue.objective_ms)
         return wait_ms if is_beyond_use(wait_ms, limit_ms) else None
 
 
--- a/src/jujubehall/core/fleet/pool_load.py
+++ b/src/jujubehall/core/fleet/pool_load.py
@@ -44,14 +44,17 @@
             self._jobs[name] = job
             self._total = self._total.plus(job.running).plus(job.waiting)
 
-    def least_wait_ms(self, priority: int, submitted_ms: int, in_time_slack_ms: float) -> float:
+    def least_wait_ms(
+        self, priority: int, submitted_ms: int, own_work: Work, in_time_slack_ms: float
+    ) -> float:
         """Returns how long a job waits at least until it can start.
 
-        That is the time in which all workers do the work that goes first, without any loss:
-        what runs, work of higher priorities, and earlier work of the same priority that can be in
-        time. If the job itself can't start within ``in_time_slack_ms`` then, earlier late work goes
-        first, too.
+        That is the time in which all workers do the work that goes first, without any loss: what
+        runs, work of higher priorities, and earlier jobs of the same priority that can be in time.
+        If the job itself can't start within ``in_time_slack_ms`` then, earlier late jobs go first,
+        too. Larger jobs don't count: smaller ones use capacity that isn't enough for them.
         """
+        own_ms = own_work.duration_on(self._capacity)
         ahead = late = NO_WORK
         for job in self._jobs.values():
             # Urgent work doesn't wait for the end of other work, which it preempts.
@@ -59,7 +62,11 @@
                 ahead = ahead.plus(job.running)
             if job.priority > priority or job.standing is Lateness.EXPIRED:
                 continue
-            is_earlier = job.priority == priority and job.submitted_ms <= submitted_ms
+            is_earlier = (
+                job.priority == priority
+                and job.submitted_ms <= submitted_ms
+                and job.waiting.duration_on(self._capacity) <= own_ms
+            )
             if job.priority < priority or (is_earlier and job.standing is Lateness.IN_TIME):
                 ahead = ahead.plus(job.waiting)
             elif is_earlier:
--- a/src/jujubehall/core/fleet/work.py
+++ b/src/jujubehall/core/fleet/work.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -43,6 +45,7 @@
 
 
 NO_WORK = Work()
+UNLIMITED_WORK = Work(math.inf, math.inf, math.inf)
 
 
 def work_of(needs: Resources, duration_ms: float) -> Work:
