--- a/src/jujubehall/core/fleet/job_demand.py
+++ b/src/jujubehall/core/fleet/job_demand.py
@@ -24,6 +24,12 @@
     first_accelerators: int
     work: Work
 
+    def corrected(self, factor: float) -> JobDemand:
+        """Returns the demand if the tasks take ``factor`` times as long as estimated."""
+        return JobDemand(
+            round(factor * self.chain_ms), self.first_accelerators, NO_WORK.plus(self.work, factor)
+        )
+
     def in_time_slack_ms(self, queue: Queue) -> float:
         """Returns how long after its submission the job may start and still be in time."""
         return queue.objective_ms + (queue.objective_factor - 1) * self.chain_ms
--- a/src/jujubehall/core/fleet/overload.py
+++ b/src/jujubehall/core/fleet/overload.py
@@ -83,7 +83,7 @@
                 continue
             factor = history.duration_factor(job)
             load.add(job.id, _job_load(job, factor, delay_cost.standing(job)))
-            limit_ms = start_limit_ms(queue, job.expected_chain_ms())
+            limit_ms = start_limit_ms(queue, round(factor * job.expected_chain_ms()))
             start_limits_ms[queue] = min(limit_ms, start_limits_ms.get(queue, limit_ms))
         self._limits = AdmissionLimits(
             {
@@ -111,6 +111,8 @@
         load = self._pools.get(queue.pool)
         if load is None or queue.name not in self._limits.waits_ms or job in fleet_state.jobs:
             return None
+        factor = fleet_state.work_history.team_duration_factor(queue.name, team)
+        demand = demand.corrected(factor)
         first_ms = self._refused.first_refused_ms(job)
         submitted_ms = now_ms if first_ms is None else first_ms
         waited_ms = now_ms - submitted_ms
--- a/src/jujubehall/core/fleet/pool_load.py
+++ b/src/jujubehall/core/fleet/pool_load.py
@@ -54,7 +54,8 @@
         If the job itself can't start within ``in_time_slack_ms`` then, earlier late jobs go first,
         too. Larger jobs don't count: smaller ones use capacity that isn't enough for them.
         """
-        own_ms = own_work.duration_on(self._capacity)
+        # Amounts of equal jobs may differ by a rounding error.
+        own_ms = own_work.duration_on(self._capacity) + 1
         ahead = late = NO_WORK
         for job in self._jobs.values():
             # Urgent work doesn't wait for the end of other work, which it preempts.
--- a/src/jujubehall/core/fleet/work_history.py
+++ b/src/jujubehall/core/fleet/work_history.py
@@ -72,7 +72,11 @@
         It is the median of the latest runs, so that a few very long runs have no effect. With few
         runs it stays close to 1.
         """
-        key = (job.accepted.queue, job.accepted.team)
+        return self.team_duration_factor(job.accepted.queue, job.accepted.team)
+
+    def team_duration_factor(self, queue: QueueName, team: TeamName) -> float:
+        """Returns the factor by which the estimates of a team for a queue are usually off."""
+        key = (queue, team)
         factor = self._duration_factors.get(key)
         if factor is None:
             factor = self._duration_factors[key] = self._compute_factor(*key)
