Admit urgent work within a guarantee that larger groups can't use; count ready steps only

Cause: urgent groups larger than their team's guarantee counted against it, although the queue gives them none of it, and a small job within the guarantee could be refused. Later steps of other jobs counted as work ahead, which a new job may well pass. Change: the guarantee is used up as in the order of the queue; only running and ready work counts. Result: a test for each, which failed before.

--- a/src/jujubehall/core/fleet/overload.py
+++ b/src/jujubehall/core/fleet/overload.py
@@ -155,7 +155,10 @@
 
 
 def _job_load(job: FleetJob, factor: float, standing: Lateness) -> JobLoad:
-    """Returns the work of a job, if its tasks take ``factor`` times as long as estimated."""
+    """Returns the work of a job, if its tasks take ``factor`` times as long as estimated.
+
+    Steps that aren't ready are left out, since a new job may start before them.
+    """
     running = waiting = NO_WORK
     for groups in job.groups.values():
         request = groups[0].request
@@ -169,41 +172,40 @@
                     1 - each.progress.percent / COMPLETE_PERCENT
                     for each in group.placements.values()
                 )
-            elif not group.is_done:
+            elif group.is_waiting:
                 waiting_tasks += len(group.indexes)
         task = work_of(groups[0].occupied_resources, factor * request.expected_ms)
         running = running.plus(task, running_tasks)
         waiting = waiting.plus(task, waiting_tasks)
-    return JobLoad(
-        job.accepted_ms,
-        job.priority,
-        running,
-        waiting,
-        standing,
-    )
+    return JobLoad(job.accepted_ms, job.priority, running, waiting, standing)
 
 
 def _is_guaranteed(
     fleet_state: FleetState, queue: Queue, team: TeamName, demand: JobDemand
 ) -> bool:
-    """Returns whether an urgent job fits in what its team is guaranteed and doesn't use yet."""
+    """Returns whether an urgent job fits in what its team is guaranteed and doesn't use yet.
+
+    As in the order of the queue, groups that exceed what is left of the guarantee take nothing.
+    """
     if queue.priority != HIGHEST_PRIORITY:
         return False
-    guaranteed = sum(
+    left = sum(
         each.guaranteed_accelerators
         for each in fleet_state.configuration.teams
         if each.name == team
     )
-    if demand.first_accelerators > guaranteed:
-        return False
-    used = sum(
-        group.request.needs.accelerators * len(group.indexes)
+    groups = [
+        group
         for job in fleet_state.jobs.values()
         if job.accepted.team == team and job.priority == HIGHEST_PRIORITY and not job.is_final
         for group in job.all_groups()
-        if not group.is_done and group.ready_since_ms is not None
-    )
-    return used + demand.first_accelerators <= guaranteed
+        if group.placements or group.is_waiting
+    ]
+    for group in sorted(groups, key=lambda each: (not each.placements, each.ready_since_ms or 0)):
+        required = group.request.needs.accelerators * len(group.indexes)
+        if required <= left:
+            left -= required
+    return demand.first_accelerators <= left
 
 
 def _retry_after_ms(wait_ms: float, remaining_ms: float) -> int:
