--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -110,7 +110,8 @@
         self.reserved_until_ms = 0
         self.reserved_workers: dict[int, FleetWorker] = {}
         self.completed_duration_ms: int | None = None
-        """Duration of the successful run, if it was observed from its beginning."""
+        """Duration of the successful run on a worker of usual speed, if it was observed from its
+        beginning."""
 
         self.relocations = 0
         self.failed_worker_names: set[WorkerName] = set()
@@ -146,6 +147,11 @@
         """The number of failed runs."""
         return len(self.failed_runs)
 
+    @property
+    def is_at_last_attempt(self) -> bool:
+        """Whether it has failed before, and its job fails with its next failure."""
+        return 0 < self.failures == self.job.max_failures - 1
+
     @property
     def avoided_workers(self) -> set[WorkerName]:
         """Workers on which it has failed or that have crashed under it."""
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -9,6 +9,7 @@
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopReason
 from jujubehall.core.fleet.delay_cost import DelayCost
+from jujubehall.core.fleet.expected_end import speed_preference
 from jujubehall.core.fleet.gang_starts import incomplete_gangs
 from jujubehall.core.fleet.placement import choose_workers
 from jujubehall.core.fleet.preemption import PreemptionPlanner
@@ -22,7 +23,9 @@
 from jujubehall.core.fleet.worker_candidates import WorkerCandidates
 
 if TYPE_CHECKING:
+    from jujubehall.core.fleet.best_fit import BestFitHeap
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.preemption import PreemptionPlan
     from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.state import FleetState
     from jujubehall.core.fleet.workers import FleetWorker
@@ -40,10 +43,23 @@
 SUSPECT_WAIT_MS = 1_000
 """How long a group that may have crashed a worker waits for workers on which nothing runs."""
 
+PROVEN_WORKER_WAIT_MS = 800
+"""How long a group whose job fails with its next failure waits for workers that have proved
+themselves."""
+
 HEALTHY_WORKER_WAIT_MS = 1_000
 """After this wait, a group may use workers that are slow or on which it has failed."""
 
 
+MAX_SPEED_PLANS = 8
+"""Plans per round for urgent groups that could start at once on slower workers. A plan examines the
+work on all workers, 30 ms on 816 of them; the other groups start on the slower workers."""
+
+MAX_SPEED_WAIT_MS = 800
+"""Longest wait after which an urgent group may still pass over free slow workers for faster ones. With
+the reservation it starts within 2.3 s; urgent work has to start within 2.9 s on the sites."""
+
+
 class SchedulingRound:
     """Makes the scheduling decisions for one moment.
 
@@ -64,6 +80,9 @@
         """Needs of unconstrained tasks that could not be placed, by placement class; tasks that
         need at least as much are skipped."""
 
+        self._speed_plans = 0
+        """Plans made for urgent groups that could also start on slower workers."""
+
         self._awaited = 0
         """Accelerators that groups which could not be placed in this round wait for."""
 
@@ -81,12 +100,14 @@
             self._delay_cost,
             now_ms,
         )
-        self._planner = PreemptionPlanner(now_ms, self._order)
+        self._planner = PreemptionPlanner(now_ms, self._order, self._delay_cost)
 
     def run(self) -> list[Decision]:
         """Runs the round and returns the decisions in the order in which to carry them out."""
         self._stop_incomplete_gangs()
         self._evacuate()
+        if self._fleet_state.are_starts_suspended:
+            return self._decisions
         self._relocate()
         waiting = sorted(self._waiting, key=self._order.sort_key)
         self._headroom = self._compute_headroom(waiting)
@@ -153,6 +174,8 @@
         ):
             return
         healthy = self._candidates.healthy(group)
+        if self._needs_proven_workers(group):
+            healthy = [each for each in healthy if each.failure_history.is_proven(self._now_ms)]
         if group.is_suspect and self._schedule_suspect(group, healthy):
             return
         if group.reserved_workers and not self._resume_reservation(group, healthy):
@@ -160,7 +183,16 @@
         if not self._leaves_headroom(group):
             self._unplaceable_steps.add(self._step_key(group))
             return
-        if self._place_on_healthy_workers(group, healthy):
+        preferred = self._candidates.preferred(group)
+        if self._needs_proven_workers(group):
+            preferred = [each for each in preferred if each in healthy]
+        if self._prefers_to_preempt(group, preferred) and self._preempt_for_speed(group, healthy):
+            return
+        if self._place_on_healthy_workers(group, preferred, include_cold=False):
+            return
+        if len(preferred) < len(healthy) and self._place_on_healthy_workers(
+            group, healthy, include_cold=True
+        ):
             return
         if group.job.priority == HIGHEST_PRIORITY and not group.reserved_workers:
             self._preempt(group, healthy)
@@ -170,8 +202,10 @@
             return
         # Few workers may be left to a large gang that avoids those on which it was.
         relax_locality = bool(group.avoided_workers) and self._may_relax_locality(group)
-        if self._waited_ms(group) >= HEALTHY_WORKER_WAIT_MS and self._place(
-            group, self._candidates.eligible(group), relax_locality
+        if (
+            self._waited_ms(group) >= HEALTHY_WORKER_WAIT_MS
+            and not self._needs_proven_workers(group)
+            and self._place(group, self._candidates.eligible(group), relax_locality)
         ):
             return
         self._unplaceable_steps.add(self._step_key(group))
@@ -208,6 +242,14 @@
             count *= 2
         return False
 
+    def _needs_proven_workers(self, group: TaskGroup) -> bool:
+        """Returns whether the group is only placed on workers that have proved themselves.
+
+        Workers that have begun to fail whatever they start would otherwise use up its attempts.
+        """
+        waited_ms = self._now_ms - group.not_before_ms
+        return group.is_at_last_attempt and waited_ms < PROVEN_WORKER_WAIT_MS
+
     def _loss_in_crash(self, worker: FleetWorker) -> tuple[bool, int, str]:
         """Returns a key by which workers are sorted whose crash would lose least."""
         groups = {group for group, _ in worker.placements}
@@ -234,6 +276,7 @@
             or request.is_filler
             or request.target_latency_ms
             or group.avoided_workers
+            or group.is_at_last_attempt
             or (request.data_rack and not self._may_relax_locality(group))
         ):
             return None
@@ -249,6 +292,7 @@
             frozenset(group.avoided_workers),
             bool(group.reserved_workers),
             group.is_suspect,
+            self._needs_proven_workers(group),
         )
         return (
             group.job.id,
@@ -294,16 +338,11 @@
         required = group.occupied_resources.accelerators * len(group.indexes)
         return self._candidates.free_accelerators(group) - required >= headroom * share
 
-    def _place_on_healthy_workers(self, group: TaskGroup, healthy: list[FleetWorker]) -> bool:
+    def _place_on_healthy_workers(
+        self, group: TaskGroup, healthy: list[FleetWorker], include_cold: bool
+    ) -> bool:
         """Places the group on healthy workers, near its data if it has a data rack."""
-        request = group.request
-        is_unconstrained = len(group.indexes) == 1 and not (
-            request.data_rack
-            or request.tasks_per_worker
-            or group.avoided_workers
-            or group.reserved_workers
-        )
-        best_fit = self._candidates.best_fit(group) if is_unconstrained else None
+        best_fit = self._best_fit(group, include_cold)
         if best_fit is None:
             return self._place(group, healthy, relax_locality=False)
         worker = best_fit.find()
@@ -312,6 +351,18 @@
         self._start(group, {group.indexes.start: worker})
         return True
 
+    def _best_fit(self, group: TaskGroup, include_cold: bool) -> BestFitHeap | None:
+        """Returns the heap of the workers for a single task; None for all other groups."""
+        request = group.request
+        is_unconstrained = len(group.indexes) == 1 and not (
+            request.data_rack
+            or request.tasks_per_worker
+            or group.avoided_workers
+            or group.reserved_workers
+            or group.is_at_last_attempt
+        )
+        return self._candidates.best_fit(group, include_cold) if is_unconstrained else None
+
     def _place(self, group: TaskGroup, workers: list[FleetWorker], relax_locality: bool) -> bool:
         chosen = choose_workers(group, workers, self._now_ms, relax_locality)
         if chosen is None:
@@ -360,10 +411,46 @@
         group.release_reservation()
         self._candidates.refresh(workers)
 
+    def _prefers_to_preempt(self, group: TaskGroup, workers: list[FleetWorker]) -> bool:
+        """Returns whether an urgent group would be late on the workers that are free."""
+        if (
+            not self._fleet_state.speeds.has_classes
+            or group.job.priority != HIGHEST_PRIORITY
+            or group.reserved_workers
+            or self._waited_ms(group) > MAX_SPEED_WAIT_MS
+            or self._speed_plans >= MAX_SPEED_PLANS
+        ):
+            return False
+        chosen = self._choose_free_workers(group, workers)
+        if not chosen:
+            return False
+        return not speed_preference(group, self._now_ms).is_in_time(chosen)
+
+    def _choose_free_workers(
+        self, group: TaskGroup, workers: list[FleetWorker]
+    ) -> list[FleetWorker]:
+        best_fit = self._best_fit(group, include_cold=False)
+        if best_fit is None:
+            chosen = choose_workers(group, workers, self._now_ms, relax_locality=False) or {}
+            return list(chosen.values())
+        worker = best_fit.find()
+        return [] if worker is None else [worker]
+
+    def _preempt_for_speed(self, group: TaskGroup, workers: list[FleetWorker]) -> bool:
+        """Preempts work on faster workers if the group is expected to be in time on them."""
+        self._speed_plans += 1
+        plan = self._planner.find_faster(group, workers)
+        if plan is None:
+            return False
+        self._carry_out(group, plan)
+        return True
+
     def _preempt(self, group: TaskGroup, workers: list[FleetWorker]) -> None:
         plan = self._planner.find(group, workers)
-        if plan is None:
-            return
+        if plan is not None:
+            self._carry_out(group, plan)
+
+    def _carry_out(self, group: TaskGroup, plan: PreemptionPlan) -> None:
         reservation_ms = RESERVATION_TIMEOUT_MS
         if plan.wait_ms and not plan.victims:
             reservation_ms = round(plan.wait_ms)
--- a/src/jujubehall/core/fleet/state.py
+++ b/src/jujubehall/core/fleet/state.py
@@ -14,6 +14,7 @@
 from jujubehall.core.fleet.jobs import JobProgress
 from jujubehall.core.fleet.lost_workers import LossKind
 from jujubehall.core.fleet.scheduling_round import SchedulingRound
+from jujubehall.core.fleet.speed_learning import SpeedLearning
 from jujubehall.core.fleet.work_history import WorkHistory
 from jujubehall.core.fleet.workers import FleetWorker
 
@@ -30,6 +31,7 @@
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import QueueName
     from jujubehall.identifiers import WorkerName
+    from jujubehall.identifiers import ZoneName
 
 DEFAULT_GANG_START_TIMEOUT_MS = 3_000
 """The shortest time that the sites set."""
@@ -52,6 +54,7 @@
         """Jobs whose progress has not been written to the store yet."""
 
         self.urgent_demand = UrgentDemand()
+        self.speeds = SpeedLearning()
         self.work_history = WorkHistory()
         self.groups_to_stop: set[TaskGroup] = set()
         """Groups with tasks in phase ``STOPPING`` for which no stop request has been sent yet."""
@@ -59,6 +62,10 @@
         self._groups_of_earlier_owner: set[TaskGroup] = set()
         """Groups that an earlier owner has started and of which a run may have been lost since."""
 
+        self.evacuated_zones: frozenset[ZoneName] = frozenset()
+        self.are_starts_suspended = False
+        """Whether nothing may be started for now, because any zone may have been evacuated."""
+
         self.starting_gangs: set[TaskGroup] = set()
         """Gangs that have placements and of which some members may not have started yet."""
 
@@ -76,6 +83,12 @@
         for job in self.jobs.values():
             job.queue = configuration.queue(job.accepted.queue) or job.queue
 
+    def set_evacuated_zones(self, zones: frozenset[ZoneName]) -> None:
+        """Replaces the availability zones whose workers accept no work."""
+        self.evacuated_zones = zones
+        for worker in self.workers.values():
+            worker.is_zone_evacuated = worker.listed.zone in zones
+
     def add_job(
         self, accepted: AcceptedJob, stored: JobProgress | None, now_ms: int, unix_ms: int
     ) -> FleetJob:
@@ -152,9 +165,12 @@
                     known.is_reachable = False
                 known.departure_ms = None
                 known.update_listing(entry)
+                known.forget_speed_of_earlier_incarnation()
             elif entry.incarnation == known.listed.incarnation:
                 known.update_listing(entry)
             known.is_listed = True
+            known.is_zone_evacuated = known.listed.zone in self.evacuated_zones
+            known.update_cold_until(now_ms)
             if entry.leaves_in_ms is not None and known.departure_ms is None:
                 known.departure_ms = now_ms + entry.leaves_in_ms
         for name, worker in self.workers.items():
@@ -253,6 +269,7 @@
 
     def run_scheduling_round(self, now_ms: int) -> list[Decision]:
         """Runs one scheduling round and returns its decisions."""
+        self.speeds.update(self.workers.values(), now_ms)
         return SchedulingRound(self, now_ms).run()
 
     def record_start(self, group: TaskGroup, workers: dict[int, FleetWorker], now_ms: int) -> None:
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -10,6 +10,7 @@
 from jujubehall.core.fleet.lost_workers import ESTABLISHED_MS
 from jujubehall.core.fleet.resources import NO_RESOURCES
 from jujubehall.core.fleet.resources import Resources
+from jujubehall.core.fleet.worker_speed import WorkerSpeed
 from jujubehall.identifiers import PoolName
 from jujubehall.identifiers import RackName
 from jujubehall.identifiers import WorkerName
@@ -23,15 +24,7 @@
 
 
 SLOW_FACTOR = 2.0
-"""Slowness from which a worker counts as slow; healthy workers differ by up to a third."""
-
-
-SPEED_SAMPLE_WEIGHT = 0.3
-"""Weight of one run in the typical slowness of a worker. Tasks of a step differ by 15 percent, so that
-two or three runs tell a worker that is slower by a third."""
-
-TYPICALLY_SLOW_FACTOR = 1.15
-"""Typical slowness from which a worker counts as one of the slower ones."""
+"""Slowness, beyond its usual speed, from which a worker counts as slow."""
 
 
 SELF_CRASH_MEMORY_MS = 30_000
@@ -53,6 +46,8 @@
     """Start time of the worker as Unix time in ms; distinguishes it from earlier incarnations."""
 
     leaves_in_ms: int | None = None
+    cold_remaining_ms: int = 0
+    """How much longer the worker remains slow after its start, when its entry was written."""
 
 
 class FleetWorker:
@@ -72,6 +67,15 @@
         self.is_awaiting_maintenance = False
         """Whether its machine is to be taken down for maintenance."""
 
+        self.is_zone_evacuated = False
+        """Whether the operators have evacuated its availability zone."""
+
+        self.cold_until_ms = 0
+        """Until when the worker is slow after its start, on the scheduler's clock."""
+
+        self._cold_entry = (listed.incarnation, 0)
+        """The incarnation and the remaining cold time in ms that were last listed."""
+
         self.departure_ms: int | None = None
         """The earliest time at which a draining worker leaves, on the scheduler's clock."""
 
@@ -118,7 +122,9 @@
         self._free: Resources | None = None
         """Cached until the next change, since a round reads it for each group and worker."""
 
-        self._typical_slowness = 1.0
+        self.speed = WorkerSpeed(listed.incarnation)
+        """The usual speed of its present incarnation, as far as learned."""
+
         self._slowness = 1.0
         self._is_stalled = False
         self._assessment_expires_ms = 0
@@ -146,6 +152,25 @@
         """Returns how many times longer tasks take here than on other workers."""
         return self._slowness if now_ms < self._assessment_expires_ms else 1.0
 
+    def is_cold(self, now_ms: int) -> bool:
+        """Returns whether the worker is still slow because it has just started."""
+        return now_ms < self.cold_until_ms
+
+    def update_cold_until(self, now_ms: int) -> None:
+        """Updates until when the worker is cold, if its entry says something new about it.
+
+        The worker may list the same value for longer, which then counts from its first listing.
+        """
+        entry = (self.listed.incarnation, self.listed.cold_remaining_ms)
+        if entry == self._cold_entry:
+            return
+        self._cold_entry = entry
+        remaining_ms = self.listed.cold_remaining_ms
+        # The end of an earlier cold time is kept, to tell the runs that began in it.
+        self.cold_until_ms = (
+            now_ms + remaining_ms if remaining_ms else min(self.cold_until_ms, now_ms)
+        )
+
     def is_stalled(self, now_ms: int) -> bool:
         """Returns whether no task on the worker makes progress."""
         return self._is_stalled and now_ms < self._assessment_expires_ms
@@ -173,14 +198,10 @@
         """Returns whether other workers should be preferred because this one is stalled or slow."""
         return self.is_stalled(now_ms) or self.slowness(now_ms) >= SLOW_FACTOR
 
-    @property
-    def is_typically_slow(self) -> bool:
-        """Whether runs usually took longer here than on the other workers."""
-        return self._typical_slowness >= TYPICALLY_SLOW_FACTOR
-
-    def record_relative_duration(self, ratio: float) -> None:
-        """Records the duration of a run here relative to that of its step on other workers."""
-        self._typical_slowness += SPEED_SAMPLE_WEIGHT * (ratio - self._typical_slowness)
+    def forget_speed_of_earlier_incarnation(self) -> None:
+        """Forgets the learned speed if the worker has restarted; it may be another machine."""
+        if self.has_restarted_since(self.speed.incarnation):
+            self.speed = WorkerSpeed(self.incarnation)
 
     def set_health(self, slowness: float, is_stalled: bool, until_ms: int) -> None:
         """Sets the assessed slowness and stall state, which stay valid until ``until_ms``."""
@@ -271,6 +292,7 @@
             and self.is_reachable
             and not self.listed.is_draining
             and not self.is_awaiting_maintenance
+            and not self.is_zone_evacuated
             and self.backoff_until_ms <= now_ms
             and self.failure_history.quarantined_until_ms <= now_ms
         )
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -27,12 +27,15 @@
 from jujubehall.services.fleet.latencies import LatencyHistogram
 from jujubehall.services.fleet.maintenance import MaintenanceController
 from jujubehall.services.fleet.overload_monitor import OverloadMonitor
+from jujubehall.services.fleet.overlapping_requests import RequestLimit
 from jujubehall.services.fleet.ownership import STORE_OUTAGE_GRACE_MS
 from jujubehall.services.fleet.progress_writer import ProgressWriter
+from jujubehall.services.fleet.speed_records import SpeedRecords
 from jujubehall.services.fleet.worker_commands import WorkerCommands
 from jujubehall.services.fleet.worker_registry import WorkerRegistry
 from jujubehall.services.fleet.worker_session import MAX_CLOCK_DRIFT_FACTOR
 from jujubehall.services.fleet.worker_session import WorkerSession
+from jujubehall.services.fleet.zone_evacuations import ZoneEvacuations
 
 if TYPE_CHECKING:
     from jujubehall.clock import Clock
@@ -119,6 +122,7 @@
         ended_job_retention_ms: int,
         maintenance_clients: MaintenanceClients | None = None,
         refuses_when_overloaded: bool = False,
+        evacuation_deadline_ms: int | None = None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -142,7 +146,11 @@
         self._job_retention = JobRetention(
             clock, store, self.fleet_state, term.owner_revision, ended_job_retention_ms
         )
+        self._speed_records = SpeedRecords(clock, store, self.fleet_state, term.owner_revision)
         self.worker_commands = WorkerCommands(self, reactor, clock)
+        self.request_limit = RequestLimit()
+        """Limit of the additional requests to silent workers, shared by all sessions."""
+
         self._advisor = Advisor(self, clock, advice)
         self._maintenance_controller = (
             MaintenanceController(
@@ -153,6 +161,13 @@
         )
         self._refuses_when_overloaded = refuses_when_overloaded
         self._overload_monitor: OverloadMonitor | None = None
+        self.zone_evacuations = (
+            ZoneEvacuations(self, reactor, clock, directory, evacuation_deadline_ms)
+            if evacuation_deadline_ms
+            else None
+        )
+        """The evacuated zones; None if the operators of the site don't evacuate zones."""
+
         self.start_latencies = LatencyHistogram()
         self.gang_start_latencies = LatencyHistogram()
         """Times between the first and the last confirmed start of a run of a gang."""
@@ -181,7 +196,7 @@
         """The limits on the admission of jobs that are in force."""
         return NO_LIMITS if self._overload_monitor is None else self._overload_monitor.limits
 
-    WORKER_STATES = ("usable", "draining", "out-of-touch", "troubled")
+    WORKER_STATES = ("usable", "draining", "evacuated", "out-of-touch", "troubled")
 
     def worker_state(self, worker: FleetWorker) -> str:
         """Returns the state of a worker as the owner sees it, one of ``WORKER_STATES``."""
@@ -190,6 +205,8 @@
             return "out-of-touch"
         if worker.listed.is_draining:
             return "draining"
+        if worker.is_zone_evacuated:
+            return "evacuated"
         return (
             "usable"
             if worker.accepts_work(now_ms) and not worker.is_degraded(now_ms)
@@ -227,6 +244,8 @@
     async def run(self) -> None:
         """Takes over: loads the stored records, fences the registered workers, then schedules."""
         self._reactor.callLater(to_seconds(MAX_LOAD_MS), self._give_up_loading)
+        if self.zone_evacuations is not None:
+            run_in_background(self.zone_evacuations.run())
         revisions = await self._load_records()
         if self.is_closed or revisions is None:
             return
@@ -243,6 +262,7 @@
         self.is_loaded = True
         self._ownership.note_taken_over()
         log.info("took over", jobs=len(self.fleet_state.jobs), token=self.token)
+        run_in_background(self._speed_records.load())
         run_in_background(self._intake_watcher.run())
         if self._maintenance_controller is not None:
             run_in_background(self._maintenance_controller.run())
@@ -359,10 +379,13 @@
         if not self.may_act or self._is_leaving:
             return
         began_ms = self._clock.now_ms
+        if self.zone_evacuations is not None:
+            self.zone_evacuations.suspend_starts()
         self._log_given_up(self.fleet_state.record_crashes_before_takeover(began_ms))
         decisions = self.fleet_state.run_scheduling_round(began_ms)
         self._last_round_duration_ms = self._clock.now_ms - began_ms
         self.worker_commands.note_round(self._last_round_duration_ms)
+        self._speed_records.note_round()
         starts = [each for each in decisions if isinstance(each, StartGroup)]
         for decision in decisions:
             if isinstance(decision, StopGroup):
