--- a/src/jujubehall/core/fleet/job_demand.py
+++ b/src/jujubehall/core/fleet/job_demand.py
@@ -8,6 +8,7 @@
 
 from jujubehall.core.fleet.delay_cost import EXPIRY_FACTOR
 from jujubehall.core.fleet.requests import longest_chain_ms
+from jujubehall.core.fleet.resources import Resources
 from jujubehall.core.fleet.work import NO_WORK
 from jujubehall.core.fleet.work import Work
 from jujubehall.core.fleet.work import work_of
@@ -18,16 +19,16 @@
 
 
 class JobDemand(msgspec.Struct, frozen=True):
-    """The expected duration and work of a job, and the accelerators of its first step."""
+    """The expected duration and work of a job, and what all tasks of its first step need."""
 
     chain_ms: int
-    first_accelerators: int
+    first_needs: Resources
     work: Work
 
     def corrected(self, factor: float) -> JobDemand:
         """Returns the demand if the tasks take ``factor`` times as long as estimated."""
         return JobDemand(
-            round(factor * self.chain_ms), self.first_accelerators, NO_WORK.plus(self.work, factor)
+            round(factor * self.chain_ms), self.first_needs, NO_WORK.plus(self.work, factor)
         )
 
     def in_time_slack_ms(self, queue: Queue) -> float:
@@ -59,4 +60,4 @@
     work = NO_WORK
     for step in steps:
         work = work.plus(work_of(step.needs, step.expected_ms), step.tasks)
-    return JobDemand(longest_chain_ms(steps), steps[0].needs.accelerators * steps[0].tasks, work)
+    return JobDemand(longest_chain_ms(steps), steps[0].needs.times(steps[0].tasks), work)
--- a/src/jujubehall/core/fleet/overload.py
+++ b/src/jujubehall/core/fleet/overload.py
@@ -16,6 +16,7 @@
 from jujubehall.core.fleet.admission_limits import is_beyond_use
 from jujubehall.core.fleet.delay_cost import DelayCost
 from jujubehall.core.fleet.job_demand import start_limit_ms
+from jujubehall.core.fleet.left_capacity import RunningTask
 from jujubehall.core.fleet.pool_load import JobLoad
 from jujubehall.core.fleet.pool_load import PoolLoad
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
@@ -82,7 +83,7 @@
             if queue is None or load is None or job.is_final:
                 continue
             factor = history.duration_factor(job)
-            load.add(job.id, _job_load(job, factor, delay_cost.standing(job)))
+            load.add(job.id, _job_load(job, factor, delay_cost.standing(job), load.free, now_ms))
             limit_ms = start_limit_ms(queue, round(factor * job.expected_chain_ms()))
             start_limits_ms[queue] = min(limit_ms, start_limits_ms.get(queue, limit_ms))
         self._limits = AdmissionLimits(
@@ -120,13 +121,16 @@
             queue.priority,
             submitted_ms,
             demand.work,
+            demand.first_needs,
             demand.in_time_slack_ms(queue) - waited_ms,
         )
         remaining_ms = demand.start_limit_ms(queue) - waited_ms
         if not is_beyond_use(wait_ms, remaining_ms) or _is_guaranteed(
             fleet_state, queue, team, demand
         ):
-            load.add(job, JobLoad(submitted_ms, queue.priority, NO_WORK, demand.work))
+            load.add(
+                job, JobLoad(submitted_ms, queue.priority, (), demand.work, demand.first_needs)
+            )
             return None
         self._refused.record(job, now_ms)
         return _retry_after_ms(wait_ms, remaining_ms)
@@ -140,44 +144,56 @@
             limit_ms *= RELEASE_SHARE
         if not is_beyond_use(load.total_ms, limit_ms):
             return None
-        wait_ms = load.least_wait_ms(queue.priority, now_ms, UNLIMITED_WORK, queue.objective_ms)
+        wait_ms = load.least_wait_ms(
+            queue.priority, now_ms, UNLIMITED_WORK, None, queue.objective_ms
+        )
         return wait_ms if is_beyond_use(wait_ms, limit_ms) else None
 
 
 def _empty_pools(fleet_state: FleetState, now_ms: int) -> dict[PoolName, PoolLoad]:
     """Returns the loads, without jobs, of the pools of which any worker accepts work."""
     capacities: dict[PoolName, Resources] = {}
+    free: dict[PoolName, Resources] = {}
     for worker in fleet_state.workers.values():
         if worker.accepts_work(now_ms):
             pool = worker.listed.pool
             capacities[pool] = capacities.get(pool, NO_RESOURCES) + worker.listed.capacity
-    return {pool: PoolLoad(capacity) for pool, capacity in capacities.items()}
+            free[pool] = free.get(pool, NO_RESOURCES) + worker.free
+    return {pool: PoolLoad(capacity, free[pool]) for pool, capacity in capacities.items()}
 
 
-def _job_load(job: FleetJob, factor: float, standing: Lateness) -> JobLoad:
+def _job_load(
+    job: FleetJob, factor: float, standing: Lateness, free: Resources, now_ms: int
+) -> JobLoad:
     """Returns the work of a job, if its tasks take ``factor`` times as long as estimated.
 
-    Steps that aren't ready are left out, since a new job may start before them.
+    Steps that aren't ready are left out, since a new job may start before them, and runs on workers
+    that accept no work, whose capacity doesn't count either.
     """
-    running = waiting = NO_WORK
+    running: list[RunningTask] = []
+    waiting = NO_WORK
+    waiting_needs = NO_RESOURCES
     for groups in job.groups.values():
         request = groups[0].request
         if request.runs_until_cancelled:
             continue
-        waiting_tasks = 0
-        running_tasks = 0.0
+        occupied = groups[0].occupied_resources
+        task_ms = factor * request.expected_ms
+        waiting_tasks = fitting_tasks = 0
         for group in groups:
             if group.placements:
-                running_tasks += sum(
-                    1 - each.progress.percent / COMPLETE_PERCENT
+                running.extend(
+                    RunningTask(occupied, task_ms * (1 - each.progress.percent / COMPLETE_PERCENT))
                     for each in group.placements.values()
+                    if each.worker.accepts_work(now_ms)
                 )
             elif group.is_waiting:
                 waiting_tasks += len(group.indexes)
-        task = work_of(groups[0].occupied_resources, factor * request.expected_ms)
-        running = running.plus(task, running_tasks)
-        waiting = waiting.plus(task, waiting_tasks)
-    return JobLoad(job.accepted_ms, job.priority, running, waiting, standing)
+                if occupied.times(len(group.indexes)).fits_in(free):
+                    fitting_tasks += len(group.indexes)
+        waiting = waiting.plus(work_of(occupied, task_ms), waiting_tasks)
+        waiting_needs = waiting_needs + occupied.times(fitting_tasks)
+    return JobLoad(job.accepted_ms, job.priority, tuple(running), waiting, waiting_needs, standing)
 
 
 def _is_guaranteed(
@@ -205,7 +221,7 @@
         required = group.request.needs.accelerators * len(group.indexes)
         if required <= left:
             left -= required
-    return demand.first_accelerators <= left
+    return demand.first_needs.accelerators <= left
 
 
 def _retry_after_ms(wait_ms: float, remaining_ms: float) -> int:
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -26,8 +26,8 @@
 from jujubehall.services.fleet.job_retention import JobRetention
 from jujubehall.services.fleet.latencies import LatencyHistogram
 from jujubehall.services.fleet.maintenance import MaintenanceController
-from jujubehall.services.fleet.overload_monitor import OverloadMonitor
 from jujubehall.services.fleet.overlapping_requests import RequestLimit
+from jujubehall.services.fleet.overload_monitor import OverloadMonitor
 from jujubehall.services.fleet.ownership import STORE_OUTAGE_GRACE_MS
 from jujubehall.services.fleet.progress_writer import ProgressWriter
 from jujubehall.services.fleet.speed_records import SpeedRecords
--- a/tests/core/fleet/test_overload.py
+++ b/tests/core/fleet/test_overload.py
@@ -87,6 +87,47 @@
     assert loaded.decide() == 5_000
 
 
+def test_idle_workers_beside_long_runs_limit_nothing(loaded: LoadedSite) -> None:
+    loaded.site.submit("long", step(24, expected_ms=1_000 * TASK_MS))
+    assert len(loaded.site.start_groups()) == 24
+    loaded.submit(jobs=1, tasks=8)
+    assert loaded.overload.limits == NO_LIMITS
+    assert loaded.decide(request=step(8, expected_ms=TASK_MS)) is None
+
+
+def test_job_that_fits_beside_what_waits_is_not_refused(loaded: LoadedSite) -> None:
+    """Groups that wait for more room than is free don't keep it from a smaller job."""
+    loaded.site.submit("long", step(24, expected_ms=1_000 * TASK_MS))
+    assert len(loaded.site.start_groups()) == 24
+    loaded.site.submit("short", step(1, expected_ms=TASK_MS))
+    assert len(loaded.site.start_groups()) == 1
+    gang = step(2, EIGHT_GPUS, expected_ms=20 * TASK_MS, is_gang=True)
+    loaded.site.submit("gang", gang, queue=URGENT)
+    loaded.update()
+    assert NORMAL in loaded.overload.limits.waits_ms
+    assert loaded.decide(request=step(8, expected_ms=TASK_MS)) is not None
+    assert loaded.decide(request=step(7, expected_ms=TASK_MS)) is None
+
+
+def test_long_runs_leave_their_accelerators_to_nobody(loaded: LoadedSite) -> None:
+    loaded.site.submit("long", step(24, expected_ms=1_000 * TASK_MS))
+    assert len(loaded.site.start_groups()) == 24
+    loaded.submit(jobs=16, tasks=8)
+    assert loaded.overload.limits.waits_ms[NORMAL] == 16 * TASK_MS
+
+
+def test_runs_on_workers_that_accept_no_work_do_not_count(loaded: LoadedSite) -> None:
+    loaded.site.submit("long", step(24, expected_ms=1_000 * TASK_MS))
+    loaded.site.start_groups()
+    free = [worker for worker in loaded.site.fleet_state.workers.values() if not worker.placements]
+    for worker in loaded.site.fleet_state.workers.values():
+        worker.is_zone_evacuated = worker not in free
+    loaded.submit(jobs=8, tasks=8)
+    assert loaded.overload.limits == NO_LIMITS
+    loaded.submit(jobs=8, tasks=8)
+    assert loaded.overload.limits.waits_ms[NORMAL] == 16 * TASK_MS
+
+
 def test_longer_job_may_start_later(loaded: LoadedSite) -> None:
     loaded.submit(jobs=16)
     assert loaded.decide(request=step(32, expected_ms=5 * TASK_MS)) is None
