--- a/src/jujubehall/core/fleet/left_capacity.py
+++ b/src/jujubehall/core/fleet/left_capacity.py
@@ -31,13 +31,10 @@
         runs = sorted(runs, key=lambda each: each.remaining_ms)
         ends_ms = [each.remaining_ms for each in runs]
         occupied = [work_of(each.occupied, 1) for each in runs]
+        amounts = zip(*occupied, strict=True) if occupied else ((), (), ())
         self._resources = [
-            _LeftResource(available, list(zip(ends_ms, amounts, strict=True)))
-            for available, amounts in zip(
-                work_of(capacity, 1),
-                zip(*occupied, strict=True) if occupied else ((), (), ()),
-                strict=True,
-            )
+            _LeftResource(available, list(zip(ends_ms, each, strict=True)))
+            for available, each in zip(work_of(capacity, 1), amounts, strict=True)
         ]
 
     def duration_ms(self, work: Work) -> float:
@@ -46,7 +43,10 @@
         That is the smallest t for which the work, and what the runs do until t, aren't more than
         the whole capacity does until t. It is 0 for resources of which there are none.
         """
-        return max(resource.duration_ms(amount) for resource, amount in zip(self._resources, work))
+        return max(
+            resource.duration_ms(amount)
+            for resource, amount in zip(self._resources, work, strict=True)
+        )
 
 
 class _LeftResource:
