--- a/src/jujubehall/core/fleet/jobs.py
+++ b/src/jujubehall/core/fleet/jobs.py
@@ -98,11 +98,12 @@
         return self._tickets.setdefault((occurrence, step), StepTickets())
 
     def count_waiting_from(self, first_attempt_ms: int) -> None:
-        """Counts its wait from its caller's first attempt, if earlier ones were refused."""
+        """Counts its wait from its caller's first attempt, if earlier ones were refused.
+
+        Its groups are ready only now: what they do without after a long wait, such as locality, they
+        haven't waited for yet.
+        """
         self.accepted_ms = min(self.accepted_ms, first_attempt_ms)
-        for group in self.all_groups():
-            if group.ready_since_ms is not None:
-                group.ready_since_ms = min(group.ready_since_ms, first_attempt_ms)
 
     def all_groups(self) -> Iterator[TaskGroup]:
         """Yields the groups of all occurrences that have been created."""
