--- a/src/jujubehall/daemon/scheduling_settings.py
+++ b/src/jujubehall/daemon/scheduling_settings.py
@@ -38,7 +38,10 @@
     try:
         return Ok(msgspec.json.decode(content, type=SchedulingSettings))
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        # Imported only on errors: jsonschema needs memory that a normal start saves.
-        from jujubehall.daemon.settings_errors import find_errors
-
+        # Imported only on errors: jsonschema needs memory that a normal start saves. Entry hosts may
+        # do without it; then only the first error is reported.
+        try:
+            from jujubehall.daemon.settings_errors import find_errors
+        except ModuleNotFoundError:
+            return Err([str(error)])
         return Err(find_errors(content, SchedulingSettings) or [str(error)])
--- a/tests/daemon/test_scheduling_settings.py
+++ b/tests/daemon/test_scheduling_settings.py
@@ -42,6 +42,17 @@
     ]
 
 
+def test_error_is_reported_without_jsonschema(
+    settings_file: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(sys.modules, "jsonschema", None)
+    monkeypatch.delitem(sys.modules, "jujubehall.daemon.settings_errors", raising=False)
+    settings_file.write_text('{"refuse_when_overloaded": "yes"}')
+    assert load_scheduling_settings(settings_file).unwrap_err() == [
+        "Expected `bool`, got `str` - at `$.refuse_when_overloaded`"
+    ]
+
+
 def test_process_reports_an_invalid_file_and_does_not_start(settings_file: Path) -> None:
     settings_file.write_text("[]")
     process = subprocess.run(
