--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -21,6 +21,8 @@
 from jujubehall.identifiers import TeamName
 from jujubehall.metrics import JOBS_REFUSED
 from jujubehall.metrics import SUBMISSIONS
+from jujubehall.services.async_utils import first_result
+from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import sleep
 from jujubehall.services.fleet.peers import MAX_JOB_END_WAIT_MS
 from jujubehall.services.fleet.records import cancellation_key
@@ -31,6 +33,7 @@
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.configuration import Queue
     from jujubehall.core.fleet.configuration import SiteConfiguration
+    from jujubehall.core.fleet.job_demand import JobDemand
     from jujubehall.core.fleet.requests import JobRequest
     from jujubehall.core.jobs.job import JobState
     from jujubehall.identifiers import JobId
@@ -56,6 +59,12 @@
 """Sent to callers as Retry-After. Outages of the store or of the owner last seconds, and the load
 balancer may route the retry to another entry host."""
 
+MIN_REFUSAL_TIMEOUT_MS = 1_500
+"""Callers that wait less long are not refused for load: asking takes time that the write needs."""
+
+REFUSAL_TIMEOUT_DIVISOR = 3
+"""Part of the caller's timeout in which a refusal must be settled; else the job is admitted."""
+
 log = structlog.get_logger()
 
 
@@ -271,20 +280,17 @@
     ) -> CallResponse | None:
         """Returns a refusal if the job is expected to be of no more use at its end; else None."""
         limits = self._peers.admission_limits
-        if not limits.waits_ms:
+        if not limits.waits_ms or admitted.timeout_ms < MIN_REFUSAL_TIMEOUT_MS:
             return None
         demand = job_demand(request)
         if demand is None or not limits.may_refuse(admitted.queue, demand):
             return None
-        retry_after_ms = await self._peers.decide_admission(
-            job, admitted.queue.name, admitted.team, demand
+        retry_after_ms: int | None = await first_result(
+            run_in_background(self._find_refusal(admitted, job, demand)),
+            sleep(self._reactor, admitted.timeout_ms // REFUSAL_TIMEOUT_DIVISOR),
         )
         if retry_after_ms is None:
             return None
-        stored = await self._records.find(job)
-        if isinstance(stored, Err) or stored.ok_value is not None:
-            # An earlier attempt may have taken effect, so that a refusal would be wrong.
-            return None
         JOBS_REFUSED.inc({"queue": admitted.queue.name, "reason": "beyond-use"})
         SUBMISSIONS.inc({"outcome": Outcome.NOT_RUN.value})
         log.info(
@@ -302,6 +308,21 @@
             retry_after_ms=retry_after_ms,
         )
 
+    async def _find_refusal(
+        self, admitted: AdmittedCall, job: JobId, demand: JobDemand
+    ) -> int | None:
+        """Returns when the caller may try again; None if the job is to be admitted."""
+        retry_after_ms = await self._peers.decide_admission(
+            job, admitted.queue.name, admitted.team, demand
+        )
+        if retry_after_ms is None:
+            return None
+        stored = await self._records.find(job)
+        if isinstance(stored, Err) or stored.ok_value is not None:
+            # An earlier attempt may have taken effect, so that a refusal would be wrong.
+            return None
+        return retry_after_ms
+
     async def _write(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
         """Creates a record and notifies the owner if this write has created it."""
         write_result = await self._create(key, value, timeout_ms)
