--- a/src/jujubehall/services/fleet/overload_monitor.py
+++ b/src/jujubehall/services/fleet/overload_monitor.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from jujubehall.core.fleet.admission_limits import NO_LIMITS
 from jujubehall.core.fleet.overload import Overload
 
 if TYPE_CHECKING:
@@ -25,6 +26,12 @@
 """Upper limit, approximately, of the share of time spent on updates: with 28,000 waiting tasks on 820
 workers one takes 80 ms."""
 
+MAX_LIMITS_AGE_MS = 3_000
+"""How long limits apply without an update, if updates aren't slower; then all jobs are admitted."""
+
+MAX_DECISIONS_MS = 50
+"""Time for decisions between two updates; once it is used up, jobs are admitted without one."""
+
 log = structlog.get_logger()
 
 
@@ -35,22 +42,31 @@
         self._fleet_state = fleet_state
         self._clock = clock
         self._overload = Overload(clock.now_ms)
-        self._updated_ms = clock.now_ms
+        self._attempted_ms = self._updated_ms = clock.now_ms
         self._interval_ms = UPDATE_INTERVAL_MS
+        self._decisions_ms = 0
+        """The time that decisions have taken since the last update."""
 
     @property
     def limits(self) -> AdmissionLimits:
         """The limits in force."""
-        return self._overload.limits
+        return self._overload.limits if self._is_current else NO_LIMITS
+
+    @property
+    def _is_current(self) -> bool:
+        max_age_ms = max(MAX_LIMITS_AGE_MS, 2 * self._interval_ms)
+        return self._clock.now_ms - self._updated_ms <= max_age_ms
 
     def update_if_due(self) -> None:
         """Computes the limits again if the last time was long enough ago."""
         now_ms = self._clock.now_ms
-        if now_ms - self._updated_ms < self._interval_ms:
+        if now_ms - self._attempted_ms < self._interval_ms:
             return
-        self._updated_ms = now_ms
+        self._attempted_ms = now_ms
         earlier = self._overload.limits.waits_ms
         waits_ms = self._overload.update(self._fleet_state, now_ms).waits_ms
+        self._updated_ms = now_ms
+        self._decisions_ms = 0
         took_ms = self._clock.now_ms - now_ms
         self._interval_ms = max(UPDATE_INTERVAL_MS, round(took_ms / MAX_TIME_SHARE))
         if waits_ms.keys() != earlier.keys():
@@ -67,11 +83,12 @@
     ) -> int | None:
         """Returns None to admit a job, or the time in ms after which its caller may try again."""
         queue = self._fleet_state.configuration.queue(queue_name)
-        if queue is None:
+        if queue is None or not self._is_current or self._decisions_ms >= MAX_DECISIONS_MS:
             return None
-        return self._overload.decide(
-            self._fleet_state, job, queue, team, demand, self._clock.now_ms
-        )
+        now_ms = self._clock.now_ms
+        decision = self._overload.decide(self._fleet_state, job, queue, team, demand, now_ms)
+        self._decisions_ms += self._clock.now_ms - now_ms
+        return decision
 
     def note_accepted(self, job: FleetJob) -> None:
         """Counts the wait of an accepted job from its first attempt."""
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -269,7 +269,11 @@
         self._last_cleanup_ms = self._clock.now_ms
         if self._refuses_when_overloaded:
             self._overload_monitor = OverloadMonitor(self.fleet_state, self._clock)
-        for name, step in (("workers", self._poll_workers), ("rounds", self._run_periodic_work)):
+        for name, step in (
+            ("workers", self._poll_workers),
+            ("rounds", self._run_periodic_work),
+            ("admission limits", self._update_admission_limits),
+        ):
             run_in_background(run_loop(self._reactor, name, step, lambda: self.is_closed))
 
     def apply_intake(self, key: str, value: bytes) -> None:
@@ -281,7 +285,8 @@
         self, job: JobId, queue: QueueName, team: TeamName, demand: JobDemand
     ) -> int | None:
         """Returns None to admit a job, or the time in ms after which its caller may try again."""
-        if self._overload_monitor is None or self.is_closed:
+        if self._overload_monitor is None or self.is_closed or self._job_retention.is_removed(job):
+            # A job that has been removed has run, so that a refusal would be wrong.
             return None
         return self._overload_monitor.decide(job, queue, team, demand)
 
@@ -407,14 +412,17 @@
 
     async def _run_periodic_work(self) -> None:
         self.fleet_state.create_due_occurrences(self._clock.now_ms, self._wall_clock.now_ms)
-        if self._overload_monitor is not None:
-            self._overload_monitor.update_if_due()
         self.schedule_round()
         if self._clock.now_ms - self._last_cleanup_ms >= CLEANUP_INTERVAL_MS:
             self._last_cleanup_ms = self._clock.now_ms
             await self._job_retention.clean_up()
         await sleep(self._reactor, ROUND_INTERVAL_MS)
 
+    async def _update_admission_limits(self) -> None:
+        if self._overload_monitor is not None:
+            self._overload_monitor.update_if_due()
+        await sleep(self._reactor, ROUND_INTERVAL_MS)
+
     async def _poll_workers(self) -> None:
         listed = await self._directory.list_workers()
         if self.is_closed:
--- a/tests/services/fleet/test_overload.py
+++ b/tests/services/fleet/test_overload.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from twisted.internet.defer import Deferred
+
+from jujubehall.core.fleet.job_demand import job_demand
 from jujubehall.core.fleet.overload import SETTLING_MS
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.jobs.job import JobState
@@ -11,11 +14,13 @@
 from jujubehall.entry_hosts.messages import SiteHeartbeat
 from jujubehall.identifiers import FencingToken
 from jujubehall.identifiers import JobId
+from jujubehall.services.fleet.admission import AdmittedCall
 from jujubehall.services.fleet.admission import Outcome
 from jujubehall.testing.virtual.fleet.site import VirtualFleet
 from jujubehall.testing.virtual.fleet.store import StoreFaultMode
 from tests.core.fleet.small_site import CONFIGURATION
 from tests.core.fleet.small_site import NORMAL
+from tests.core.fleet.small_site import TEAM
 from tests.core.fleet.small_site import SmallSite
 from tests.core.fleet.small_site import step
 
@@ -102,6 +107,56 @@
     assert site.submit(JOB, REQUEST, host=site.hosts.index(host)).outcome is Outcome.ACCEPTED
 
 
+def test_job_that_has_run_and_was_removed_is_not_refused(site: VirtualFleet) -> None:
+    owner = site.owner
+    assert owner is not None
+    term = owner.site_host.owner
+    assert term is not None
+    demand = job_demand(REQUEST)
+    assert demand is not None
+    assert term.decide_admission(JOB, NORMAL, TEAM, demand) is not None
+    term._job_retention._removed_ms[JOB] = 0
+    assert term.decide_admission(JOB, NORMAL, TEAM, demand) is None
+
+
+def test_caller_with_little_time_is_not_refused(site: VirtualFleet) -> None:
+    host = site.hosts[other_host(site)]
+    admitted = site.check_admission(host, f"/normal/{JOB}")
+    assert isinstance(admitted, AdmittedCall)
+    response = site.await_result(
+        host.site_host.admission.submit(admitted._replace(timeout_ms=1_499), JOB, REQUEST)
+    )
+    assert response.outcome is Outcome.ACCEPTED
+
+
+def test_refusal_takes_a_third_of_the_timeout_at_most(
+    site: VirtualFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The record can't be read; the write is left enough of the time."""
+    number = other_host(site)
+    records = site.hosts[number].site_host.admission._records
+    monkeypatch.setattr(records, "find", lambda job: Deferred())
+    started_s = site.time.seconds()
+    assert site.submit(JOB, REQUEST, host=number).outcome is Outcome.ACCEPTED
+    assert site.time.seconds() - started_s < 1.1
+
+
+def test_limits_are_updated_while_records_are_deleted(
+    site: VirtualFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    owner = site.owner
+    assert owner is not None
+    term = owner.site_host.owner
+    assert term is not None
+    monkeypatch.setattr(term._job_retention, "clean_up", Deferred)
+    site.run(30.0)
+    assert not term.limits.waits_ms
+    for number in range(FLOOD, 3 * FLOOD):
+        site.submit(JobId(f"{number:016x}"), REQUEST, host=number % 3)
+    site.run(1.5)
+    assert NORMAL in term.limits.waits_ms
+
+
 def test_urgent_job_within_the_guarantee_is_accepted(site: VirtualFleet) -> None:
     assert site.submit(JOB, REQUEST, "urgent").outcome is Outcome.ACCEPTED
 
