Count repeated work beyond the limit of its job's value as waste

Cause: the value of a job is limited to four times the mean of its queue, and so was what a stop of a very large gang cost, although its repeated work takes capacity from others in proportion.

Change: the waste of a stop is at least the work to be repeated at the mean value of the queue's work.

--- a/src/jujubehall/core/fleet/delay_cost.py
+++ b/src/jujubehall/core/fleet/delay_cost.py
@@ -216,7 +216,10 @@
 
     def _compute_stop_loss(self, group: TaskGroup, done_ms: int) -> StopLoss:
         repeated_ms = RESTART_DELAY_MS + (0 if group.request.saves_checkpoints else done_ms)
-        waste = self.value(group.job) * _share_of_job(group, repeated_ms)
+        # Repeated work takes capacity from other jobs, also where it exceeds the value of its own.
+        weight = LOWER_PRIORITY_VALUE_SHARE**group.job.priority
+        work_value = weight * self._history.relative_work(group.job)
+        waste = max(self.value(group.job), work_value) * _share_of_job(group, repeated_ms)
         outlook = self.outlook(group.job)
         if outlook is None or outlook.slack_ms > MAX_RISK_HORIZONS * RESTART_HORIZON_MS:
             return StopLoss(waste, 0.0)
--- a/tests/core/fleet/test_preemption_cost.py
+++ b/tests/core/fleet/test_preemption_cost.py
@@ -9,7 +9,9 @@
 
 from jujubehall.core.fleet.configuration import Team
 from jujubehall.core.fleet.decisions import StopGroup
+from jujubehall.core.fleet.delay_cost import DelayCost
 from jujubehall.core.fleet.reports import EndKind
+from jujubehall.core.fleet.work_history import WorkHistory
 from tests.core.fleet.small_site import CONFIGURATION
 from tests.core.fleet.small_site import EIGHT_GPUS
 from tests.core.fleet.small_site import NORMAL
@@ -162,3 +164,18 @@
     site.submit("urgent", urgent, queue=URGENT)
     assert [group.job for group in stopped_groups(site)] == [gang]
     assert all(group.placements for group in small.all_groups())
+
+
+def test_repeated_work_counts_beyond_the_limit_of_its_jobs_value() -> None:
+    """The value of a job is limited, and the capacity that its repeated work takes is not."""
+    history = WorkHistory()
+    site = SmallSite(workers=16, rack_size=8)
+    for number in range(20):
+        history.record_job(site.submit(f"usual{number}", step(expected_ms=1_000)))
+    large = site.submit("large", step(tasks=64, expected_ms=1_000, is_gang=True))
+    half = site.submit("half", step(tasks=32, expected_ms=1_000, is_gang=True))
+    site.start_groups()
+    cost = DelayCost(site.now_ms + 500, history)
+    losses = [cost.stop_loss(next(job.all_groups())).waste for job in (large, half)]
+    assert cost.value(large) == cost.value(half)
+    assert losses[0] >= 1.9 * losses[1]
