Review: a job of 11,000 tasks keeps the site from starting anything

The progress of a job is one value of the store. Beyond the store's limit its write is refused and repeated for good, and all starts wait for it.

--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -139,6 +139,9 @@
         self.revision = 10
         self.answers = 0
         self.lost_answers = 0
+        self.refused_values = 0
+        """Transactions that were refused because of a value over the store's limit."""
+
         self.lose = lambda method, path, query, content, answer: False
         """Whether the answer to a call that has been carried out is lost."""
 
@@ -268,6 +271,7 @@
             if row["key"].startswith(("op/", "servers/")):
                 return 403, {}
             if len(base64.b64decode(row["value"])) > VALUE_BYTES:
+                self.refused_values += 1
                 return 400, {}
             if row.get("lease", 0) and row["lease"] not in self._leases:
                 return 404, {}
