--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,11 +4,17 @@
 
 import asyncio
 import sys
+
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-from stand_ins import CannotRun, Minion, Site, configuration, run_case, submit
+from stand_ins import CannotRun
+from stand_ins import Minion
+from stand_ins import Site
+from stand_ins import configuration
+from stand_ins import run_case
+from stand_ins import submit
 
 MINIONS = 24
 UNHEALTHY = 2
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -20,8 +21,10 @@
 import time
 import tomllib
 import traceback
+
 from pathlib import Path
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 STORE_LATENCY_S = 0.004
@@ -111,8 +114,7 @@
                 text = json.dumps(document).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(text)}\r\n\r\n".encode()
-                    + text
+                    f"Content-Length: {len(text)}\r\n\r\n".encode() + text
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -256,15 +258,14 @@
             events = [
                 each
                 for each in self._history
-                if each["revision"] > int(query["after"]) and each["key"].startswith(query["prefix"])
+                if each["revision"] > int(query["after"])
+                and each["key"].startswith(query["prefix"])
             ]
             remaining = deadline - time.monotonic()
             if events or remaining <= 0:
                 return 200, {"events": events, "atRev": self.revision}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), remaining)
-            except TimeoutError:
-                pass
 
     def _commit(self, content):
         for row in content["writes"]:
@@ -612,7 +613,7 @@
         self._open_starts[task] = start
         used = list(self._used)
         room = [self.capacity["cpu"], self.capacity["memMb"], self.capacity["gpu"]]
-        is_over = any(amount > limit for amount, limit in zip(used, room))
+        is_over = any(amount > limit for amount, limit in zip(used, room, strict=False))
         if is_over:
             self._site.overcommitted.append(
                 f"{now_ms} ms: {task} run {number} on {self.name}: used {used} of {room}"
@@ -642,19 +643,15 @@
                 self._ended_starts[end[0]].noted_ms = now_ms
         self._ends = [end for end in self._ends if end[0] > content.get("lastSeen", 0)]
         if not self._ends and content.get("waitMs", 0):
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._ended.wait(), content["waitMs"] / 1000)
-            except TimeoutError:
-                pass
         now_ms = self._site.recorder.now_ms()
         running = []
         for run in self.runs.values():
             since = run.started_ms if run.gang is None else run.gang.complete_ms
             done = 0 if since is None else (now_ms - since) / max(1, run.work_ms)
             running.append([run.task, run.number, "", min(99, int(100 * done)), 0])
-        return self._answer(
-            200, running=running, finished=self._ends[:FINISHED_ROWS_PER_ANSWER]
-        )
+        return self._answer(200, running=running, finished=self._ends[:FINISHED_ROWS_PER_ANSWER])
 
 
 class Host:
