--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -16,6 +16,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -43,6 +44,25 @@
 """Returned by a handler whose answer is lost: the connection returns nothing further."""
 
 
+GUARD = """
+import os, shutil, signal, sys
+folder = sys.stdin.readline().strip()
+pids = set()
+for line in sys.stdin:
+    (pids.add if line[0] == "+" else pids.discard)(int(line[1:]))
+for pid in pids:
+    try:
+        with open(f"/proc/{pid}/environ", "rb") as environment:
+            is_own = folder.encode() in environment.read()
+        if is_own:
+            os.kill(pid, signal.SIGKILL)
+    except OSError:
+        pass
+shutil.rmtree(folder, ignore_errors=True)
+"""
+"""Ends the processes of a case whose own process is gone, as its pipe then closes."""
+
+
 class CannotRun(Exception):
     """The case could not be played, which says nothing about the rule."""
 
@@ -362,6 +382,10 @@
         self._host_count = hosts
         self._tasks: list[asyncio.Task] = []
         self._folder = Path(tempfile.mkdtemp(prefix="jujubehall-review-"))
+        self._guard = subprocess.Popen(
+            [sys.executable, "-c", GUARD], stdin=subprocess.PIPE, start_new_session=True, text=True
+        )
+        self.tell_guard(str(self._folder))
         self.network = ""
 
     async def open(self, configuration: dict) -> None:
@@ -397,7 +421,15 @@
         logs = os.environ.get("KEEP_LOGS")
         if logs:
             shutil.copytree(self._folder, logs, dirs_exist_ok=True)
-        shutil.rmtree(self._folder, ignore_errors=True)
+        assert self._guard.stdin is not None
+        self._guard.stdin.close()
+        self._guard.wait()
+
+    def tell_guard(self, line: str) -> None:
+        """Names the folder to the guard, then each process as it starts (+) and ends (-)."""
+        assert self._guard.stdin is not None
+        self._guard.stdin.write(line + "\n")
+        self._guard.stdin.flush()
 
     async def _advance(self) -> None:
         beat = time.monotonic()
@@ -680,12 +712,14 @@
             self.process = await asyncio.create_subprocess_exec(
                 *role["run"].split(" "), cwd=REPOSITORY, env=environment, stdout=log, stderr=log
             )
+        self._site.tell_guard(f"+{self.process.pid}")
 
     async def end(self) -> None:
         if self.process is None or self.process.returncode is not None:
             return
         self.process.send_signal(signal.SIGKILL)
         await self.process.wait()
+        self._site.tell_guard(f"-{self.process.pid}")
 
     async def is_ready(self) -> bool:
         if self.process is not None and self.process.returncode is not None:
@@ -865,14 +899,22 @@
     raise CannotRun("no free loopback addresses")
 
 
+async def play_until_signal(case):
+    """Plays a case for 115 s at most; a signal ends it early, with all that it started."""
+    playing = asyncio.ensure_future(case)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+    return await asyncio.wait_for(playing, 115)
+
+
 def run_case(folder: Path, play) -> None:
     """Plays a case and exits with 0 (held), 1 (broken) or 2 (could not run)."""
     recorder = Recorder(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     recorder.write("case", site=SITE_NAME, trouble=trouble)
     try:
-        findings = asyncio.run(asyncio.wait_for(play(recorder, trouble), 115))
-    except Exception as error:
+        findings = asyncio.run(play_until_signal(play(recorder, trouble)))
+    except (Exception, asyncio.CancelledError) as error:
         recorder.write("cannot-run", error=repr(error))
         recorder.close()
         print(f"the case could not run: {error!r}")
