Log and count the reads that don't confirm the configuration

Callers saw a route refused with 404 seconds after it was added. The log named only versions that came into force, so that a store without an answer, a store that refused the read and an owner with an older version looked the same. Each read that doesn't confirm the configuration is now logged with its source, failure and duration, and counted. No logic has changed.

--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -53,6 +53,9 @@
 JOBS_GIVEN_UP = _counter("jobs_given_up_total", "Jobs failed by a decision, by reason.")
 GROUP_STOPS = _counter("group_stops_total", "Groups stopped by a decision, by reason.")
 OWNER_CHANGES = _counter("owner_changes_total", "Terms of ownership begun or ended here.")
+CONFIGURATION_READS = _counter(
+    "configuration_reads_total", "Reads of the site's configuration, by source and result."
+)
 ZONE_CHANGES = _counter("zone_changes_total", "Zones evacuated or returned, by change.")
 
 CONFIGURATION_AGE = _gauge(
--- a/src/jujubehall/services/fleet/configuration_follower.py
+++ b/src/jujubehall/services/fleet/configuration_follower.py
@@ -10,6 +10,7 @@
 
 from result import Err
 
+from jujubehall.metrics import CONFIGURATION_READS
 from jujubehall.platform.site_store import ABSENT
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import run_loop
@@ -147,7 +148,11 @@
             return False
         requested_ms = self._clock.now_ms
         offer = await self._query_owner(self.version, include_large)
-        if offer is None or offer.age_ms > REFRESH_AGE_MS + WATCH_TIMEOUT_MS:
+        if offer is None:
+            self._record_read("owner", "no-answer", requested_ms)
+            return False
+        if offer.age_ms > REFRESH_AGE_MS + WATCH_TIMEOUT_MS:
+            self._record_read("owner", "outdated", requested_ms)
             return False
         if offer.content:
             decoded = self._directory.decode_configuration(offer.content)
@@ -155,11 +160,16 @@
                 log.error(
                     "invalid configuration from the owner ignored", failure=str(decoded.err_value)
                 )
+                self._record_read("owner", "invalid", requested_ms)
                 return False
             self._apply(decoded.ok_value, offer.content)
-        if offer.version == self.version:
-            self._confirm_current(requested_ms - offer.age_ms)
-        return offer.version == self.version
+        if offer.version != self.version:
+            result = "older" if offer.version < self.version else "without-content"
+            self._record_read("owner", result, requested_ms)
+            return False
+        self._confirm_current(requested_ms - offer.age_ms)
+        CONFIGURATION_READS.inc({"source": "owner", "result": "ok"})
+        return True
 
     async def _read_from_store(self) -> bool:
         requested_ms = self._clock.now_ms
@@ -168,6 +178,7 @@
         else:
             found = await self._directory.wait_for_configuration(self._revision, WATCH_TIMEOUT_MS)
         if isinstance(found, Err):
+            self._record_read("store", str(found.err_value), requested_ms)
             self._revision = ABSENT
             return False
         read: StoredConfiguration | None = found.ok_value
@@ -181,8 +192,21 @@
         # A watch without changes returns no earlier than its timeout after the request, so the
         # configuration was still current at that later time.
         self._confirm_current(requested_ms + (WATCH_TIMEOUT_MS if unchanged else 0))
+        CONFIGURATION_READS.inc({"source": "store", "result": "ok"})
         return True
 
+    def _record_read(self, source: str, result: str, requested_ms: int) -> None:
+        """Logs and counts a read that has not confirmed the configuration."""
+        CONFIGURATION_READS.inc({"source": source, "result": "failed"})
+        log.info(
+            "configuration not confirmed",
+            source=source,
+            result=result,
+            version=self.version,
+            took_ms=self._clock.now_ms - requested_ms,
+            age_ms=self.age_ms,
+        )
+
     def _apply(self, configuration: SiteConfiguration, content: bytes) -> None:
         if configuration.version <= self.version:
             return
