--- a/src/jujubehall/testing/virtual/fleet/fault_simulation.py
+++ b/src/jujubehall/testing/virtual/fleet/fault_simulation.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import ClassVar
+from typing import Protocol
 
 from jujubehall.core.fleet.configuration import Queue
 from jujubehall.core.fleet.configuration import SiteConfiguration
@@ -319,7 +320,16 @@
     ]
 
 
-def run_seeds(simulation: type[FaultSimulation], arguments: Any = None) -> int:
+class Simulation(Protocol):
+    """A run of a randomised test, whose random choices derive from its seed."""
+
+    def __init__(self, seed: int) -> None: ...
+
+    def run(self) -> list[str]:
+        """Returns the invariant violations."""
+
+
+def run_seeds(simulation: type[Simulation], arguments: Any = None) -> int:
     """Runs a range of seeds; returns 1 if any of them violated an invariant, else 0."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--first", type=int, default=0, help="first seed")
--- a/src/jujubehall/testing/virtual/fleet/store.py
+++ b/src/jujubehall/testing/virtual/fleet/store.py
@@ -11,6 +11,7 @@
 from result import Result
 from twisted.internet.defer import Deferred
 
+from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import to_seconds
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
@@ -203,6 +204,13 @@
         self.call_counts: dict[str, int] = {}
         """Number of calls by kind."""
 
+        self._silenced_connections = 0
+        """How often ``silence_connections`` has been called."""
+
+    def silence_connections(self) -> None:
+        """Lets the calls in progress time out; later ones use new connections and are answered."""
+        self._silenced_connections += 1
+
     async def get(self, key: str) -> Result[StoredItem | None, Failure]:
         """Reads a key; the result is None if it is absent."""
         return await self._call("get", lambda: self._store.get(key))
@@ -222,10 +230,15 @@
         Fails with ``NOT_FOUND`` if the history after that revision was compacted.
         """
         end_s = self._reactor.seconds() + to_seconds(wait_ms)
+        silenced_connections = self._silenced_connections
         while True:
             found = await self._call("watch", lambda: self._store.changes(prefix, after))
             if isinstance(found, Err):
                 return found
+            if self._silenced_connections != silenced_connections:
+                timeout_s = end_s + to_seconds(CALL_TIMEOUT_MS) - self._reactor.seconds()
+                await sleep(self._reactor, round(timeout_s * MS_PER_SECOND))
+                return _timed_out("watch")
             if found.ok_value is None:
                 return Err(Failure(FailureKind.NOT_FOUND, "watch", PEER, "history was compacted"))
             remaining_s = end_s - self._reactor.seconds()
@@ -294,6 +307,7 @@
     ) -> Result[Any, Failure]:
         self.call_counts[step] = self.call_counts.get(step, 0) + 1
         fault_mode = self.fault_mode
+        silenced_connections = self._silenced_connections
         if fault_mode is StoreFaultMode.NO_RESPONSE:
             await sleep(self._reactor, timeout_ms)
             return _timed_out(step)
@@ -303,7 +317,8 @@
         if fault_mode is StoreFaultMode.UNAVAILABLE:
             return Err(Failure(FailureKind.UNAVAILABLE, step, PEER, "status 503"))
         result = action()
-        if self.fault_mode is StoreFaultMode.NO_RESPONSE:
+        is_silenced = self._silenced_connections != silenced_connections
+        if is_silenced or self.fault_mode is StoreFaultMode.NO_RESPONSE:
             await sleep(self._reactor, timeout_ms)
             return _timed_out(step)
         return Ok(result)
