Follow the configuration in the store at every entry host, and ask no source after another

Callers were refused with 404 on a route that had been acknowledged 2.1 s before, by one host, for up to 3.4 s.

Cause: only the owner watched the store. Any other host waited until its copy was a second old, asked the owner (0.4 s), then the store (a watch of 1 s, limit 2 s), then the owner again for a large configuration (2 s), one after the other, and ignored all announcements meanwhile. If the owner died right before a change, these limits added up; in the incident the store refused the watch (410, history discarded), so that the host waited 2 s for the dead owner. The new owner was held up in the same way and could tell nobody. A second sum of the same kind: a call without an answer left the other silent connections in the pool, and the next call took one of them.

Now each host watches the key itself, 600 ms at a time, with a limit of 500 ms for the answer; the owner is asked beside that, in a loop of its own. Content that can't be decoded is logged once, never taken, and confirms nothing; an answer confirms the copy as of its request only.

--- a/src/jujubehall/daemon/site_host.py
+++ b/src/jujubehall/daemon/site_host.py
@@ -141,7 +141,6 @@
             self.configuration,
             records,
         )
-        self.configuration.set_store_read_condition(lambda: self._owner is not None)
         self.configuration.add_listener(self._configure)
         self.submission_latencies = LatencyHistogram()
         self.admission = Admission(
--- a/src/jujubehall/platform/adapter/directory.py
+++ b/src/jujubehall/platform/adapter/directory.py
@@ -52,30 +52,26 @@
         self._store = store
         self._invalid_keys: set[str] = set()
 
-    async def read_configuration(self) -> Result[StoredConfiguration | None, Failure]:
-        """Reads the latest configuration; returns None if none has been written yet."""
-        result = await self._store.get(CONFIGURATION_KEY)
-        return result.and_then(lambda item: Ok(None) if item is None else self._decode_item(item))
+    async def read_configuration(self) -> Result[StoredConfiguration, Failure]:
+        """Reads the latest configuration."""
+        result = await self._store.list_items(CONFIGURATION_KEY)
+        return result.map(lambda found: _to_stored_configuration(found.items, found.revision))
 
     async def wait_for_configuration(
-        self, after: Revision, wait_ms: int
-    ) -> Result[StoredConfiguration | None, Failure]:
-        """Waits for a configuration written after revision ``after``.
+        self, after: Revision, wait_ms: int, answer_timeout_ms: int
+    ) -> Result[StoredConfiguration, Failure]:
+        """Waits up to ``wait_ms`` for a configuration written after revision ``after``.
 
-        Returns None if there was none within ``wait_ms``.
+        Fails with ``NOT_FOUND`` if the store no longer has the history since ``after``, and without
+        an answer ``answer_timeout_ms`` after the end of the wait.
         """
-        result = await self._store.watch(CONFIGURATION_KEY, after, wait_ms)
-        if isinstance(result, Err):
-            return result
-        versions = [
-            item
-            for item in result.ok_value.items
-            if item.key == CONFIGURATION_KEY and not item.is_deleted
-        ]
-        return self._decode_item(versions[-1]) if versions else Ok(None)
+        result = await self._store.watch(CONFIGURATION_KEY, after, wait_ms, answer_timeout_ms)
+        # The revision of an answer without events isn't used: while the store is about to lose its
+        # history, it may lie beyond a change that the watch has not returned.
+        return result.map(lambda found: _to_stored_configuration(found.items, after))
 
     def decode_configuration(self, content: bytes) -> Result[SiteConfiguration, Failure]:
-        """Decodes the bytes of a configuration that another entry host has read."""
+        """Decodes the bytes of a configuration."""
         try:
             return Ok(_to_configuration(decode_json(content, wire.Configuration)))
         except msgspec.DecodeError as error:
@@ -104,12 +100,6 @@
         """
         return (await self._store.watch(EVACUATIONS_PREFIX, after, wait_ms)).map(_to_zone_changes)
 
-    def _decode_item(self, item: StoredItem) -> Result[StoredConfiguration, Failure]:
-        decoded = self.decode_configuration(item.value)
-        return decoded.map(
-            lambda configuration: StoredConfiguration(configuration, item.value, item.revision)
-        )
-
     def _to_worker(self, item: StoredItem) -> ListedWorker | None:
         try:
             entry = decode_json(item.value, wire.ServerEntry)
@@ -140,6 +130,16 @@
     return Resources(amounts.cpu, amounts.memory_mb, amounts.accelerators)
 
 
+def _to_stored_configuration(items: list[StoredItem], revision: Revision) -> StoredConfiguration:
+    """Returns the latest configuration among ``items``, which are later than ``revision``."""
+    versions = [each for each in items if each.key == CONFIGURATION_KEY and not each.is_deleted]
+    latest = max(versions, key=lambda item: item.revision, default=None)
+    return StoredConfiguration(
+        None if latest is None else latest.value,
+        max((each.revision for each in items), default=revision),
+    )
+
+
 def _to_zone_changes(stored: StoredItems) -> ZoneChanges:
     """Reads the zones from the keys; what their values contain doesn't matter."""
     return ZoneChanges(
--- a/src/jujubehall/platform/adapter/store.py
+++ b/src/jujubehall/platform/adapter/store.py
@@ -19,6 +19,7 @@
 from jujubehall.errors import FailureKind
 from jujubehall.http.client import HttpClient
 from jujubehall.platform.adapter import wire
+from jujubehall.platform.site_store import CALL_TIMEOUT_MS
 from jujubehall.platform.site_store import Conflict
 from jujubehall.platform.site_store import LeaseId
 from jujubehall.platform.site_store import Revision
@@ -32,9 +33,6 @@
     from jujubehall.platform.site_store import Write
 
 PEER = "store"
-CALL_TIMEOUT_MS = 1_000
-"""A slow store responds within about 250 ms; an unresponsive one has to be detected soon."""
-
 CONNECTION_POOL_SIZE = 6
 """Enough for the watches on jobs and on the configuration and for a few concurrent calls."""
 
@@ -86,14 +84,19 @@
             after = page.items[-1].key
 
     async def watch(
-        self, prefix: str, after: Revision, wait_ms: int
+        self,
+        prefix: str,
+        after: Revision,
+        wait_ms: int,
+        answer_timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> Result[StoredItems, Failure]:
         """Waits for changes after revision ``after``, at most ``wait_ms``.
 
-        Fails with ``NOT_FOUND`` if the store no longer has the history since ``after``.
+        Fails with ``NOT_FOUND`` if the store no longer has the history since ``after``, and without
+        an answer ``answer_timeout_ms`` after the end of the wait.
         """
         query = urlencode({"prefix": prefix, "after": after, "waitMs": wait_ms})
-        timeout_ms = wait_ms + CALL_TIMEOUT_MS
+        timeout_ms = wait_ms + answer_timeout_ms
         result = await self._call(
             "watch",
             "GET",
@@ -171,7 +174,7 @@
         timeout_ms: int,
         is_timeout_per_read: bool = False,
     ) -> Result[ClientResponse, Failure]:
-        return await self._http.call(
+        result = await self._http.call(
             step,
             method,
             self._base + path,
@@ -179,6 +182,10 @@
             timeout_ms=timeout_ms,
             is_timeout_per_read=is_timeout_per_read,
         )
+        if isinstance(result, Err):
+            # Connections tend to go silent together; the next call must not wait on another one.
+            self._http.close()
+        return result
 
 
 def _parse_response(step: str, response: ClientResponse, type_: Any) -> Result[Any, Failure]:
--- a/src/jujubehall/platform/site_store.py
+++ b/src/jujubehall/platform/site_store.py
@@ -31,6 +31,9 @@
 NO_LEASE = LeaseId(0)
 ABSENT = Revision(0)
 
+CALL_TIMEOUT_MS = 1_000
+"""A slow store answers within about 250 ms; one that doesn't answer has to be noticed soon."""
+
 MAX_COMMIT_ROWS = 32
 """The store's documented limit for preconditions, writes and deletes of one commit in total."""
 
@@ -86,11 +89,16 @@
         """Reads all keys that begin with ``prefix``; the revision is that of the first page."""
 
     async def watch(
-        self, prefix: str, after: Revision, wait_ms: int
+        self,
+        prefix: str,
+        after: Revision,
+        wait_ms: int,
+        answer_timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> Result[StoredItems, Failure]:
         """Waits for changes after revision ``after``, at most ``wait_ms``.
 
-        Fails with ``NOT_FOUND`` if the store no longer has the history since ``after``.
+        Fails with ``NOT_FOUND`` if the store no longer has the history since ``after``, and without
+        an answer ``answer_timeout_ms`` after the end of the wait.
         """
 
     async def commit(
@@ -117,10 +125,13 @@
 
 
 class StoredConfiguration(NamedTuple):
-    """A configuration with its encoded form and the store revision at which it was written."""
+    """The result of a read of the configuration.
 
-    configuration: SiteConfiguration
-    content: bytes
+    ``content`` is the encoded configuration, or None if there is none or it has not changed. The
+    next change is to be waited for from ``revision`` on.
+    """
+
+    content: bytes | None
     revision: Revision
 
 
@@ -141,19 +152,20 @@
 class SiteDirectory(Protocol):
     """The operators' configuration, evacuated zones and the worker entries in the store."""
 
-    async def read_configuration(self) -> Result[StoredConfiguration | None, Failure]:
-        """Reads the latest configuration; returns None if none has been written yet."""
+    async def read_configuration(self) -> Result[StoredConfiguration, Failure]:
+        """Reads the latest configuration."""
 
     async def wait_for_configuration(
-        self, after: Revision, wait_ms: int
-    ) -> Result[StoredConfiguration | None, Failure]:
-        """Waits for a configuration written after revision ``after``.
+        self, after: Revision, wait_ms: int, answer_timeout_ms: int
+    ) -> Result[StoredConfiguration, Failure]:
+        """Waits up to ``wait_ms`` for a configuration written after revision ``after``.
 
-        Returns None if there was none within ``wait_ms``.
+        Fails with ``NOT_FOUND`` if the store no longer has the history since ``after``, and without
+        an answer ``answer_timeout_ms`` after the end of the wait.
         """
 
     def decode_configuration(self, content: bytes) -> Result[SiteConfiguration, Failure]:
-        """Decodes the bytes of a configuration that another entry host has read."""
+        """Decodes the bytes of a configuration."""
 
     async def list_workers(self) -> Result[list[ListedWorker], Failure]:
         """Lists the registered workers."""
--- a/src/jujubehall/services/fleet/configuration_follower.py
+++ b/src/jujubehall/services/fleet/configuration_follower.py
@@ -10,8 +10,8 @@
 
 from result import Err
 
+from jujubehall.errors import FailureKind
 from jujubehall.metrics import CONFIGURATION_READS
-from jujubehall.platform.site_store import ABSENT
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import run_loop
 from jujubehall.services.async_utils import sleep
@@ -23,17 +23,30 @@
     from jujubehall.entry_hosts.messages import SiteConfigurationOffered
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteDirectory
-    from jujubehall.platform.site_store import StoredConfiguration
 
-WATCH_TIMEOUT_MS = 1_000
-"""Timeout of one watch. Each return of the watch confirms that the configuration is current."""
+WATCH_WAIT_MS = 600
+"""How long the store may hold back its answer to a watch. Each answer confirms that the
+configuration was current when the watch was sent."""
 
-REFRESH_AGE_MS = 1_000
-"""Age at which an entry host refreshes its copy. Together with the age of the owner's copy it stays
-below half of the time within which a revoked key must stop working."""
+WATCH_ANSWER_TIMEOUT_MS = 500
+"""Time beyond the wait after which a watch has failed. A slow store answers within 250 ms; a
+connection that has gone silent must be noticed soon."""
 
-AGE_CHECK_INTERVAL_MS = 200
-READ_RETRY_INTERVAL_MS = 200
+STORE_RETRY_INTERVAL_MS = 200
+"""Minimum time from a watch that fails, or returns early without a change, to the next one."""
+
+OWNER_QUERY_AGE_MS = 1_500
+"""Age at which the owner is asked as well: one watch has failed by then."""
+
+MAX_OFFERED_AGE_MS = 2_000
+"""Maximum age of the owner's copy. Together with ``OWNER_QUERY_AGE_MS`` it stays below the time
+within which a revoked key must stop working."""
+
+OWNER_CHECK_INTERVAL_MS = 200
+
+FAILURES_UNTIL_LARGE_QUERY = 2
+"""Consecutive failures of the store after which the owner is asked even for a large configuration.
+A single one is often just a broken connection."""
 
 OwnerQuery = Callable[[int, bool], Awaitable["SiteConfigurationOffered | None"]]
 
@@ -41,7 +54,9 @@
 
 
 class ConfigurationFollower:
-    """Reads the configuration from the store or fetches it from the owner of the site.
+    """Follows the configuration in the store and, independently of that, the owner of the site.
+
+    Neither waits for the other, so that a change arrives in time whichever of them doesn't answer.
 
     The version never decreases. ``age_ms`` is the time since the copy was last known to be the
     latest version, and so the longest time for which a revoked key may still be accepted.
@@ -53,11 +68,22 @@
         self._directory = directory
         self._current: SiteConfiguration | None = None
         self._content = b""
-        self._revision: Revision = ABSENT
+        self._invalid_content = b""
         self._confirmed_at_ms: int | None = None
         self._query_owner: OwnerQuery | None = None
-        self._is_refreshing = False
-        self._must_read_store: Callable[[], bool] = lambda: False
+        self._announced_version = 0
+        self._watch_revision: Revision | None = None
+        """The revision from which the store is watched; None if it has to be read again."""
+
+        self._has_latest = False
+        """Whether the latest configuration that the store has returned is valid."""
+
+        self._store_failures = 0
+        """Number of consecutive failed calls to the store."""
+
+        self._last_failures: dict[str, str] = {}
+        """The failure of each source that doesn't confirm the configuration, to log it only once."""
+
         self._listeners: list[Callable[[SiteConfiguration], None]] = []
 
     @property
@@ -84,10 +110,6 @@
         """Registers ``listener`` to be called with each newer configuration."""
         self._listeners.append(listener)
 
-    def set_store_read_condition(self, condition: Callable[[], bool]) -> None:
-        """Makes this entry host read the store directly while ``condition`` returns True."""
-        self._must_read_store = condition
-
     def set_owner_query(self, query: OwnerQuery) -> None:
         """Sets the function that requests the configuration from the owner of the site.
 
@@ -95,127 +117,118 @@
         """
         self._query_owner = query
 
-    def request_refresh(self) -> None:
-        """Refreshes the configuration at once, since the owner has announced a newer one.
-
-        Does nothing while an earlier refresh is in progress: the owner announces the version with
-        each heartbeat, and a large configuration may take longer to arrive.
-        """
-        if not self._is_refreshing:
-            run_in_background(self._refresh())
+    def note_announcement(self, version: int) -> None:
+        """Records the version that the owner has announced, which is then requested from it."""
+        self._announced_version = max(self._announced_version, version)
 
     async def run(self) -> None:
         """Keeps the configuration up to date until the process ends."""
-        await run_loop(self._reactor, "configuration", self._refresh_if_stale, lambda: False)
+        run_in_background(
+            run_loop(self._reactor, "owner's configuration", self._follow_owner, lambda: False)
+        )
+        await run_loop(self._reactor, "configuration", self._follow_store, lambda: False)
 
-    async def _refresh_if_stale(self) -> None:
-        age_ms = self.age_ms
-        if self._must_read_store():
-            is_read = await self._read_from_store()
-        elif age_ms is not None and age_ms < REFRESH_AGE_MS:
-            await sleep(self._reactor, AGE_CHECK_INTERVAL_MS)
-            return
+    async def _follow_store(self) -> None:
+        requested_ms = self._clock.now_ms
+        # After a failure the store answers at once, which shows sooner whether it can be reached.
+        wait_ms = 0 if self._store_failures else WATCH_WAIT_MS
+        if self._watch_revision is None:
+            found = await self._directory.read_configuration()
         else:
-            is_read = await self._refresh()
-        if not is_read:
-            await sleep(self._reactor, READ_RETRY_INTERVAL_MS)
-
-    async def _refresh(self) -> bool:
-        """Reads the configuration from the owner or from the store, whichever has it.
-
-        The owner sends a large configuration only if the store doesn't answer.
-        """
-        if self._is_refreshing:
-            return False
-        self._is_refreshing = True
-        try:
-            return (
-                await self._read_from_owner()
-                or await self._read_from_store()
-                or await self._read_from_owner(include_large=True)
+            found = await self._directory.wait_for_configuration(
+                self._watch_revision, wait_ms, WATCH_ANSWER_TIMEOUT_MS
             )
-        finally:
-            self._is_refreshing = False
+        took_ms = self._clock.now_ms - requested_ms
+        if isinstance(found, Err):
+            self._store_failures += 1
+            if found.err_value.kind is FailureKind.NOT_FOUND:
+                # The store has discarded the history since this revision.
+                self._watch_revision = None
+            self._note_failure("store", str(found.err_value), requested_ms)
+            await sleep(self._reactor, max(0, STORE_RETRY_INTERVAL_MS - took_ms))
+            return
+        self._store_failures = 0
+        read = found.ok_value
+        self._watch_revision = read.revision
+        if read.content is not None:
+            self._has_latest = self._accept(read.content, "store")
+        if self._has_latest:
+            # A watch may miss changes during the wait if the store is about to lose its history.
+            self._confirm_current("store", requested_ms)
+        if read.content is None and took_ms < wait_ms:
+            await sleep(self._reactor, STORE_RETRY_INTERVAL_MS)
+
+    async def _follow_owner(self) -> None:
+        age_ms = self.age_ms
+        is_late = age_ms is None or age_ms >= OWNER_QUERY_AGE_MS
+        if is_late or self._announced_version > self.version:
+            await self._read_from_owner()
+        await sleep(self._reactor, OWNER_CHECK_INTERVAL_MS)
 
-    async def _read_from_owner(self, include_large: bool = False) -> bool:
+    async def _read_from_owner(self) -> None:
         """Requests the configuration from the owner and applies it if it is newer.
 
-        Returns whether this entry host now has the owner's version. The age is counted from the
-        time of the request. A message that the owner sent unasked says nothing about the age, since
-        it may have been delayed on the network.
+        The owner sends a large configuration only if the store doesn't answer. The age is counted
+        from the time of the request. A message that the owner sent unasked says nothing about the
+        age, since it may have been delayed on the network.
         """
         if self._query_owner is None:
-            return False
+            return
         requested_ms = self._clock.now_ms
+        include_large = self._store_failures >= FAILURES_UNTIL_LARGE_QUERY
         offer = await self._query_owner(self.version, include_large)
         if offer is None:
-            self._record_read("owner", "no-answer", requested_ms)
-            return False
-        if offer.age_ms > REFRESH_AGE_MS + WATCH_TIMEOUT_MS:
-            self._record_read("owner", "outdated", requested_ms)
-            return False
-        if offer.content:
-            decoded = self._directory.decode_configuration(offer.content)
-            if isinstance(decoded, Err):
+            self._note_failure("owner", "no answer", requested_ms)
+        elif offer.age_ms > MAX_OFFERED_AGE_MS:
+            self._note_failure("owner", "outdated", requested_ms)
+        elif offer.content and not self._accept(offer.content, "owner"):
+            self._note_failure("owner", "invalid", requested_ms)
+        elif offer.version < self.version:
+            self._note_failure("owner", "older version", requested_ms)
+        elif offer.version == self.version:
+            self._confirm_current("owner", requested_ms - offer.age_ms)
+
+    def _accept(self, content: bytes, source: str) -> bool:
+        """Applies an encoded configuration if it is newer; returns whether it is valid."""
+        if content == self._content:
+            return True
+        decoded = self._directory.decode_configuration(content)
+        if isinstance(decoded, Err):
+            if content != self._invalid_content:
+                self._invalid_content = content
                 log.error(
-                    "invalid configuration from the owner ignored", failure=str(decoded.err_value)
+                    "invalid configuration ignored",
+                    source=source,
+                    version=self.version,
+                    failure=str(decoded.err_value),
                 )
-                self._record_read("owner", "invalid", requested_ms)
-                return False
-            self._apply(decoded.ok_value, offer.content)
-        if offer.version != self.version:
-            result = "older" if offer.version < self.version else "without-content"
-            self._record_read("owner", result, requested_ms)
             return False
-        self._confirm_current(requested_ms - offer.age_ms)
-        CONFIGURATION_READS.inc({"source": "owner", "result": "ok"})
+        configuration = decoded.ok_value
+        if configuration.version > self.version:
+            self._current = configuration
+            self._content = content
+            log.info("configuration in force", version=configuration.version, source=source)
+            for listener in self._listeners:
+                listener(configuration)
         return True
 
-    async def _read_from_store(self) -> bool:
-        requested_ms = self._clock.now_ms
-        if self._revision == ABSENT:
-            found = await self._directory.read_configuration()
-        else:
-            found = await self._directory.wait_for_configuration(self._revision, WATCH_TIMEOUT_MS)
-        if isinstance(found, Err):
-            self._record_read("store", str(found.err_value), requested_ms)
-            self._revision = ABSENT
-            return False
-        read: StoredConfiguration | None = found.ok_value
-        if read is not None:
-            self._revision = read.revision
-            self._apply(read.configuration, read.content)
-        elif self._revision == ABSENT:
-            return False
-        waited_ms = self._clock.now_ms - requested_ms
-        unchanged = read is None and waited_ms >= WATCH_TIMEOUT_MS
-        # A watch without changes returns no earlier than its timeout after the request, so the
-        # configuration was still current at that later time.
-        self._confirm_current(requested_ms + (WATCH_TIMEOUT_MS if unchanged else 0))
-        CONFIGURATION_READS.inc({"source": "store", "result": "ok"})
-        return True
+    def _confirm_current(self, source: str, at_ms: int) -> None:
+        self._last_failures.pop(source, None)
+        CONFIGURATION_READS.inc({"source": source, "result": "ok"})
+        if self._current is not None:
+            self._confirmed_at_ms = max(self._confirmed_at_ms or at_ms, at_ms)
 
-    def _record_read(self, source: str, result: str, requested_ms: int) -> None:
-        """Logs and counts a read that has not confirmed the configuration."""
+    def _note_failure(self, source: str, failure: str, requested_ms: int) -> None:
+        """Counts a read that has not confirmed the configuration, and logs it if it is a new one."""
         CONFIGURATION_READS.inc({"source": source, "result": "failed"})
+        if self._last_failures.get(source) == failure:
+            return
+        self._last_failures[source] = failure
         log.info(
             "configuration not confirmed",
             source=source,
-            result=result,
+            failure=failure,
             version=self.version,
             took_ms=self._clock.now_ms - requested_ms,
             age_ms=self.age_ms,
         )
-
-    def _apply(self, configuration: SiteConfiguration, content: bytes) -> None:
-        if configuration.version <= self.version:
-            return
-        self._current = configuration
-        self._content = content
-        log.info("configuration in force", version=configuration.version)
-        for listener in self._listeners:
-            listener(configuration)
-
-    def _confirm_current(self, at_ms: int) -> None:
-        if self._current is not None:
-            self._confirmed_at_ms = max(self._confirmed_at_ms or at_ms, at_ms)
--- a/src/jujubehall/services/fleet/instrumented_store.py
+++ b/src/jujubehall/services/fleet/instrumented_store.py
@@ -13,6 +13,7 @@
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import PLATFORM_CALLS
 from jujubehall.metrics import result_label
+from jujubehall.platform.site_store import CALL_TIMEOUT_MS
 from jujubehall.services.async_utils import first_result
 from jujubehall.services.async_utils import run_in_background
 from jujubehall.services.async_utils import sleep
@@ -111,10 +112,16 @@
         return await self._record_call("list", self._store.list_items(prefix))
 
     async def watch(
-        self, prefix: str, after: Revision, wait_ms: int
+        self,
+        prefix: str,
+        after: Revision,
+        wait_ms: int,
+        answer_timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> Result[StoredItems, Failure]:
         """Waits up to ``wait_ms`` for changes under ``prefix`` later than revision ``after``."""
-        return await self._record_call("watch", self._store.watch(prefix, after, wait_ms))
+        return await self._record_call(
+            "watch", self._store.watch(prefix, after, wait_ms, answer_timeout_ms)
+        )
 
     async def commit(
         self,
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -392,8 +392,7 @@
             for member in heartbeat.members:
                 self.note_member(member)
             self._last_response_ms[heartbeat.owner.name] = self._clock.now_ms
-        if heartbeat.configuration_version > self._configuration.version:
-            self._configuration.request_refresh()
+        self._configuration.note_announcement(heartbeat.configuration_version)
         return SiteHeartbeatAnswer(
             max(highest_token, self._ownership.highest_token), self._configuration.version
         )
--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -62,6 +62,7 @@
     from jujubehall.identifiers import JobId
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteStore
+    from jujubehall.platform.site_store import StoredItem
     from jujubehall.platform.site_store import StoredItems
 
 TIME_STEP_S = 0.01
@@ -81,23 +82,17 @@
         self._site = site
         self._store = store
 
-    async def read_configuration(self) -> Result[StoredConfiguration | None, Failure]:
-        """Reads the latest configuration; the result is None if there is none."""
-        found = await self._store.get(CONFIGURATION_KEY)
-        if isinstance(found, Err):
-            return found
-        item = found.ok_value
-        return Ok(None if item is None else self._read(item.value, item.revision))
+    async def read_configuration(self) -> Result[StoredConfiguration, Failure]:
+        """Reads the latest configuration."""
+        found = await self._store.list_items(CONFIGURATION_KEY)
+        return found.map(lambda found: _to_stored_configuration(found.items, found.revision))
 
     async def wait_for_configuration(
-        self, after: Revision, wait_ms: int
-    ) -> Result[StoredConfiguration | None, Failure]:
-        """Waits up to ``wait_ms`` for a configuration written after a revision; None on timeout."""
-        found = await self._store.watch(CONFIGURATION_KEY, after, wait_ms)
-        if isinstance(found, Err):
-            return found
-        items = found.ok_value.items
-        return Ok(self._read(items[-1].value, items[-1].revision) if items else None)
+        self, after: Revision, wait_ms: int, answer_timeout_ms: int
+    ) -> Result[StoredConfiguration, Failure]:
+        """Waits up to ``wait_ms`` for a configuration written after a revision."""
+        found = await self._store.watch(CONFIGURATION_KEY, after, wait_ms, answer_timeout_ms)
+        return found.map(lambda found: _to_stored_configuration(found.items, after))
 
     def decode_configuration(self, content: bytes) -> Result[SiteConfiguration, Failure]:
         """Returns the configuration whose version is encoded in ``content``."""
@@ -127,8 +122,11 @@
         """Waits up to ``wait_ms`` for changes of the evacuated zones after a revision."""
         return (await self._store.watch(EVACUATIONS_PREFIX, after, wait_ms)).map(_to_zone_changes)
 
-    def _read(self, value: bytes, revision: Revision) -> StoredConfiguration:
-        return StoredConfiguration(self._site.configurations[int(value)], value, revision)
+
+def _to_stored_configuration(items: list[StoredItem], revision: Revision) -> StoredConfiguration:
+    if not items:
+        return StoredConfiguration(None, revision)
+    return StoredConfiguration(items[-1].value, items[-1].revision)
 
 
 def _to_zone_changes(stored: StoredItems) -> ZoneChanges:
--- a/src/jujubehall/testing/virtual/fleet/store.py
+++ b/src/jujubehall/testing/virtual/fleet/store.py
@@ -16,6 +16,7 @@
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.platform.site_store import ABSENT
+from jujubehall.platform.site_store import CALL_TIMEOUT_MS
 from jujubehall.platform.site_store import NO_LEASE
 from jujubehall.platform.site_store import Conflict
 from jujubehall.platform.site_store import LeaseId
@@ -35,7 +36,6 @@
 
 STEP = "call"
 PEER = "store"
-CALL_TIMEOUT_MS = 1_000
 CALL_LATENCY_MS = 4
 LATE_WRITE_DELAY_MS = (1_000, 6_000)
 """Range of the delays after which a late write takes effect."""
@@ -223,7 +223,11 @@
         return await self._call("list", lambda: self._store.list_items(prefix))
 
     async def watch(
-        self, prefix: str, after: Revision, wait_ms: int
+        self,
+        prefix: str,
+        after: Revision,
+        wait_ms: int,
+        answer_timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> Result[StoredItems, Failure]:
         """Waits up to ``wait_ms`` for changes under ``prefix`` after a revision.
 
@@ -232,11 +236,13 @@
         end_s = self._reactor.seconds() + to_seconds(wait_ms)
         silenced_connections = self._silenced_connections
         while True:
-            found = await self._call("watch", lambda: self._store.changes(prefix, after))
+            found = await self._call(
+                "watch", lambda: self._store.changes(prefix, after), wait_ms + answer_timeout_ms
+            )
             if isinstance(found, Err):
                 return found
             if self._silenced_connections != silenced_connections:
-                timeout_s = end_s + to_seconds(CALL_TIMEOUT_MS) - self._reactor.seconds()
+                timeout_s = end_s + to_seconds(answer_timeout_ms) - self._reactor.seconds()
                 await sleep(self._reactor, round(timeout_s * MS_PER_SECOND))
                 return _timed_out("watch")
             if found.ok_value is None:
--- a/tests/services/fleet/test_configuration_delays.py
+++ b/tests/services/fleet/test_configuration_delays.py
@@ -7,7 +7,9 @@
 import msgspec
 import pytest
 
+from jujubehall.services.fleet import configuration_follower
 from jujubehall.testing.virtual.fleet.configuration_delays import MAX_DELAY_MS
+from jujubehall.testing.virtual.fleet.configuration_delays import MAX_EXTRA_LATENCY_MS
 from jujubehall.testing.virtual.fleet.configuration_delays import ConfigurationDelays
 from tests.core.fleet.small_site import CONFIGURATION
 
@@ -48,3 +50,24 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_changes_are_in_use_in_time_while_the_owner_fails(seed: int) -> None:
     assert ConfigurationDelays(seed).run() == []
+
+
+def test_two_unanswered_watches_leave_time_for_an_answer_of_a_slow_store() -> None:
+    longest_ms = (
+        configuration_follower.WATCH_WAIT_MS
+        + 2 * configuration_follower.WATCH_ANSWER_TIMEOUT_MS
+        + MAX_EXTRA_LATENCY_MS
+    )
+    assert longest_ms < MAX_DELAY_MS
+
+
+def test_host_that_waits_long_for_the_answer_of_its_watch_is_detected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(configuration_follower, "WATCH_ANSWER_TIMEOUT_MS", 2_000)
+    assert any(ConfigurationDelays(seed).run() for seed in range(3))
+
+
+def test_host_that_learns_only_from_the_owner_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(configuration_follower, "WATCH_WAIT_MS", 30_000)
+    assert any(ConfigurationDelays(seed).run() for seed in range(3))
