Receive responses of other entry hosts after a deeply nested one

An entry host that receives an envelope with one more, deeply nested field from another one, or from whoever writes to its port, would get no more responses from that peer until its restart: no states of jobs, no admission, no configuration from the owner.

Cause: msgspec raises RecursionError for such a value, not DecodeError, and that ended the loop that receives responses. The existing test sent a nested value that is refused before its depth matters; the new case is an envelope that is valid but for the additional field, and failed before.

--- a/src/jujubehall/entry_hosts/zmq_mesh.py
+++ b/src/jujubehall/entry_hosts/zmq_mesh.py
@@ -22,6 +22,7 @@
 from twisted.internet.defer import Deferred
 
 from jujubehall.clock import to_seconds
+from jujubehall.decoding import decode_msgpack
 from jujubehall.entry_hosts.messages import Envelope
 from jujubehall.entry_hosts.messages import Refused
 from jujubehall.errors import Failure
@@ -133,7 +134,7 @@
 
     async def _respond(self, router: Any, identity: bytes, content: bytes) -> None:
         try:
-            envelope = msgspec.msgpack.decode(content, type=Envelope)
+            envelope = decode_msgpack(content, Envelope)
         except msgspec.DecodeError as error:
             log.warning("undecodable request received", error=str(error))
             return
@@ -157,7 +158,7 @@
         while not dealer.closed:
             content = (await dealer.recv_multipart())[-1]
             try:
-                envelope = msgspec.msgpack.decode(content, type=Envelope)
+                envelope = decode_msgpack(content, Envelope)
             except msgspec.DecodeError as error:
                 # An undecodable response must not stop the loop that receives later ones.
                 log.warning("undecodable response received", error=str(error))
--- a/tests/entry_hosts/test_malformed_messages.py
+++ b/tests/entry_hosts/test_malformed_messages.py
@@ -34,12 +34,23 @@
 RESPONSE_TIMEOUT_S = 5.0
 CONNECTION_CHECK_INTERVAL_S = 0.02
 DEEPLY_NESTED = b"\x81\xa1z" + b"\x91" * NESTING + b"\xc0"
+NESTED_IN_ENVELOPE = (
+    b"\x95"
+    + msgspec.msgpack.encode(
+        Envelope(1, EntryHostName("peer"), Incarnation("peer"), PendingKnown(3))
+    )[1:]
+    + b"\x91" * NESTING
+    + b"\xc0"
+)
+"""An envelope with one more field, as a later version of the program might send."""
+
 MALFORMED_FRAMES = {
     "no frame": [],
     "two frames": [b"one", b"two"],
     "empty": [b""],
     "no message": [b"\xff\xff\xff"],
     "nested": [DEEPLY_NESTED],
+    "nested in an envelope": [NESTED_IN_ENVELOPE],
     "not an envelope": [msgspec.msgpack.encode({"id": "one"})],
 }
 
@@ -96,7 +107,11 @@
     assert msgspec.msgpack.decode(answer, type=Envelope).message == PendingKnown(3)
 
 
-@pytest.mark.parametrize("content", [b"\xff\xff", DEEPLY_NESTED], ids=["no message", "nested"])
+@pytest.mark.parametrize(
+    "content",
+    [b"\xff\xff", DEEPLY_NESTED, NESTED_IN_ENVELOPE],
+    ids=["no message", "nested", "nested in an envelope"],
+)
 def test_client_receives_responses_after_a_malformed_one(content: bytes) -> None:
     async def exchange() -> Any:
         context = zmq.asyncio.Context()
