Refuse numbers and addresses of others that no worker, job or wave can have

Reported by other operators: one odd entry in the list of workers ended the hosts that read it, or they stopped following the list.

An address with a line break makes its session fail twice a second. Worse is what callers can write: a job that asks for accelerators of 400 digits, or with such an estimate, is accepted, and from then on each scheduling round of the owner ends with OverflowError, so that a following job stays queued; its successors would fail the same. A wave of 1e308 s hides all other waves in the same way.

Cause: JSON numbers have no limit, msgspec decodes integers of up to 4,300 digits, and Python only fails when it calculates with them as floats. Each number from a worker, a caller or the operators now has bounds where it is decoded, and so have the numbers of stored jobs: 10^9 for amounts of a resource, 2^53 otherwise. An address has to be IPv4 with a port from 1 to 65535, and a name printable ASCII. A job with such a number is refused (400) with the field.

--- a/src/jujubehall/core/fleet/requests.py
+++ b/src/jujubehall/core/fleet/requests.py
@@ -8,6 +8,8 @@
 
 from jujubehall.core.fleet.configuration import Queue
 from jujubehall.core.fleet.resources import Resources
+from jujubehall.decoding import Count
+from jujubehall.decoding import Integer
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import QueueName
 from jujubehall.identifiers import RackName
@@ -16,8 +18,6 @@
 MAX_TASKS_PER_STEP = 10_000
 MAX_STEPS = 1_000
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-
 
 class StepRequest(msgspec.Struct, frozen=True, omit_defaults=True):
     """A step of ``tasks`` identical tasks, started once all steps listed in ``after`` are done.
@@ -28,8 +28,8 @@
 
     tasks: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS_PER_STEP)]
     needs: Resources
-    expected_ms: NonNegativeInt = 0
-    after: tuple[NonNegativeInt, ...] = ()
+    expected_ms: Count = 0
+    after: tuple[Count, ...] = ()
     is_gang: bool = False
     prefers_one_rack: bool = False
     """If the tasks span racks, they are slowed down by the site's factor for remote placement."""
@@ -39,19 +39,19 @@
     for remote placement."""
 
     required_label: str = ""
-    tasks_per_worker: NonNegativeInt = 0
+    tasks_per_worker: Count = 0
     """Maximum number of tasks per worker within one occurrence of the step; 0 means unlimited."""
 
     saves_checkpoints: bool = False
     may_run_copies: bool = False
     runs_until_cancelled: bool = False
     image: str = ""
-    target_latency_ms: NonNegativeInt = 0
+    target_latency_ms: Count = 0
     is_filler: bool = False
     """A filler task runs on processor time that other tasks leave idle; its cores are not
     counted."""
 
-    max_unavailable: NonNegativeInt = msgspec.field(default=0, name="may_be_absent")
+    max_unavailable: Count = msgspec.field(default=0, name="may_be_absent")
     """Maximum number of tasks that scheduler decisions may keep from running at the same time."""
 
 
@@ -60,9 +60,9 @@
 
     spec: str
     steps: tuple[StepRequest, ...]
-    occurrences: NonNegativeInt = 0
-    first_due_unix_ms: int = 0
-    interval_ms: NonNegativeInt = 0
+    occurrences: Count = 0
+    first_due_unix_ms: Integer = 0
+    interval_ms: Count = 0
 
 
 class AcceptedJob(msgspec.Struct, frozen=True):
--- a/src/jujubehall/core/fleet/resources.py
+++ b/src/jujubehall/core/fleet/resources.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import msgspec
 
+from jujubehall.decoding import Amount
+
 MILLICORES_PER_ACCELERATOR = 8_000
 """The rate at which the platform prices lost work: one accelerator counts as eight cores."""
 
@@ -16,9 +16,9 @@
     ``Resources(4_000, 1_024, 1).fits_in(Resources(8_000, 2_048, 8))`` is true.
     """
 
-    millicores: Annotated[int, msgspec.Meta(ge=0)] = 0
-    memory_mb: Annotated[int, msgspec.Meta(ge=0)] = 0
-    accelerators: Annotated[int, msgspec.Meta(ge=0)] = 0
+    millicores: Amount = 0
+    memory_mb: Amount = 0
+    accelerators: Amount = 0
 
     def __add__(self, other: Resources) -> Resources:
         return Resources(
--- a/src/jujubehall/decoding.py
+++ b/src/jujubehall/decoding.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -15,6 +16,19 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+MAX_NUMBER = 2**53
+"""Largest number accepted from other processes: up to it, each integer is exact as a float. JSON has
+no limit, and calculations with an integer of hundreds of digits raise ``OverflowError``."""
+
+MAX_AMOUNT = 10**9
+"""Largest amount of a resource, such as a million cores in millicores. The total of a job of the
+largest size still fits in the 64 bits of a message between entry hosts."""
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 
 def decode_json(content: bytes, type_: type[Any]) -> Any:
     """Decodes JSON; raises ``msgspec.DecodeError`` if it is invalid or doesn't match ``type_``."""
--- a/src/jujubehall/platform/adapter/directory.py
+++ b/src/jujubehall/platform/adapter/directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -41,6 +43,13 @@
 EVACUATIONS_PREFIX = "op/evacuate/"
 DRAINING_STATE = "draining"
 WORKER_STATES = frozenset({"ready", DRAINING_STATE})
+WORKER_NAME_PATTERN = re.compile(r"[!-~]+")
+"""Printable ASCII characters other than the space; the name is sent in a header of each command."""
+
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+ADDRESS_PATTERN = re.compile(rf"(?:{_OCTET}\.){{3}}{_OCTET}:(?P<port>[0-9]{{1,5}})")
+MAX_PORT = 65_535
+MAX_SHOWN_CHARACTERS = 60
 
 log = structlog.get_logger()
 
@@ -101,17 +110,17 @@
         return (await self._store.watch(EVACUATIONS_PREFIX, after, wait_ms)).map(_to_zone_changes)
 
     def _to_worker(self, item: StoredItem) -> ListedWorker | None:
+        name = item.key.removeprefix(WORKERS_PREFIX)
         try:
             entry = decode_json(item.value, wire.ServerEntry)
-            if entry.state not in WORKER_STATES:
-                raise msgspec.ValidationError(f"unknown worker state {entry.state!r}")
+            _check_entry(name, entry)
         except msgspec.DecodeError as error:
             if item.key not in self._invalid_keys:
                 self._invalid_keys.add(item.key)
                 log.warning("invalid worker entry ignored", key=item.key, error=str(error))
             return None
         return ListedWorker(
-            WorkerName(item.key.removeprefix(WORKERS_PREFIX)),
+            WorkerName(name),
             entry.address,
             PoolName(entry.service),
             ZoneName(entry.zone),
@@ -125,6 +134,19 @@
         )
 
 
+def _check_entry(name: str, entry: wire.ServerEntry) -> None:
+    """Raises ``msgspec.ValidationError`` for values that a worker can't have."""
+    if entry.state not in WORKER_STATES:
+        raise msgspec.ValidationError(f"unknown worker state {entry.state!r}")
+    if WORKER_NAME_PATTERN.fullmatch(name) is None:
+        raise msgspec.ValidationError("the worker has no name, or one with other characters")
+    address = ADDRESS_PATTERN.fullmatch(entry.address)
+    if address is None or not 0 < int(address["port"]) <= MAX_PORT:
+        raise msgspec.ValidationError(
+            f"address {entry.address[:MAX_SHOWN_CHARACTERS]!r} is not an IPv4 address and a port"
+        )
+
+
 def to_resources(amounts: wire.ResourceAmounts) -> Resources:
     """Converts the platform's resource amounts."""
     return Resources(amounts.cpu, amounts.memory_mb, amounts.accelerators)
--- a/src/jujubehall/platform/adapter/job_api.py
+++ b/src/jujubehall/platform/adapter/job_api.py
@@ -38,6 +38,7 @@
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 TOKEN_SCHEME = "Token "
 MAX_DEADLINE_MS = 600_000
+MAX_DEADLINE_DIGITS = 18
 
 STATUS_BY_OUTCOME = {
     Outcome.ACCEPTED: 200,
@@ -150,9 +151,11 @@
     authorization = _decode_text(request.getHeader(b"authorization") or b"")
     key = authorization.removeprefix(TOKEN_SCHEME).strip()
     deadline_header = _decode_text(request.getHeader(b"deadline-ms") or b"")
-    timeout_ms = int(deadline_header) if deadline_header.isdecimal() else None
-    if timeout_ms is not None:
-        timeout_ms = min(timeout_ms, MAX_DEADLINE_MS)
+    timeout_ms = None
+    if deadline_header.isdecimal():
+        # ``int`` raises an error for thousands of digits.
+        is_long = len(deadline_header) > MAX_DEADLINE_DIGITS
+        timeout_ms = MAX_DEADLINE_MS if is_long else min(int(deadline_header), MAX_DEADLINE_MS)
     return IncomingCall(host, _decode_text(request.path), key, timeout_ms)
 
 
--- a/src/jujubehall/platform/adapter/wire.py
+++ b/src/jujubehall/platform/adapter/wire.py
@@ -12,6 +12,11 @@
 
 from msgspec import field
 
+from jujubehall.decoding import Amount
+from jujubehall.decoding import Count
+from jujubehall.decoding import Integer
+from jujubehall.decoding import Number
+
 
 class Item(msgspec.Struct, frozen=True):
     """A key of the store with its value, or a tombstone for a deleted key."""
@@ -89,9 +94,9 @@
 class ResourceAmounts(msgspec.Struct, frozen=True):
     """Resources of a worker; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    memory_mb: int = field(name="memMb", default=0)
-    accelerators: int = field(name="gpu", default=0)
+    cpu: Amount = 0
+    memory_mb: Amount = field(name="memMb", default=0)
+    accelerators: Amount = field(name="gpu", default=0)
 
 
 class ServerEntry(msgspec.Struct, frozen=True):
@@ -109,9 +114,9 @@
     labels: list[str] = []
     """The worker's type, then its rack."""
 
-    born: int = 0
-    remaining_ms: int | None = field(name="remainingMs", default=None)
-    cold_remaining_ms: float = field(name="coldRemainingMs", default=0.0)
+    born: Count = 0
+    remaining_ms: Integer | None = field(name="remainingMs", default=None)
+    cold_remaining_ms: Number = field(name="coldRemainingMs", default=0.0)
     """How much longer the worker remains slow after its start."""
 
 
@@ -122,11 +127,11 @@
     host: str
     prefix: str
     service: str
-    priority: int = 0
-    max_failures: int = field(name="maxAttempts", default=1)
-    stretch: float = 1.0
-    objective_ms: int = field(name="sloMs", default=0)
-    timeout_ms: int = field(name="timeoutMs", default=0)
+    priority: Integer = 0
+    max_failures: Integer = field(name="maxAttempts", default=1)
+    stretch: Number = 1.0
+    objective_ms: Integer = field(name="sloMs", default=0)
+    timeout_ms: Integer = field(name="timeoutMs", default=0)
     is_public: bool = field(name="public", default=False)
     advice: Any = None
 
@@ -142,7 +147,7 @@
 class Guarantee(msgspec.Struct, frozen=True):
     """Resources that a tenant is entitled to at any time."""
 
-    accelerators: int = field(name="gpu", default=0)
+    accelerators: Integer = field(name="gpu", default=0)
 
 
 class Tenant(msgspec.Struct, frozen=True):
@@ -156,7 +161,7 @@
 class Configuration(msgspec.Struct, frozen=True):
     """The complete configuration as the operators write it."""
 
-    version: int
+    version: Integer
     routes: list[Route] = []
     services: list[Service] = []
     tenants: list[Tenant] = []
@@ -165,12 +170,12 @@
 class Step(msgspec.Struct, frozen=True):
     """A step of a submitted job; fields that are zero, false or empty are omitted."""
 
-    count: int
-    cpu: int = 0
-    memory_mb: int = field(name="memMb", default=0)
-    accelerators: int = field(name="gpu", default=0)
-    expected_ms: int = field(name="estRuntimeMs", default=0)
-    after: list[int] = []
+    count: Integer
+    cpu: Amount = 0
+    memory_mb: Amount = field(name="memMb", default=0)
+    accelerators: Amount = field(name="gpu", default=0)
+    expected_ms: Integer = field(name="estRuntimeMs", default=0)
+    after: list[Integer] = []
     gang: bool = False
     same_rack: bool = field(name="sameRack", default=False)
     """A preference only: tasks run slower when they span several racks."""
@@ -179,16 +184,16 @@
     """The rack that stores the step's data."""
 
     required_label: str = field(name="requiredLabel", default="")
-    max_per_worker: int = field(name="maxPerServer", default=0)
+    max_per_worker: Integer = field(name="maxPerServer", default=0)
     saves_checkpoints: bool = field(name="savesProgress", default=False)
     speculative: bool = False
     long_running: bool = field(name="longRunning", default=False)
     image: str = ""
-    target_ms: int = field(name="targetMs", default=0)
+    target_ms: Integer = field(name="targetMs", default=0)
     fills: bool = False
     """Whether the tasks run only on processor time that other tasks leave unused."""
 
-    may_miss: int = field(name="mayMiss", default=0)
+    may_miss: Integer = field(name="mayMiss", default=0)
     """How many tasks may be absent at once because of the scheduler's decisions."""
 
 
@@ -197,11 +202,11 @@
 
     spec: str
     steps: list[Step]
-    repeat_count: int = field(name="repeatCount", default=0)
-    first_run_ms: int = field(name="firstRunMs", default=0)
+    repeat_count: Integer = field(name="repeatCount", default=0)
+    first_run_ms: Integer = field(name="firstRunMs", default=0)
     """Unix time in milliseconds."""
 
-    interval_ms: int = field(name="intervalMs", default=0)
+    interval_ms: Integer = field(name="intervalMs", default=0)
 
 
 class RunStart(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -240,10 +245,10 @@
 class HoldResponse(msgspec.Struct, frozen=True):
     """The runs of a worker and the unacknowledged ends, as rows in the protocol's column order."""
 
-    clock_ms: int = field(name="clockMs")
-    born: int = 0
+    clock_ms: Integer = field(name="clockMs")
+    born: Count = 0
     running: list[list[Any]] = []
-    finished: list[tuple[int, str, int, str, str]] = []
+    finished: list[tuple[Count, str, Count, str, str]] = []
 
 
 class AdviceRequest(msgspec.Struct, frozen=True):
@@ -257,7 +262,7 @@
     """Pairs of a worker and its ticket, and the tickets' validity in milliseconds."""
 
     good: list[tuple[str, str]]
-    validity_ms: int = field(name="validityMs")
+    validity_ms: Integer = field(name="validityMs")
 
 
 class RefusalBody(msgspec.Struct, frozen=True):
@@ -269,12 +274,12 @@
 class Wave(msgspec.Struct, frozen=True):
     """A maintenance wave that the operators request."""
 
-    number: int = field(name="wave")
+    number: Integer = field(name="wave")
     machines: list[str]
-    duration_s: float = field(name="durationS")
+    duration_s: Number = field(name="durationS")
     """Time for the maintenance of all machines of the wave, not for each."""
 
-    most_down: int = field(name="maximum")
+    most_down: Integer = field(name="maximum")
     """The most machines that may be down for the wave at the same time."""
 
 
--- a/src/jujubehall/platform/adapter/workers.py
+++ b/src/jujubehall/platform/adapter/workers.py
@@ -16,6 +16,9 @@
 from jujubehall.core.fleet.reports import RunningTask
 from jujubehall.core.fleet.reports import TaskId
 from jujubehall.core.fleet.reports import WorkerReport
+from jujubehall.decoding import Count
+from jujubehall.decoding import Integer
+from jujubehall.decoding import Number
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.http.client import HttpClient
@@ -180,8 +183,9 @@
 
 
 def _parse_task_name(text: str) -> TaskId:
-    job, occurrence, step, position = text.split(".")
-    return TaskId(JobId(job), int(occurrence), int(step), int(position))
+    job, *numbers = text.split(".")
+    occurrence, step, position = (msgspec.convert(each, Count, strict=False) for each in numbers)
+    return TaskId(JobId(job), occurrence, step, position)
 
 
 def _to_worker_report(response: wire.HoldResponse) -> WorkerReport:
@@ -198,7 +202,7 @@
 
 
 def _to_running_task(row: list[Any]) -> RunningTask:
-    task, run, checkpoint, percent = msgspec.convert(row[:4], tuple[str, int, str, int])
+    task, run, checkpoint, percent = msgspec.convert(row[:4], tuple[str, Count, str, Integer])
     # The fifth entry, an approximate load, is missing from the reports of older workers.
-    load = msgspec.convert(row[4], float) if len(row) > 4 else 0.0
+    load = msgspec.convert(row[4], Number) if len(row) > 4 else 0.0
     return RunningTask(_parse_task_name(task), run, checkpoint, percent, round(load))
