Go on watching from the last change that was returned, and watch for waves in short calls

The store's watches miss changes for a second before it discards its history. A watch that returns nothing in that second carries a revision beyond them, and the next one, from there, never returns them: an evacuated zone, or a wave, would have stayed unknown for the term of the owner. The adapter now returns the revision of the last change, or the one that the watch began from; the next watch then fails and everything is listed again, as it is once in 20 s without changes. A silent connection hid a new wave for 31 s, which is longer than some waves may last; that watch now takes 2 s.

--- a/src/jujubehall/platform/adapter/directory.py
+++ b/src/jujubehall/platform/adapter/directory.py
@@ -64,7 +64,7 @@
     async def read_configuration(self) -> Result[StoredConfiguration, Failure]:
         """Reads the latest configuration."""
         result = await self._store.list_items(CONFIGURATION_KEY)
-        return result.map(lambda found: _to_stored_configuration(found.items, found.revision))
+        return result.map(_to_stored_configuration)
 
     async def wait_for_configuration(
         self, after: Revision, wait_ms: int, answer_timeout_ms: int
@@ -75,9 +75,7 @@
         an answer ``answer_timeout_ms`` after the end of the wait.
         """
         result = await self._store.watch(CONFIGURATION_KEY, after, wait_ms, answer_timeout_ms)
-        # The revision of an answer without events isn't used: while the store is about to lose its
-        # history, it may lie beyond a change that the watch has not returned.
-        return result.map(lambda found: _to_stored_configuration(found.items, after))
+        return result.map(_to_stored_configuration)
 
     def decode_configuration(self, content: bytes) -> Result[SiteConfiguration, Failure]:
         """Decodes the bytes of a configuration."""
@@ -152,14 +150,12 @@
     return Resources(amounts.cpu, amounts.memory_mb, amounts.accelerators)
 
 
-def _to_stored_configuration(items: list[StoredItem], revision: Revision) -> StoredConfiguration:
-    """Returns the latest configuration among ``items``, which are later than ``revision``."""
-    versions = [each for each in items if each.key == CONFIGURATION_KEY and not each.is_deleted]
+def _to_stored_configuration(stored: StoredItems) -> StoredConfiguration:
+    versions = [
+        each for each in stored.items if each.key == CONFIGURATION_KEY and not each.is_deleted
+    ]
     latest = max(versions, key=lambda item: item.revision, default=None)
-    return StoredConfiguration(
-        None if latest is None else latest.value,
-        max((each.revision for each in items), default=revision),
-    )
+    return StoredConfiguration(None if latest is None else latest.value, stored.revision)
 
 
 def _to_zone_changes(stored: StoredItems) -> ZoneChanges:
--- a/src/jujubehall/platform/adapter/store.py
+++ b/src/jujubehall/platform/adapter/store.py
@@ -105,11 +105,7 @@
             timeout_ms=timeout_ms,
             is_timeout_per_read=True,
         )
-        return result.map(
-            lambda watched: StoredItems(
-                _decode_items(watched.events), Revision(watched.store_revision)
-            )
-        )
+        return result.map(lambda watched: _to_changes(_decode_items(watched.events), after))
 
     async def commit(
         self,
@@ -223,5 +219,14 @@
     return decoded
 
 
+def _to_changes(changes: list[StoredItem], after: Revision) -> StoredItems:
+    """Returns the changes of a watch with the revision from which to go on.
+
+    The store's own revision may lie beyond changes that it has not returned, since its watches miss
+    some while it is about to lose its history.
+    """
+    return StoredItems(changes, max((each.revision for each in changes), default=after))
+
+
 def _to_base64(value: bytes) -> str:
     return base64.b64encode(value).decode("ascii")
--- a/src/jujubehall/platform/site_store.py
+++ b/src/jujubehall/platform/site_store.py
@@ -97,8 +97,9 @@
     ) -> Result[StoredItems, Failure]:
         """Waits for changes after revision ``after``, at most ``wait_ms``.
 
-        Fails with ``NOT_FOUND`` if the store no longer has the history since ``after``, and without
-        an answer ``answer_timeout_ms`` after the end of the wait.
+        Returns the revision of the last change, or ``after`` if there was none. Fails with
+        ``NOT_FOUND`` if the store no longer has the history since ``after``, and without an answer
+        ``answer_timeout_ms`` after the end of the wait.
         """
 
     async def commit(
--- a/src/jujubehall/services/fleet/intake_watcher.py
+++ b/src/jujubehall/services/fleet/intake_watcher.py
@@ -120,12 +120,8 @@
         if self._owner.is_closed:
             return
         if isinstance(changes, Ok):
-            items = changes.ok_value.items
-            self._apply_records(items)
-            # The revision of an answer without changes may lie beyond one that was not returned.
-            self._watch_revision = max(
-                (item.revision for item in items), default=self._watch_revision
-            )
+            self._apply_records(changes.ok_value.items)
+            self._watch_revision = changes.ok_value.revision
             return
         log.info("intake watch failed", failure=str(changes.err_value))
         await sleep(self._reactor, RETRY_DELAY_MS)
--- a/src/jujubehall/services/fleet/maintenance.py
+++ b/src/jujubehall/services/fleet/maintenance.py
@@ -48,8 +48,9 @@
     from jujubehall.services.fleet.ownership import Term
     from jujubehall.services.fleet.site_owner import SiteOwner
 
-WATCH_TIMEOUT_MS = 30_000
-"""Timeout of one watch: the store's limit. The watch is the only way to learn of a new wave."""
+WATCH_TIMEOUT_MS = 2_000
+"""Timeout of one watch, the only way to learn of a new wave. If it is lost, the wave begins about 3 s
+later, while waves last for tens of seconds."""
 
 WAVE_STEP_INTERVAL_MS = 500
 """Interval between two listings of a wave's machines. The platform charges for each listing."""
--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -62,7 +62,6 @@
     from jujubehall.identifiers import JobId
     from jujubehall.platform.site_store import Revision
     from jujubehall.platform.site_store import SiteStore
-    from jujubehall.platform.site_store import StoredItem
     from jujubehall.platform.site_store import StoredItems
 
 TIME_STEP_S = 0.01
@@ -85,14 +84,14 @@
     async def read_configuration(self) -> Result[StoredConfiguration, Failure]:
         """Reads the latest configuration."""
         found = await self._store.list_items(CONFIGURATION_KEY)
-        return found.map(lambda found: _to_stored_configuration(found.items, found.revision))
+        return found.map(_to_stored_configuration)
 
     async def wait_for_configuration(
         self, after: Revision, wait_ms: int, answer_timeout_ms: int
     ) -> Result[StoredConfiguration, Failure]:
         """Waits up to ``wait_ms`` for a configuration written after a revision."""
         found = await self._store.watch(CONFIGURATION_KEY, after, wait_ms, answer_timeout_ms)
-        return found.map(lambda found: _to_stored_configuration(found.items, after))
+        return found.map(_to_stored_configuration)
 
     def decode_configuration(self, content: bytes) -> Result[SiteConfiguration, Failure]:
         """Returns the configuration whose version is encoded in ``content``."""
@@ -123,10 +122,8 @@
         return (await self._store.watch(EVACUATIONS_PREFIX, after, wait_ms)).map(_to_zone_changes)
 
 
-def _to_stored_configuration(items: list[StoredItem], revision: Revision) -> StoredConfiguration:
-    if not items:
-        return StoredConfiguration(None, revision)
-    return StoredConfiguration(items[-1].value, items[-1].revision)
+def _to_stored_configuration(stored: StoredItems) -> StoredConfiguration:
+    return StoredConfiguration(stored.items[-1].value if stored.items else None, stored.revision)
 
 
 def _to_zone_changes(stored: StoredItems) -> ZoneChanges:
--- a/src/jujubehall/testing/virtual/fleet/store.py
+++ b/src/jujubehall/testing/virtual/fleet/store.py
@@ -231,7 +231,8 @@
     ) -> Result[StoredItems, Failure]:
         """Waits up to ``wait_ms`` for changes under ``prefix`` after a revision.
 
-        Fails with ``NOT_FOUND`` if the history after that revision was compacted.
+        Without changes, returns that revision. Fails with ``NOT_FOUND`` if the history after it was
+        compacted.
         """
         end_s = self._reactor.seconds() + to_seconds(wait_ms)
         silenced_connections = self._silenced_connections
@@ -250,8 +251,10 @@
             remaining_s = end_s - self._reactor.seconds()
             if remaining_s <= 0 and self.drops_watch_events:
                 return Err(Failure(FailureKind.NOT_FOUND, "watch", PEER, "history was compacted"))
-            if remaining_s <= 0 or (found.ok_value.items and not self.drops_watch_events):
+            if found.ok_value.items and not self.drops_watch_events:
                 return Ok(found.ok_value)
+            if remaining_s <= 0:
+                return Ok(StoredItems([], after))
             next_change = self._store.next_change()
             next_change.addTimeout(remaining_s, self._reactor, onTimeoutCancel=lambda *_: None)
             await next_change
--- a/tests/platform/adapter/test_silent_store_connections.py
+++ b/tests/platform/adapter/test_silent_store_connections.py
@@ -19,6 +19,7 @@
 from jujubehall.platform.adapter.store import CALL_TIMEOUT_MS
 from jujubehall.platform.adapter.store import StoreClient
 from jujubehall.platform.site_store import Revision
+from jujubehall.platform.site_store import StoredItems
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -73,20 +74,34 @@
     server.close()
 
 
-def test_call_after_an_unanswered_one_uses_a_new_connection(store: SilentStore) -> None:
-    make_reactor: Any = EPollReactor
-    reactor = make_reactor()
-    client = StoreClient(reactor, store.address)
+class Calls:
+    """Runs calls to the store on a reactor of its own."""
+
+    def __init__(self, store: SilentStore) -> None:
+        make_reactor: Any = EPollReactor
+        self._reactor = make_reactor()
+        self.client = StoreClient(self._reactor, store.address)
 
-    def run(*calls: Any) -> list[Any]:
+    def run(self, *calls: Any) -> list[Any]:
         results: list[Any] = []
         for call in calls:
             Deferred.fromCoroutine(call).addBoth(results.append)
-        end_s = reactor.seconds() + to_seconds(2 * CALL_TIMEOUT_MS)
-        while len(results) < len(calls) and reactor.seconds() < end_s:
-            reactor.iterate(0.01)
+        end_s = self._reactor.seconds() + to_seconds(2 * CALL_TIMEOUT_MS)
+        while len(results) < len(calls) and self._reactor.seconds() < end_s:
+            self._reactor.iterate(0.01)
         return results
 
+
+def test_watch_without_changes_goes_on_from_its_own_revision(store: SilentStore) -> None:
+    """The revision of the store may lie beyond changes that it has not returned."""
+    calls = Calls(store)
+    [watched] = calls.run(calls.client.watch("op/", Revision(3), 0, ANSWER_TIMEOUT_MS))
+    assert watched == Ok(StoredItems([], Revision(3)))
+
+
+def test_call_after_an_unanswered_one_uses_a_new_connection(store: SilentStore) -> None:
+    calls = Calls(store)
+    client, run = calls.client, calls.run
     answers = run(*(client.list_items("op/") for _ in range(3)))
     assert all(isinstance(each, Ok) for each in answers)
     assert len(store.connections) == 3
--- a/tests/services/fleet/test_maintenance.py
+++ b/tests/services/fleet/test_maintenance.py
@@ -59,6 +59,13 @@
     check_guarantees(site)
 
 
+def test_wave_begins_soon_though_the_watch_that_shows_it_is_lost(site: VirtualFleet) -> None:
+    assert site.owner is not None
+    site.owner.store.silence_connections()
+    request_wave(site)
+    assert site.run_until(lambda: read_status(site) == b"running", 5.0)
+
+
 def test_wave_continues_under_next_owner(site: VirtualFleet) -> None:
     request_wave(site)
     assert site.run_until(lambda: len(site.cloud.maintenance_begun) == 2, WAVE_TIMEOUT_S)
