List the workers again soon after a list without an answer

After the acknowledgement that a worker is draining, the owner took up to 0.7 s to the next list, 1 s if that got no answer, and 0.7 s more: 2.4 s, while no task may be started there after 2 s. The next list now follows 0.2 s after a failed one, so the sum is 1.9 s.

--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -83,7 +83,9 @@
 
 WORKER_LIST_INTERVAL_MS = 700
 """How often the workers are listed. A draining worker must get no new tasks later than 2 s after it
-has announced that it is draining."""
+has announced that it is draining, also if a list gets no answer."""
+
+LIST_RETRY_INTERVAL_MS = 200
 
 MAX_LOAD_MS = 60_000
 """Time after which an owner that is still loading leaves the ownership to another host: about 40 MB
@@ -446,13 +448,20 @@
         await sleep(self._reactor, ROUND_INTERVAL_MS)
 
     async def _poll_workers(self) -> None:
+        requested_ms = self._clock.now_ms
         listed = await self._directory.list_workers()
         if self.is_closed:
             return
         if not isinstance(listed, Err):
             await self._update_workers(listed.ok_value)
             self.schedule_round()
-        await sleep(self._reactor, WORKER_LIST_INTERVAL_MS)
+            await sleep(self._reactor, WORKER_LIST_INTERVAL_MS)
+        else:
+            # A list without an answer has taken most of the time already.
+            took_ms = self._clock.now_ms - requested_ms
+            await sleep(
+                self._reactor, max(LIST_RETRY_INTERVAL_MS, WORKER_LIST_INTERVAL_MS - took_ms)
+            )
 
     def _ensure_session(self, worker: FleetWorker) -> None:
         known = self._sessions.get(worker.name)
