Don't take the store for lost because watches are cut or stay without an answer

Cause: since each host watches the configuration, the second in which watches hear nothing before the history is discarded showed two failed calls in a row, the limit at which the store counts as lost, although it answered everything else. Watches without an answer no longer count; those that are refused (503, 429, no connection) still do, so that a host which the store turns away notices it within half a second.

--- a/src/jujubehall/services/fleet/instrumented_store.py
+++ b/src/jujubehall/services/fleet/instrumented_store.py
@@ -49,6 +49,8 @@
 """Consecutive failed calls after which the store counts as lost. A single failure is often just one
 broken connection."""
 
+WATCH = "watch"
+
 Value = TypeVar("Value")
 
 _ANSWERED_FAILURES = (FailureKind.CONFLICT, FailureKind.NOT_FOUND, FailureKind.INVALID)
@@ -120,7 +122,7 @@
     ) -> Result[StoredItems, Failure]:
         """Waits up to ``wait_ms`` for changes under ``prefix`` later than revision ``after``."""
         return await self._record_call(
-            "watch", self._store.watch(prefix, after, wait_ms, answer_timeout_ms)
+            WATCH, self._store.watch(prefix, after, wait_ms, answer_timeout_ms)
         )
 
     async def commit(
@@ -155,10 +157,11 @@
     ) -> Result[Value, Failure]:
         result = await call
         PLATFORM_CALLS.inc({"kind": kind, "result": result_label(result)})
-        if isinstance(result, Err) and result.err_value.kind not in _ANSWERED_FAILURES:
-            self._note_failure(str(result.err_value))
-        else:
+        if not isinstance(result, Err) or result.err_value.kind in _ANSWERED_FAILURES:
             self._note_answer()
+        elif kind != WATCH or result.err_value.kind is not FailureKind.NO_ANSWER:
+            # Watches are cut, or stay without an answer, while the store answers all other calls.
+            self._note_failure(str(result.err_value))
         return result
 
     def _note_failure(self, detail: str) -> None:
