--- a/src/jujubehall/testing/virtual/fleet/configuration_delays.py
+++ b/src/jujubehall/testing/virtual/fleet/configuration_delays.py
@@ -79,7 +79,6 @@
             self._schedule_change(change_s, version)
             change_s += self.random.choice([0.4, self.random.uniform(0.5, 4.0)])
         end_s = change_s + (MAX_DELAY_MS + CONTACT_MS) / MS_PER_SECOND
-        self._events.sort(key=lambda event: event[0])
         while self._now_s < end_s:
             while self._events and self._events[0][0] <= self._now_s:
                 self._events.pop(0)[1]()
@@ -122,7 +121,7 @@
 
     def _fail_owner(self) -> None:
         owner = self.site.owner
-        if owner is None or owner in self._disrupted_until_s:
+        if owner is None or self._now_s <= self._disrupted_until_s.get(owner, 0.0):
             return
         heal = self.random.choice(_owner_failures)(self, owner)
         self.schedule(self._now_s + self.random.uniform(0.3, 4.0), heal)
