--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -460,6 +460,9 @@
             return 200, {"clockMs": self.clock_ms}
         if known is not None or number <= self._highest.get(task, 0):
             return 409, {"clockMs": self.clock_ms, "reason": "old"}
+        if not self._site.may_start(self, body):
+            self._site.note("start without a valid ticket", minion=self.name, task=task)
+            return 409, {"clockMs": self.clock_ms, "reason": "ticket"}
         self.runs[task] = Run(task, number, body["spec"], self._site.work_s(task))
         self._site.note(
             "run starts", minion=self.name, born=self.born, task=task, run=number, used=self.used()
@@ -516,7 +519,7 @@
 heartbeatMs = 1500
 contracts = ["base", "drain", "config", "cost", "recover", "sched", "tenants", "platform"]
 orders = "rpc"
-[zones]
+{site.advice_setting}[zones]
 zone-a = "region-a"
 [listen]
 front = "{ip}:{FRONT_PORT}"
@@ -660,6 +663,12 @@
         self.works_s: dict[str, float] = {}
         self.on_start: Any = lambda minion, run: None
         self.how_ends: Any = lambda run: "done"
+        self.may_start: Any = lambda minion, body: True
+        """Says whether the ticket of an order to start is valid, where the queue asks for one."""
+
+        self.advice_setting = ""
+        """The line of the settings with the address of the advice service, if there is one."""
+
         self._tasks: list[Any] = []
 
     @property
@@ -685,6 +694,7 @@
         configuration: dict[str, Any],
         capacity: dict[str, int],
         labels: list[str],
+        racks: int = 2,
     ) -> None:
         """Starts everything and waits until all entry hosts are ready and one owns the site."""
         if not (ROOT / "target" / "deps" / "jujubehall").is_dir():
@@ -693,7 +703,7 @@
         self._tasks.append(asyncio.create_task(self.store.run()))
         self.store.put("op/config", configuration)
         for number in range(minions):
-            minion = Minion(self, f"m-{number}", [*labels, f"rack-{number % 2}"], dict(capacity))
+            minion = Minion(self, f"m-{number}", [*labels, f"rack-{number % racks}"], dict(capacity))
             self.minions.append(minion)
             await minion.boot()
         self._tasks.append(asyncio.create_task(self._run_minions()))
@@ -704,6 +714,10 @@
         await self.until(self._is_serving, 30.0, "the entry hosts don't become ready")
 
     async def _is_serving(self) -> bool:
+        for front in self.fronts:
+            if front.exit_code is not None:
+                last = front.log_path.read_text().strip().splitlines()[-1:]
+                raise CannotRun(f"{front.name} ended with {front.exit_code} at its start: {last}")
         ready = [await front.is_ready() for front in self.fronts]
         return all(ready) and any(front.logged("took over") for front in self.fronts)
 
