--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,11 +10,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 
-from harness import CannotRun  # noqa: E402
-from harness import Site  # noqa: E402
-from harness import default_configuration  # noqa: E402
-from harness import main  # noqa: E402
-from harness import new_job_id  # noqa: E402
+from harness import CannotRun
+from harness import Site
+from harness import default_configuration
+from harness import main
+from harness import new_job_id
 
 LATE_S = 6.0
 """``platform_lost`` with ``late`` carries writes out 1 to 6 s later."""
