Log each cancellation with its outcome, also that of an unknown job

A cancellation that was answered "no such job" left no line, so that the log couldn't tell one that was stored and ignored from one that was never stored. No change of behaviour.

--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -279,6 +279,18 @@
 
     async def cancel(self, admitted: AdmittedCall, job: JobId) -> CallResponse:
         """Cancels a job by creating a cancellation record in the store."""
+        started_ms = self._clock.now_ms
+        response = await self._cancel(admitted, job)
+        log.info(
+            "job cancellation handled",
+            job=job,
+            outcome=response.outcome.value,
+            detail=response.detail,
+            took_ms=self._clock.now_ms - started_ms,
+        )
+        return response
+
+    async def _cancel(self, admitted: AdmittedCall, job: JobId) -> CallResponse:
         started_ms = self._clock.now_ms
         owner_response = await self._peers.job_state(job)
         if owner_response is None or owner_response.state is None:
@@ -291,9 +303,7 @@
                 return CallResponse(Outcome.NO_SUCH_JOB, "no such job")
         remaining_ms = admitted.timeout_ms - (self._clock.now_ms - started_ms)
         write_result = await self._write(cancellation_key(job), b"{}", remaining_ms)
-        response = _to_response(write_result)
-        log.info("job cancellation handled", job=job, outcome=response.outcome.value)
-        return response
+        return _to_response(write_result)
 
     async def pending(self, admitted: AdmittedCall) -> CallResponse:
         """Returns the number of jobs in a queue of which no task has been started."""
