Let late writes of the simulated store survive the entry host that sent them

A late write was a callback of its sender, so that it was lost when the sender was killed. On the platform the store carries it out whatever becomes of the sender. It is now an event of the site's time; delays can also be set by key, and the recorder keeps the time of each start.

--- a/src/jujubehall/testing/virtual/fleet/store.py
+++ b/src/jujubehall/testing/virtual/fleet/store.py
@@ -125,6 +125,18 @@
         self._notify()
         return Revision(self.revision)
 
+    def commit_later(
+        self,
+        delay_ms: int,
+        preconditions: list[Precondition],
+        writes: list[Write],
+        deletes: list[str],
+    ) -> None:
+        """Applies a transaction after a delay, whatever becomes of its sender meanwhile."""
+        self._time.callLater(
+            to_seconds(delay_ms), lambda: self.commit(preconditions, writes, deletes)
+        )
+
     def refuses(self, write: Write) -> bool:
         """Returns whether a write can never be committed."""
         return len(write.value) > self.max_value_bytes or write.key in self.refused_keys
@@ -195,6 +207,9 @@
         self.late_write_probability = 0.0
         """Probability (0 to 1) that a write times out and takes effect seconds later."""
 
+        self.late_writes_ms: dict[str, int] = {}
+        """Delays after which writes of these keys take effect; they are never answered."""
+
         self.drops_watch_events = False
         """Whether watches deliver no changes and fail with ``NOT_FOUND`` when their time is up."""
 
@@ -271,11 +286,9 @@
         Fails with ``NOT_FOUND`` if a lease of a write has expired; with ``NO_ANSWER``, the
         transaction may have been applied or may still be applied later.
         """
-        if self._random.random() < self.late_write_probability:
-            delay_s = to_seconds(self._random.randint(*LATE_WRITE_DELAY_MS))
-            self._reactor.callLater(
-                delay_s, lambda: self._store.commit(preconditions, writes, deletes)
-            )
+        delay_ms = self._late_write_delay_ms(writes)
+        if delay_ms is not None:
+            self._store.commit_later(delay_ms, preconditions, writes, deletes)
             await sleep(self._reactor, timeout_ms)
             return _timed_out("commit")
         if any(self._store.refuses(write) for write in writes):
@@ -294,6 +307,12 @@
             return Err(Failure(FailureKind.NOT_FOUND, "commit", PEER, "the lease has expired"))
         return Ok(committed.ok_value)
 
+    def _late_write_delay_ms(self, writes: list[Write]) -> int | None:
+        if self._random.random() < self.late_write_probability:
+            return self._random.randint(*LATE_WRITE_DELAY_MS)
+        delays_ms = [self.late_writes_ms.get(write.key) for write in writes]
+        return next((each for each in delays_ms if each is not None), None)
+
     async def grant_lease(self, ttl_ms: int) -> Result[LeaseId, Failure]:
         """Requests a lease."""
         return await self._call("grant", lambda: self._store.grant_lease(ttl_ms))
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -129,6 +129,9 @@
         self.start_counts: dict[TaskId, int] = {}
         """Number of starts of each task."""
 
+        self.starts: list[tuple[int, TaskId]] = []
+        """Each start with its time in ms, in the order of time."""
+
         self.violations: list[str] = []
         self.evacuated_ms: dict[ZoneName, int] = {}
         """When each of the evacuated zones was evacuated."""
@@ -166,6 +169,7 @@
                     f"{MAX_CRASHES} workers"
                 )
         self._last_started_ms[task] = now_ms
+        self.starts.append((now_ms, task))
         holders.add(worker)
         self.start_counts[task] = self.start_counts.get(task, 0) + 1
 
