Keep the cancellation of a job that may still be created

Cause: for a job that neither the owner nor the store knew, the entry host answered "no such job" and wrote nothing, so that nothing was left that could exclude the submission under way. Two more members of the class: an owner ignored the cancellation of a job that it didn't know (yet), and the records of an ended job took a cancellation with them that had just been acknowledged.

Fix: the cancellation is stored whether or not the job exists, and is acknowledged only then. The owner keeps all cancellations that it has learned of, and a job is added as cancelled if there is one. Since both records are in the store, and a new owner loads both, their order doesn't matter. Records are removed after the retention time, with a commit that requires that the cancellation hasn't been written again and that the job doesn't exist, so that a late delete removes nothing that was acknowledged since. Beyond 16,384 of them, cancellations of unknown jobs are refused (503).

--- a/src/jujubehall/entry_hosts/messages.py
+++ b/src/jujubehall/entry_hosts/messages.py
@@ -237,6 +237,8 @@
 
     state: JobState | None
     queue: QueueName | None = None
+    keeps_cancellations: bool = True
+    """Whether the owner can keep another cancellation of a job that it does not know."""
 
 
 class PendingWanted(msgspec.Struct, frozen=True, tag="pending-wanted"):
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -64,6 +64,9 @@
 OWNER_TOKEN = _gauge("owner_token", "Highest fencing token of an owner heard of here.")
 OWNS_SITE = _gauge("owns_site", "1 if this entry host owns the site.")
 WORKERS = _gauge("workers", "Workers known to the owner, by state.")
+CANCELLATIONS_KEPT = _gauge(
+    "cancellations_kept", "Cancellations that the owner keeps, also for jobs that don't exist."
+)
 ZONE_EVACUATED = _gauge(
     "zone_evacuated_ms", "How long a zone has been known to be evacuated; 0 if it isn't."
 )
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -278,7 +278,11 @@
         return CallResponse(Outcome.SHOWN, state=stored.ok_value[1])
 
     async def cancel(self, admitted: AdmittedCall, job: JobId) -> CallResponse:
-        """Cancels a job by creating a cancellation record in the store."""
+        """Cancels a job by writing a cancellation record to the store.
+
+        The record is also written for a job that doesn't exist, since a submission without an
+        answer may still create the job.
+        """
         started_ms = self._clock.now_ms
         response = await self._cancel(admitted, job)
         log.info(
@@ -292,6 +296,7 @@
 
     async def _cancel(self, admitted: AdmittedCall, job: JobId) -> CallResponse:
         started_ms = self._clock.now_ms
+        is_known = True
         owner_response = await self._peers.job_state(job)
         if owner_response is None or owner_response.state is None:
             stored = await self._records.find(job)
@@ -299,10 +304,21 @@
                 return CallResponse(
                     Outcome.NOT_RUN, str(stored.err_value), retry_after_ms=RETRY_AFTER_MS
                 )
-            if stored.ok_value is None:
-                return CallResponse(Outcome.NO_SUCH_JOB, "no such job")
+            is_known = stored.ok_value is not None
+            if (
+                not is_known
+                and owner_response is not None
+                and not owner_response.keeps_cancellations
+            ):
+                return CallResponse(
+                    Outcome.NOT_RUN,
+                    "too many cancellations of unknown jobs are kept",
+                    retry_after_ms=RETRY_AFTER_MS,
+                )
         remaining_ms = admitted.timeout_ms - (self._clock.now_ms - started_ms)
         write_result = await self._write(cancellation_key(job), b"{}", remaining_ms)
+        if write_result.is_stored and not is_known:
+            return CallResponse(Outcome.NO_SUCH_JOB, "no such job")
         return _to_response(write_result)
 
     async def pending(self, admitted: AdmittedCall) -> CallResponse:
@@ -363,14 +379,16 @@
         return retry_after_ms
 
     async def _write(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
-        """Creates a record and notifies the owner if this write has created it."""
-        write_result = await self._create(key, value, timeout_ms)
+        """Writes a record and notifies the owner unless the record existed before."""
+        write_result = await self._write_until_answered(key, value, timeout_ms)
         if write_result.is_new:
             self._peers.notify_owner(key, value)
         return write_result
 
-    async def _create(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
-        """Creates a record, alternating between direct and relayed writes.
+    async def _write_until_answered(
+        self, key: str, value: bytes, timeout_ms: int
+    ) -> StoreWriteSettled:
+        """Writes a record, alternating between direct and relayed writes.
 
         A relayed write is carried out by another entry host. Starts with one if the store has
         recently failed to answer this entry host.
@@ -384,7 +402,7 @@
             write_result = await (
                 self._peers.relay_write(key, value, attempts // 2, attempt_timeout_ms)
                 if is_relayed
-                else self._records.create(key, value, attempt_timeout_ms)
+                else self._records.write(key, value, attempt_timeout_ms)
             )
             if write_result is not None:
                 if write_result.is_stored:
--- a/src/jujubehall/services/fleet/intake_watcher.py
+++ b/src/jujubehall/services/fleet/intake_watcher.py
@@ -139,7 +139,7 @@
     def _apply_records(
         self, items: list[StoredItem], progress: _StoredProgress = _NO_PROGRESS
     ) -> None:
-        cancelled = []
+        cancelled: list[tuple[JobId, Revision]] = []
         for item in items:
             if item.is_deleted:
                 continue
@@ -148,11 +148,12 @@
                 if accepted is not None:
                     self._owner.accept(accepted, *progress.of_job(accepted.id))
             elif item.key.startswith(CANCELLATION_PREFIX):
-                cancelled.append(JobId(item.key.removeprefix(CANCELLATION_PREFIX)))
+                job = JobId(item.key.removeprefix(CANCELLATION_PREFIX))
+                cancelled.append((job, item.revision))
             elif item.key.startswith(HOST_PREFIX):
                 member = decode_record(item.key, item.value, Member)
                 if member is not None:
                     self._owner.peers.note_member(member)
         # Cancellations are applied after all jobs, since one may be listed before its job.
-        for job in cancelled:
-            self._owner.cancel(job)
+        for job, revision in cancelled:
+            self._owner.cancel(job, revision)
--- a/src/jujubehall/services/fleet/job_records.py
+++ b/src/jujubehall/services/fleet/job_records.py
@@ -16,6 +16,7 @@
 from jujubehall.platform.site_store import Conflict
 from jujubehall.platform.site_store import Precondition
 from jujubehall.platform.site_store import Write
+from jujubehall.services.fleet.records import CANCELLATION_PREFIX
 from jujubehall.services.fleet.records import OWNER_KEY
 from jujubehall.services.fleet.records import cancellation_key
 from jujubehall.services.fleet.records import decode_record
@@ -50,20 +51,21 @@
         )
         return not (self._store.is_lost or has_failed_recently)
 
-    async def create(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
-        """Creates a record unless it exists, in a single attempt.
+    async def write(self, key: str, value: bytes, timeout_ms: int) -> StoreWriteSettled:
+        """Creates a record unless it exists, in a single attempt; a cancellation is written again.
 
         An attempt that got no answer may still take effect after this method has returned. It can
-        safely be repeated here or on another entry host: the record is created only once. Nothing
-        is written to a store that does not answer a probe, so that the caller can be told for
-        certain that the call had no effect.
+        safely be repeated here or on another entry host: a job is created only once. Nothing is
+        written to a store that does not answer a probe, so that the caller can be told for certain
+        that the call had no effect.
         """
         if not await self._store.check_reachable(OWNER_KEY):
             self._last_failure_ms = self._clock.now_ms
             return StoreWriteSettled(False, False)
-        written = await self._store.commit(
-            [Precondition(key, ABSENT)], [Write(key, value)], [], timeout_ms
-        )
+        # A cancellation gets a new revision, which keeps it from being deleted as an expired one.
+        is_cancellation = key.startswith(CANCELLATION_PREFIX)
+        preconditions = [] if is_cancellation else [Precondition(key, ABSENT)]
+        written = await self._store.commit(preconditions, [Write(key, value)], [], timeout_ms)
         if isinstance(written, Err):
             self._last_failure_ms = self._clock.now_ms
             return StoreWriteSettled(False, written.err_value.may_have_taken_effect)
--- a/src/jujubehall/services/fleet/job_retention.py
+++ b/src/jujubehall/services/fleet/job_retention.py
@@ -11,7 +11,6 @@
 from jujubehall.platform.site_store import MAX_COMMIT_ROWS
 from jujubehall.platform.site_store import Precondition
 from jujubehall.services.fleet.records import OWNER_KEY
-from jujubehall.services.fleet.records import cancellation_key
 from jujubehall.services.fleet.records import job_key
 from jujubehall.services.fleet.records import progress_key
 from jujubehall.services.fleet.records import progress_part_key
@@ -81,7 +80,7 @@
         parts = self._undeleted_parts[job]
         commits = [parts[first : first + MAX_KEYS] for first in range(0, len(parts), MAX_KEYS)]
         # The state is deleted last and together with the job, which would otherwise run again.
-        commits.append([job_key(job), cancellation_key(job), progress_key(job)])
+        commits.append([job_key(job), progress_key(job)])
         for keys in commits:
             deleted = await self._store.commit(
                 [Precondition(OWNER_KEY, self._owner_revision)], [], keys, DELETE_TIMEOUT_MS
--- a/src/jujubehall/services/fleet/peer_request_handlers.py
+++ b/src/jujubehall/services/fleet/peer_request_handlers.py
@@ -53,7 +53,7 @@
 class PeerRequestHandlers:
     """Handles requests to the owner of the site and requests that serve the election of an owner.
 
-    Every entry host also creates records for peers that can't reach the store.
+    Every entry host also writes records for peers that can't reach the store.
     """
 
     def __init__(
@@ -155,4 +155,4 @@
     async def _on_store_write_wanted(
         self, sender: EntryHostName, request: StoreWriteWanted
     ) -> Message:
-        return await self._records.create(request.key, request.value, request.timeout_ms)
+        return await self._records.write(request.key, request.value, request.timeout_ms)
--- a/src/jujubehall/services/fleet/peers.py
+++ b/src/jujubehall/services/fleet/peers.py
@@ -419,5 +419,5 @@
     """Returns the owner's response to a request for a job's state."""
     job = owner.fleet_state.jobs.get(job_id)
     if job is None:
-        return JobStateKnown(None)
+        return JobStateKnown(None, keeps_cancellations=not owner.cancellations.is_full)
     return JobStateKnown(caller_visible_state(job), job.accepted.queue)
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -23,6 +23,7 @@
 from jujubehall.services.async_utils import run_loop
 from jujubehall.services.async_utils import sleep
 from jujubehall.services.fleet.advisor import Advisor
+from jujubehall.services.fleet.cancellation_records import CancellationRecords
 from jujubehall.services.fleet.intake_watcher import IntakeWatcher
 from jujubehall.services.fleet.job_retention import JobRetention
 from jujubehall.services.fleet.latencies import LatencyHistogram
@@ -154,6 +155,9 @@
         self._job_retention = JobRetention(
             clock, store, self.fleet_state, term.owner_revision, ended_job_retention_ms
         )
+        self.cancellations = CancellationRecords(
+            clock, store, self.fleet_state, term.owner_revision, ended_job_retention_ms
+        )
         self._speed_records = SpeedRecords(clock, store, self.fleet_state, term.owner_revision)
         self.worker_commands = WorkerCommands(self, reactor, clock)
         self.request_limit = RequestLimit()
@@ -314,14 +318,24 @@
         )
         if self._overload_monitor is not None:
             self._overload_monitor.note_accepted(job)
+        if self.cancellations.is_cancelled(accepted.id):
+            # The job was cancelled before its record was stored or known here.
+            self._cancel_job(accepted.id)
         self.schedule_round()
 
     def preview(self, accepted: AcceptedJob) -> JobPreview:
         """Returns where a job would be placed now, without adding it."""
         return preview_job(self.fleet_state, accepted, self._clock.now_ms)
 
-    def cancel(self, job: JobId) -> None:
-        """Cancels a job and stops its tasks."""
+    def cancel(self, job: JobId, revision: Revision) -> None:
+        """Cancels a job and stops its tasks, as soon as it is known.
+
+        ``revision`` is that of the stored cancellation, or ``ABSENT`` if it isn't known.
+        """
+        self.cancellations.note(job, revision)
+        self._cancel_job(job)
+
+    def _cancel_job(self, job: JobId) -> None:
         self.fleet_state.cancel(job, self._clock.now_ms)
         self.worker_commands.send_stops()
         self.schedule_round()
@@ -440,6 +454,7 @@
         if self._clock.now_ms - self._last_cleanup_ms >= CLEANUP_INTERVAL_MS:
             self._last_cleanup_ms = self._clock.now_ms
             await self._job_retention.clean_up()
+            await self.cancellations.clean_up()
         await sleep(self._reactor, ROUND_INTERVAL_MS)
 
     async def _update_admission_limits(self) -> None:
