Load the cancellations once more before a new owner schedules

What callers would see: after a change of the owner, a job that was cancelled while the new owner was loading the records is started, seconds after the acknowledgement.

Cause: the list of all records may take many seconds on a slow link and is as old as its first page. The owner scheduled from it at once; changes since then came with the first watch, whose answer, with all jobs of those seconds, may arrive after the starts. Notifications sent while it loaded are dropped.

Fix: the cancellations, a small list, are read again at the end of the load, and also before the list that follows a gap in the store's history.

The mutation test of late_calls suppresses the second list, too, or it would find nothing to detect.

--- a/src/jujubehall/services/fleet/intake_watcher.py
+++ b/src/jujubehall/services/fleet/intake_watcher.py
@@ -108,6 +108,19 @@
         self._watch_revision = found.ok_value.revision
         return Ok(revisions)
 
+    async def load_cancellations(self) -> Result[Revision, Failure]:
+        """Loads the cancellations up to the revision that it returns.
+
+        They are few, so that their list is recent. The list of all records may take longer than the
+        tasks of a job may be started after its cancellation.
+        """
+        found = await self._store.list_items(CANCELLATION_PREFIX)
+        if isinstance(found, Err):
+            return found
+        if not self._owner.is_closed:
+            self._apply_records(found.ok_value.items)
+        return Ok(found.ok_value.revision)
+
     async def run(self) -> None:
         """Watches until the term ends; lists all records after a gap in the store's history."""
         await run_loop(self._reactor, "intake", self._watch, lambda: self._owner.is_closed)
@@ -127,6 +140,7 @@
         await sleep(self._reactor, RETRY_DELAY_MS)
         if changes.err_value.kind is not FailureKind.NOT_FOUND:
             return
+        await self.load_cancellations()
         found = await self._store.list_items(INTAKE_PREFIX)
         if isinstance(found, Ok):
             self._apply_records(found.ok_value.items)
--- a/src/jujubehall/services/fleet/site_owner.py
+++ b/src/jujubehall/services/fleet/site_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import structlog
 
@@ -41,8 +42,12 @@
 from jujubehall.services.fleet.zone_evacuations import ZoneEvacuations
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Mapping
 
+    from result import Result
+
     from jujubehall.clock import Clock
     from jujubehall.clock import Reactor
     from jujubehall.core.fleet.admission_limits import AdmissionLimits
@@ -56,6 +61,7 @@
     from jujubehall.core.fleet.requests import AcceptedJob
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.core.fleet.workers import ListedWorker
+    from jujubehall.errors import Failure
     from jujubehall.identifiers import FencingToken
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import QueueName
@@ -105,6 +111,8 @@
 
 FINISH_STARTS_CHECK_INTERVAL_MS = 10
 
+Loaded = TypeVar("Loaded")
+
 log = structlog.get_logger()
 
 
@@ -258,8 +266,8 @@
         self._reactor.callLater(to_seconds(MAX_LOAD_MS), self._give_up_loading)
         if self.zone_evacuations is not None:
             run_in_background(self.zone_evacuations.run())
-        revisions = await self._load_records()
-        if self.is_closed or revisions is None:
+        revisions = await self._load_records(self._intake_watcher.load)
+        if revisions is None:
             return
         self.writer = ProgressWriter(
             self._reactor,
@@ -271,6 +279,8 @@
         )
         if not await self._load_registered_workers():
             return
+        if await self._load_records(self._intake_watcher.load_cancellations) is None:
+            return
         self.is_loaded = True
         self._ownership.note_taken_over()
         log.info("took over", jobs=len(self.fleet_state.jobs), token=self.token)
@@ -489,10 +499,12 @@
         log.info("worker listed", worker=worker.name, rack=worker.listed.rack)
         run_in_background(session.run())
 
-    async def _load_records(self) -> dict[str, Revision] | None:
-        """Loads the stored records; gives up the ownership and returns None if that fails."""
+    async def _load_records(
+        self, load: Callable[[], Awaitable[Result[Loaded, Failure]]]
+    ) -> Loaded | None:
+        """Loads stored records; gives up the ownership and returns None if that fails."""
         for attempt in range(1, MAX_LOAD_ATTEMPTS + 1):
-            loaded = await self._intake_watcher.load()
+            loaded = await load()
             if self.is_closed:
                 return None
             if not isinstance(loaded, Err):
--- a/tests/services/fleet/test_late_calls.py
+++ b/tests/services/fleet/test_late_calls.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from result import Ok
+
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.jobs.job import JobState
 from jujubehall.identifiers import JobId
+from jujubehall.platform.site_store import Revision
 from jujubehall.services.fleet.admission import Outcome
 from jujubehall.services.fleet.cancellation_records import CancellationRecords
 from jujubehall.services.fleet.intake_watcher import IntakeWatcher
@@ -71,5 +74,9 @@
         kept = [each for each in items if not (is_load and "/cancellation/" in each.key)]
         apply_records(self, kept, *progress)  # type: ignore[arg-type]
 
+    async def load_nothing(self: IntakeWatcher) -> Ok[Revision]:
+        return Ok(Revision(0))
+
     monkeypatch.setattr(IntakeWatcher, "_apply_records", apply_jobs_only)
+    monkeypatch.setattr(IntakeWatcher, "load_cancellations", load_nothing)
     assert any(LateCalls(seed).run() for seed in range(0, len(ORDERS), SEED_STEP))
