Show how many cancellations the owner keeps

The gauge was set by the records themselves, so that a former owner went on showing its last number. It is now collected with the other gauges of the owner, 0 elsewhere.

--- a/src/jujubehall/daemon/site_metrics.py
+++ b/src/jujubehall/daemon/site_metrics.py
@@ -51,6 +51,7 @@
         self._set_latencies("commit", host.store.commit_latencies)
         self._collect_evacuations()
         owner = host.owner
+        metrics.CANCELLATIONS_KEPT.set({}, owner.cancellations.count if owner is not None else 0)
         if owner is None:
             return
         self._set_latencies("start", owner.start_latencies)
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -305,11 +305,8 @@
                     Outcome.NOT_RUN, str(stored.err_value), retry_after_ms=RETRY_AFTER_MS
                 )
             is_known = stored.ok_value is not None
-            if (
-                not is_known
-                and owner_response is not None
-                and not owner_response.keeps_cancellations
-            ):
+            can_keep = owner_response is None or owner_response.keeps_cancellations
+            if not is_known and not can_keep:
                 return CallResponse(
                     Outcome.NOT_RUN,
                     "too many cancellations of unknown jobs are kept",
--- a/src/jujubehall/services/fleet/cancellation_records.py
+++ b/src/jujubehall/services/fleet/cancellation_records.py
@@ -9,7 +9,6 @@
 
 from result import Err
 
-from jujubehall.metrics import CANCELLATIONS_KEPT
 from jujubehall.platform.site_store import ABSENT
 from jujubehall.platform.site_store import MAX_COMMIT_ROWS
 from jujubehall.platform.site_store import Conflict
@@ -77,10 +76,15 @@
         self._retention_ms = max(retention_ms, MIN_RETENTION_MS)
         self._kept: dict[JobId, _KeptCancellation] = {}
 
+    @property
+    def count(self) -> int:
+        """The number of cancellations that are kept."""
+        return len(self._kept)
+
     @property
     def is_full(self) -> bool:
         """Whether cancellations of unknown jobs are to be refused."""
-        return len(self._kept) >= MAX_CANCELLATIONS
+        return self.count >= MAX_CANCELLATIONS
 
     def is_cancelled(self, job: JobId) -> bool:
         """Returns whether a cancellation of the job is kept."""
@@ -152,10 +156,8 @@
 
     def _keep(self, job: JobId, revision: Revision) -> None:
         self._kept[job] = _KeptCancellation(revision, self._clock.now_ms)
-        CANCELLATIONS_KEPT.set({}, len(self._kept))
 
     def _forget(self, job: JobId, kept: _KeptCancellation) -> None:
         """Forgets a cancellation, unless it has been noted again during the delete."""
         if self._kept[job] == kept:
             del self._kept[job]
-            CANCELLATIONS_KEPT.set({}, len(self._kept))
