--- a/tests/services/fleet/test_late_calls.py
+++ b/tests/services/fleet/test_late_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
@@ -16,6 +17,7 @@
 from jujubehall.services.fleet.cancellation_records import CancellationRecords
 from jujubehall.services.fleet.intake_watcher import IntakeWatcher
 from jujubehall.services.fleet.records import job_key
+from jujubehall.services.fleet.site_owner import SiteOwner
 from jujubehall.testing.virtual.fleet.late_calls import ORDERS
 from jujubehall.testing.virtual.fleet.late_calls import LateCalls
 from tests.core.fleet.small_site import step
@@ -67,16 +69,16 @@
 def test_successor_that_doesnt_load_cancellations_is_detected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    apply_records = IntakeWatcher._apply_records
+    load = IntakeWatcher.load
 
-    def apply_jobs_only(self: IntakeWatcher, items: list, *progress: object) -> None:  # type: ignore[type-arg]
-        is_load = bool(progress)
-        kept = [each for each in items if not (is_load and "/cancellation/" in each.key)]
-        apply_records(self, kept, *progress)  # type: ignore[arg-type]
+    async def load_jobs_only(self: IntakeWatcher) -> Any:
+        with monkeypatch.context() as patch:
+            patch.setattr(SiteOwner, "cancel", lambda *_: None)
+            return await load(self)
 
     async def load_nothing(self: IntakeWatcher) -> Ok[Revision]:
         return Ok(Revision(0))
 
-    monkeypatch.setattr(IntakeWatcher, "_apply_records", apply_jobs_only)
+    monkeypatch.setattr(IntakeWatcher, "load", load_jobs_only)
     monkeypatch.setattr(IntakeWatcher, "load_cancellations", load_nothing)
     assert any(LateCalls(seed).run() for seed in range(0, len(ORDERS), SEED_STEP))
