--- a/tests/platform/adapter/test_site_processes.py
+++ b/tests/platform/adapter/test_site_processes.py
@@ -2,134 +2,39 @@
 
 from __future__ import annotations
 
-import base64
 import json
-import os
 import signal
-import subprocess
-import sys
-import time
 
 from typing import TYPE_CHECKING
-from typing import Any
 
 import httpx
-import msgspec
 import pytest
 
 from jujubehall.console.job_history import job_history
 from jujubehall.console.job_history import read_events
 from jujubehall.core.ownership.capacity import HostCapacity
-from jujubehall.core.ownership.record import Member
-from jujubehall.identifiers import EntryHostName
-from jujubehall.services.fleet.records import host_key
+from tests.platform.adapter.entry_host_process import JOB
+from tests.platform.adapter.entry_host_process import TIMEOUT_S
+from tests.platform.adapter.entry_host_process import EntryHostProcess
+from tests.platform.adapter.entry_host_process import start_fake_platform
+from tests.platform.adapter.entry_host_process import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from pathlib import Path
 
-PORT = 18_521
-READINESS_PORT = 18_523
-MESH_PORT = 18_530
-HEADERS = {"Host": "desk.example", "Authorization": "Token k1", "Deadline-Ms": "3000"}
-JOB = {"spec": "x", "steps": [{"count": 3, "cpu": 1000, "memMb": 1000, "gpu": 1}]}
-TIMEOUT_S = 20.0
-
-
-class EntryHostProcess:
-    """An entry host daemon that listens on its own loopback address."""
-
-    def __init__(self, directory: Path, number: int, store: str) -> None:
-        # Parallel test workers need separate addresses, because the metrics port is fixed.
-        xdist_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-        self.ip = f"127.1.{xdist_worker}.{20 + number}"
-        self.name = EntryHostName(f"front-{number}")
-        self.store = store
-        self._log = (directory / f"{number}.log").open("w+")
-        settings = directory / f"{number}.toml"
-        settings.write_text(f"""nodeName = "{self.name}"
-ip = "{self.ip}"
-zone = "a"
-portRange = [{MESH_PORT}, {MESH_PORT + 10}]
-somethingNew = 1
-[listen]
-front = "{self.ip}:{PORT}"
-readiness = "{self.ip}:{READINESS_PORT}"
-[platform]
-address = "{store}"
-[bounds]
-maxHoldMs = 6000
-revokeMs = 5000
-strictRevoke = true
-graceS = 6
-status_s = 120
-[limits]
-cpuShare = 0.5
-cores = 3.0
-linkMbps = 200.0
-""")
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "jujubehall.daemon.site_main"],
-            env={"JUJUBEHALL_BOOT": str(settings), "PATH": ""},
-            stdout=self._log,
-            stderr=subprocess.STDOUT,
-        )
-
-    @property
-    def log(self) -> str:
-        self._log.flush()
-        self._log.seek(0)
-        return self._log.read()
-
-    def call(self, method: str, path: str, **options: Any) -> httpx.Response:
-        headers = HEADERS | options.pop("headers", {})
-        return httpx.request(
-            method, f"http://{self.ip}:{PORT}{path}", headers=headers, timeout=5.0, **options
-        )
-
-    def is_ready(self) -> bool:
-        try:
-            return httpx.get(f"http://{self.ip}:{READINESS_PORT}/ready").status_code == 200
-        except httpx.TransportError:
-            return False
-
-    def registration(self) -> Member:
-        item = httpx.get(f"http://{self.store}/kv-key", params={"key": host_key(self.name)}).json()
-        return msgspec.json.decode(base64.b64decode(item["value"]), type=Member)
-
-    def kill(self) -> None:
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-        self._log.close()
-
-
-def wait_until(condition: Any) -> None:
-    deadline_s = time.monotonic() + TIMEOUT_S
-    while not condition():
-        assert time.monotonic() < deadline_s, "condition not met before the timeout"
-        time.sleep(0.02)
-
 
 @pytest.fixture
 def hosts(tmp_path: Path) -> Iterator[list[EntryHostProcess]]:
-    fake_platform = subprocess.Popen(
-        [sys.executable, "-m", "tests.platform.adapter.stand_in"],
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    started: list[EntryHostProcess] = []
-    try:
-        assert fake_platform.stdout is not None
-        store = fake_platform.stdout.readline().strip()
-        started += [EntryHostProcess(tmp_path, number, store) for number in range(2)]
-        wait_until(lambda: all(host.is_ready() for host in started))
-        yield started
-    finally:
-        for host in started:
-            host.kill()
-        fake_platform.kill()
-        fake_platform.wait()
+    with start_fake_platform() as platform:
+        started: list[EntryHostProcess] = []
+        try:
+            started += [EntryHostProcess(tmp_path, number, platform.store) for number in range(2)]
+            wait_until(lambda: all(host.is_ready() for host in started))
+            yield started
+        finally:
+            for host in started:
+                host.kill()
 
 
 def job_state(host: EntryHostProcess, job: str) -> str | None:
