Limit the connections of every port by the machine's descriptors and memory

Machines of the deployments have from 1,638 descriptors and 160 MB.

Now the number for callers is planned from both settings, by a function of its own, and the other two ports have the same kind of server with 16 connections, which closes idle ones in favour of new ones. Half of the descriptors stay free for peers.

--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -11,7 +11,6 @@
 from twisted.internet import reactor as _reactor
 from twisted.internet.error import CannotListenError
 from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import suspend_aware_clock
@@ -24,6 +23,7 @@
 from jujubehall.daemon.site_logs import configure_site_logs
 from jujubehall.daemon.site_metrics import MetricsResource
 from jujubehall.entry_hosts.zmq_mesh import ZmqMesh
+from jujubehall.http.capacity import plan_machine
 from jujubehall.http.limits import HttpLimits
 from jujubehall.http.server import LimitedSite
 from jujubehall.identifiers import Incarnation
@@ -86,15 +86,24 @@
 
     def listen(self) -> None:
         """Opens the HTTP ports; raises ``CannotListenError`` if one is in use."""
+        limits = self._settings.limits
+        plan = plan_machine(limits.memory_mb, limits.descriptors)
         front = JobApiResource(self._host.admission, lambda: self._is_stopping)
-        self._site = LimitedSite(front, HttpLimits(connections=MAX_CLIENT_CONNECTIONS))
+        front_limits = HttpLimits(connections=plan.connections)
+        self._site = LimitedSite(front, front_limits)
         self._listen(self._settings.listen.front, self._site)
-        readiness = Site(ReadinessResource(lambda: self._host.is_ready))
-        self._listen(self._settings.listen.readiness, readiness)
+        readiness = ReadinessResource(lambda: self._host.is_ready)
+        self._listen(
+            self._settings.listen.readiness,
+            LimitedSite(readiness, INTERNAL_LIMITS),
+        )
         operators: Any = Resource()
         operators.putChild(b"metrics", MetricsResource(self._host))
         operators.putChild(LOCATE_PATH[1:].encode(), PlacementResource(self._host.admission))
-        self._listen(f"{self._settings.ip}:{METRICS_PORT}", Site(operators))
+        self._listen(
+            f"{self._settings.ip}:{METRICS_PORT}",
+            LimitedSite(operators, INTERNAL_LIMITS),
+        )
 
     def run(self) -> None:
         """Runs the reactor until the shutdown is complete."""
@@ -108,7 +117,7 @@
         """Logs a SIGHUP; settings read at startup are not reloaded while the process lives."""
         reactor.callFromThread(log.info, "settings file changed")
 
-    def _listen(self, address: str, site: Any) -> None:
+    def _listen(self, address: str, site: LimitedSite) -> None:
         if address:
             host, _, port = address.partition(":")
             self._ports.append(reactor.listenTCP(int(port), site, interface=host))
@@ -141,8 +150,8 @@
 METRICS_PORT = 9464
 """Also set in deploy/system.toml; outside the range of ports that change from day to day."""
 
-MAX_CLIENT_CONNECTIONS = 2_000
-"""Half of the file descriptors that the smallest entry hosts may open."""
+INTERNAL_LIMITS = HttpLimits(connections=16)
+"""Limits of the ports for the load balancer and the operators, which call now and then."""
 
 
 def start_site_process(
--- a/src/jujubehall/platform/adapter/settings.py
+++ b/src/jujubehall/platform/adapter/settings.py
@@ -68,6 +68,8 @@
     """Speed of the processor in relation to one core; not a number of processors."""
 
     link_mbps: float = field(name="linkMbps", default=0.0)
+    memory_mb: int = field(name="memoryMb", default=0)
+    descriptors: int = field(name="maxFds", default=0)
 
     @property
     def capacity(self) -> HostCapacity:
