Bound the memory of all connections of a process together

Callers saw an entry host end when many clients sent bodies of legal size, whole, piece by piece or in chunks, and stopped just short of their end, or sent complete jobs while the store hung: each connection stayed within its limits, 2,000 of them didn't within the machine (141 MB of 96 with 300 clients; 404 MB with complete jobs, 335 MB where the clients had left).

Cause: limits for each connection only, and none for requests whose handler goes on after the client has left. Now every connection reports what it uses and every complete request reserves what its decoded form needs until its handler ends; the sum stays within a quarter of the machine's memory. Whom to close first is a function of its own: unread responses, then the largest incomplete requests, never a request that is being handled. Refused requests get 503 with Retry-After before anything of them is handled, so that "not run" is true. Small requests find room beside any number of large ones.

--- a/src/jujubehall/daemon/site_process.py
+++ b/src/jujubehall/daemon/site_process.py
@@ -23,7 +23,7 @@
 from jujubehall.daemon.site_logs import configure_site_logs
 from jujubehall.daemon.site_metrics import MetricsResource
 from jujubehall.entry_hosts.zmq_mesh import ZmqMesh
-from jujubehall.http.capacity import plan_machine
+from jujubehall.http.capacity import make_http_capacity
 from jujubehall.http.limits import HttpLimits
 from jujubehall.http.server import LimitedSite
 from jujubehall.identifiers import Incarnation
@@ -87,22 +87,22 @@
     def listen(self) -> None:
         """Opens the HTTP ports; raises ``CannotListenError`` if one is in use."""
         limits = self._settings.limits
-        plan = plan_machine(limits.memory_mb, limits.descriptors)
+        capacity = make_http_capacity(reactor, limits.memory_mb, limits.descriptors)
         front = JobApiResource(self._host.admission, lambda: self._is_stopping)
-        front_limits = HttpLimits(connections=plan.connections)
-        self._site = LimitedSite(front, front_limits)
+        front_limits = HttpLimits(connections=capacity.plan.connections)
+        self._site = LimitedSite(front, front_limits, capacity=capacity)
         self._listen(self._settings.listen.front, self._site)
         readiness = ReadinessResource(lambda: self._host.is_ready)
         self._listen(
             self._settings.listen.readiness,
-            LimitedSite(readiness, INTERNAL_LIMITS),
+            LimitedSite(readiness, INTERNAL_LIMITS, capacity=capacity),
         )
         operators: Any = Resource()
         operators.putChild(b"metrics", MetricsResource(self._host))
         operators.putChild(LOCATE_PATH[1:].encode(), PlacementResource(self._host.admission))
         self._listen(
             f"{self._settings.ip}:{METRICS_PORT}",
-            LimitedSite(operators, INTERNAL_LIMITS),
+            LimitedSite(operators, INTERNAL_LIMITS, capacity=capacity),
         )
 
     def run(self) -> None:
--- a/src/jujubehall/http/capacity.py
+++ b/src/jujubehall/http/capacity.py
@@ -6,25 +6,40 @@
 import resource
 
 from typing import TYPE_CHECKING
+from typing import Any
 
+from jujubehall.core.connections.capacity import ConnectionCapacity
 from jujubehall.core.connections.capacity import plan_capacity
+from jujubehall.http.connection_memory import ConnectionMemory
+from jujubehall.http.request_handling import HandledRequests
 
 if TYPE_CHECKING:
-    from jujubehall.core.connections.capacity import ConnectionCapacity
+    from jujubehall.clock import Reactor
 
 MIB = 1024 * 1024
 UNLIMITED_DESCRIPTORS = 2**20
 
 
-def plan_machine(
-    machine_memory_mb: int | None = None, descriptors: int | None = None
-) -> ConnectionCapacity:
+class HttpCapacity:
+    """The memory that the connections may use together."""
+
+    def __init__(self, reactor: Reactor, plan: ConnectionCapacity) -> None:
+        self.plan = plan
+        self.memory = ConnectionMemory(reactor, plan.memory_bytes)
+        self.requests = HandledRequests(self.memory, plan.connections)
+
+
+def make_http_capacity(
+    reactor: Any, machine_memory_mb: int | None = None, descriptors: int | None = None
+) -> HttpCapacity:
     """Plans the capacity for a machine, whose limits may be below those of the operating system."""
     memory_bytes = available_memory_bytes()
     if machine_memory_mb:
         memory_bytes = min(memory_bytes, machine_memory_mb * MIB)
     available = available_descriptors()
-    return plan_capacity(memory_bytes, min(available, descriptors or available))
+    return HttpCapacity(
+        reactor, plan_capacity(memory_bytes, min(available, descriptors or available))
+    )
 
 
 def available_memory_bytes() -> int:
--- a/src/jujubehall/http/channel.py
+++ b/src/jujubehall/http/channel.py
@@ -5,7 +5,6 @@
 import math
 
 from http import HTTPStatus
-from io import BytesIO
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,10 +12,14 @@
 
 from twisted.internet.protocol import connectionDone
 from twisted.web.http import HTTPChannel
-from twisted.web.server import Request
 
+from jujubehall.clock import MS_PER_SECOND
 from jujubehall.clock import to_seconds
+from jujubehall.core.connections.capacity import CONNECTION_BYTES
+from jujubehall.core.connections.capacity import SOCKET_BUFFER_BYTES
+from jujubehall.core.connections.closing_order import Phase
 from jujubehall.http.error_body import ErrorBody
+from jujubehall.http.request import READ_REQUEST_STEP
 from jujubehall.metrics import HTTP_REFUSALS
 
 if TYPE_CHECKING:
@@ -25,41 +28,16 @@
 
 LINGER_TIMEOUT_MS = 2_000
 CONNECTION_LIMIT_RETRY_AFTER_MS = 1_000
-READ_REQUEST_STEP = "read request"
-READ_BODY_STEP = "read body"
+MEMORY_RETRY_AFTER_MS = 1_000
 
+HEAD_FACTOR = 4
+"""Memory of a request's headers in relation to their bytes on the wire."""
 
-class LimitedRequest(Request):
-    """Buffers the request body in memory and refuses a body over the size limit.
+HEADER_BYTES = 320
+"""Memory of a header beside its name and value."""
 
-    Twisted would write a large body to a temporary file, but the hosts have no disks.
-    """
-
-    channel: Any
-    content: Any
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Handles the end of the headers; ``length`` is None for a chunked body.
-
-        Called by Twisted.
-        """
-        self.content = BytesIO()
-        self._received_bytes = 0
-        if length is not None:
-            self._check_size(length)
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Appends received body bytes to ``content``; called by Twisted."""
-        self._received_bytes += len(data)
-        if self._check_size(self._received_bytes):
-            self.content.write(data)
-
-    def _check_size(self, size_bytes: int) -> bool:
-        limit_bytes = self.channel.limits.body_bytes
-        if size_bytes <= limit_bytes:
-            return True
-        self.channel.refuse(413, f"the body is over {limit_bytes} bytes", READ_BODY_STEP)
-        return False
+UNSENT_PART_BYTES = 64
+"""Memory of each part of an unsent response beside its bytes."""
 
 
 class LimitedChannel(HTTPChannel):
@@ -71,6 +49,7 @@
     """
 
     transport: Any
+    _networkProducer: Any  # noqa: N815
 
     def __init__(self, limits: HttpLimits, site: LimitedSite) -> None:
         super().__init__()
@@ -79,6 +58,10 @@
         self.MAX_LENGTH = limits.header_bytes
         self._site = site
         self._is_refused = False
+        self._is_closed = False
+        self._is_complete = False
+        self._header_count = 0
+        self._sending_since = 0.0
         self._receive_timer: Any = None
         self._linger_timer: Any = None
         self._receiving_since: float | None = None
@@ -89,6 +72,26 @@
         """Whether the connection is waiting for its next request."""
         return not self._handlingRequest and self._receiving_since is None
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether an error response has been sent in place of reading a request."""
+        return self._is_refused
+
+    @property
+    def phase(self) -> Phase:
+        """What the connection is doing."""
+        if self._handlingRequest or self._is_complete:
+            return Phase.HANDLING
+        if self._is_refused or self._receiving_since is None:
+            return Phase.SENDING if unsent_bytes(self.transport) else Phase.IDLE
+        return Phase.RECEIVING
+
+    @property
+    def phase_since_ms(self) -> int:
+        """Reactor time in milliseconds at which the request or the last response began."""
+        since_s = self._sending_since if self._receiving_since is None else self._receiving_since
+        return int(since_s * MS_PER_SECOND)
+
     @property
     def is_serving(self) -> bool:
         """Whether a complete request is being handled and its response is not yet finished."""
@@ -102,7 +105,9 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Refuses the connection if the site is at its connection limit; called by Twisted."""
         super().connectionMade()
-        if not self._site.admit(self):
+        is_admitted = self._site.admit(self)
+        self._report_memory()
+        if not is_admitted:
             limit = self.limits.connections
             self.refuse(
                 503,
@@ -113,6 +118,7 @@
 
     def connectionLost(self, reason: Any = connectionDone) -> None:  # noqa: N802
         """Cancels the timers and removes the connection from the site; called by Twisted."""
+        self._is_closed = True
         self._stop_receive_timer()
         if self._linger_timer is not None and self._linger_timer.active():
             self._linger_timer.cancel()
@@ -121,23 +127,27 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Starts the receive timer at the first bytes of a request; called by Twisted."""
-        if self._is_refused:
+        if self._is_refused or self._is_closed:
             return
-        if self.is_idle:
-            self._start_receive_timer()
+        self._begin_receiving()
         super().dataReceived(data)
+        self._report_memory()
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Handles a line of the request head and checks the head size; called by Twisted."""
         if self._is_refused:
             return
-        if self.is_idle:
-            self._start_receive_timer()
-        self._head_bytes += len(line)
+        self._begin_receiving()
+        self._head_bytes += len(line) + len(self.delimiter)
         if self._head_bytes > self.limits.header_bytes:
             self._refuse_head()
-            return
-        super().lineReceived(line)
+        else:
+            super().lineReceived(line)
+
+    def headerReceived(self, line: bytes) -> bool:  # noqa: N802
+        """Counts the headers; called by Twisted."""
+        self._header_count += 1
+        return bool(super().headerReceived(line))
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handles bytes of the body, or of the next pipelined request; called by Twisted."""
@@ -152,14 +162,41 @@
         """Stops the receive timer once a request is complete; called by Twisted."""
         if self._is_refused:
             return
+        self._is_complete = True
+        if not self.requests[-1].begin_handling(self._site.capacity.requests):
+            self.shed()
+            return
         self._stop_receive_timer()
-        self._head_bytes = 0
         super().allContentReceived()
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Marks the connection as recently used after a response; called by Twisted."""
         self._site.mark_used(self)
+        self._is_complete = False
+        self._head_bytes = 0
+        self._header_count = 0
+        self._sending_since = self._site.now_s
         super().requestDone(request)
+        self._report_memory()
+
+    def measure_bytes(self) -> int:
+        """Returns the memory that the connection uses now, with its buffers in the kernel."""
+        used_bytes = (
+            CONNECTION_BYTES + HEAD_FACTOR * self._head_bytes + HEADER_BYTES * self._header_count
+        )
+        used_bytes += sum(request.received_bytes for request in self.requests)
+        if unsent_bytes(self.transport):
+            used_bytes += SOCKET_BUFFER_BYTES + unsent_bytes(self.transport)
+            used_bytes += UNSENT_PART_BYTES * len(getattr(self.transport, "_tempDataBuffer", ()))
+        return int(used_bytes)
+
+    def shed(self) -> None:
+        """Refuses the incomplete request, or closes the connection if there is none."""
+        if self._receiving_since is None or self._is_refused:
+            self.abort()
+            return
+        message = "too many requests are being received and handled"
+        self.refuse(503, message, READ_REQUEST_STEP, MEMORY_RETRY_AFTER_MS)
 
     def refuse(self, status: int, message: str, step: str, retry_after_ms: int = 0) -> None:
         """Sends an error response and closes the connection.
@@ -169,22 +206,36 @@
         if self._is_refused:
             return
         self._is_refused = True
+        self._sending_since = self._site.now_s
         self._stop_receive_timer()
         self.setTimeout(None)
         HTTP_REFUSALS.inc({"status": str(status)})
         error = ErrorBody(message, step, "caller", retry_after_ms)
         self.transport.write(_encode_refusal(status, error))
+        self._discard_request()
         self._networkProducer.unregisterProducer()
         if self._site.may_linger:
             self.transport.loseWriteConnection()
-            self._linger_timer = self.callLater(to_seconds(LINGER_TIMEOUT_MS), self.abort)
         else:
             self.transport.loseConnection()
+        self._linger_timer = self.callLater(to_seconds(LINGER_TIMEOUT_MS), self.abort)
 
     def abort(self) -> None:
         """Closes the connection immediately; unsent data is discarded."""
         self.transport.abortConnection()
 
+    def _discard_request(self) -> None:
+        """Releases the memory of the request that has been refused."""
+        self._is_complete = False
+        self._head_bytes = 0
+        self._header_count = 0
+        for request in self.requests:
+            request.discard_content()
+
+    def _report_memory(self) -> None:
+        if not self._is_closed:
+            self._site.capacity.memory.update(self, self.measure_bytes())
+
     def _refuse_head(self) -> None:
         limit = self.limits.header_bytes
         self.refuse(431, f"the request line and headers are over {limit} bytes", READ_REQUEST_STEP)
@@ -196,7 +247,9 @@
         if not self._is_refused:
             super()._send100Continue()
 
-    def _start_receive_timer(self) -> None:
+    def _begin_receiving(self) -> None:
+        if self._handlingRequest or self._receiving_since is not None:
+            return
         self._receiving_since = self._site.now_s
         timeout = to_seconds(self.limits.receive_timeout_ms)
         self._receive_timer = self.callLater(timeout, self._on_receive_timeout)
@@ -212,6 +265,12 @@
         self.refuse(408, f"the request was not complete after {limit_ms} ms", READ_REQUEST_STEP)
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Returns how many bytes written to a Twisted transport the kernel has not taken yet."""
+    buffered = len(getattr(transport, "dataBuffer", b"")) - getattr(transport, "offset", 0)
+    return int(buffered + getattr(transport, "_tempDataLen", 0))
+
+
 def _encode_refusal(status: int, error: ErrorBody) -> bytes:
     body = msgspec.json.encode(error)
     phrase = HTTPStatus(status).phrase
--- a/src/jujubehall/http/server.py
+++ b/src/jujubehall/http/server.py
@@ -9,17 +9,18 @@
 import msgspec
 import structlog
 
-from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
 from twisted.web.server import Site
 
 from jujubehall.clock import to_seconds
+from jujubehall.http.capacity import HttpCapacity
+from jujubehall.http.capacity import make_http_capacity
 from jujubehall.http.channel import LimitedChannel
-from jujubehall.http.channel import LimitedRequest
 from jujubehall.http.channel import retry_after_seconds
 from jujubehall.http.error_body import ErrorBody
 from jujubehall.http.limits import HttpLimits
+from jujubehall.http.request import LimitedRequest
+from jujubehall.http.request_handling import start_handler
 from jujubehall.http.router import HttpRequest
 from jujubehall.http.router import HttpResponse
 from jujubehall.metrics import HTTP_EVICTIONS
@@ -53,8 +54,7 @@
 
     def render(self, request: Any) -> int:
         """Starts handling a complete request; called by Twisted."""
-        Deferred.fromCoroutine(self._serve(request))
-        return NOT_DONE_YET
+        return start_handler(request, self._serve(request))
 
     async def _serve(self, request: Any) -> None:
         disconnects: list[object] = []
@@ -108,18 +108,32 @@
     it evicts a connection that has been sending its request for at least
     ``MIN_RECEIVE_TIME_BEFORE_EVICTION_S``. A connection whose request is being handled is never
     evicted; a new connection is refused instead.
+
+    ``capacity`` is shared by all sites of a process.
     """
 
-    def __init__(self, resource: Resource, limits: HttpLimits, reactor: Any = None) -> None:
+    def __init__(
+        self,
+        resource: Resource,
+        limits: HttpLimits,
+        reactor: Any = None,
+        capacity: HttpCapacity | None = None,
+    ) -> None:
         timeout = to_seconds(limits.idle_timeout_ms)
         super().__init__(resource, requestFactory=LimitedRequest, timeout=timeout, reactor=reactor)
         self._limits = limits
+        self._capacity = capacity or make_http_capacity(self.reactor)
         # Ordered by last use, the least recently used first.
         self._channels: dict[LimitedChannel, None] = {}
         self._open_refused_connections = 0
         # Set on the instance, because Twisted calls ``protocol`` without passing the site.
         self.__dict__["protocol"] = self._make_channel
 
+    @property
+    def capacity(self) -> HttpCapacity:
+        """The limits that the connections share with those of the other sites."""
+        return self._capacity
+
     @property
     def connections(self) -> int:
         """Number of open connections, without the refused ones."""
@@ -166,6 +180,7 @@
 
     def remove(self, channel: LimitedChannel) -> None:
         """Removes a closed connection from the counts."""
+        self._capacity.memory.remove(channel)
         if channel in self._channels:
             del self._channels[channel]
         elif self._open_refused_connections:
@@ -194,9 +209,13 @@
         return LimitedChannel(self._limits, self)
 
 
-def make_http_site(*interfaces: tuple[Router, object], limits: HttpLimits = DEFAULT_LIMITS) -> Any:
+def make_http_site(
+    *interfaces: tuple[Router, object],
+    limits: HttpLimits = DEFAULT_LIMITS,
+    capacity: HttpCapacity | None = None,
+) -> Any:
     """Creates the HTTP server for ``(router, interface)`` pairs."""
-    return LimitedSite(JsonResource(*interfaces), limits)
+    return LimitedSite(JsonResource(*interfaces), limits, capacity=capacity)
 
 
 def _error_response(status: int, message: str, step: str, peer: str = "caller") -> HttpResponse:
--- a/src/jujubehall/metrics.py
+++ b/src/jujubehall/metrics.py
@@ -39,6 +39,12 @@
 HTTP_RESPONSES = _counter("http_responses_total", "Answers to callers and operators, by status.")
 HTTP_REFUSALS = _counter("http_refusals_total", "Connections refused before a route, by status.")
 HTTP_EVICTIONS = _counter("http_evictions_total", "Unused connections closed to make room.")
+HTTP_CONNECTIONS_SHED = _counter(
+    "http_connections_shed_total", "Connections closed for memory, by what they were doing."
+)
+HTTP_CONNECTION_MEMORY = _gauge(
+    "http_connection_memory_bytes", "Memory of all connections when one was last closed for it."
+)
 
 SUBMISSIONS = _counter("submissions_total", "Calls to submit a job, by outcome.")
 JOBS_REFUSED = _counter("jobs_refused_total", "Jobs refused for load, by queue and reason.")
--- a/src/jujubehall/platform/adapter/job_api.py
+++ b/src/jujubehall/platform/adapter/job_api.py
@@ -13,15 +13,14 @@
 from result import Err
 from result import Ok
 from result import Result
-from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
 
 from jujubehall.core.fleet.requests import JobRequest
 from jujubehall.core.fleet.requests import StepRequest
 from jujubehall.core.fleet.resources import Resources
 from jujubehall.decoding import decode_json
 from jujubehall.http.channel import retry_after_seconds
+from jujubehall.http.request_handling import start_handler
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import RackName
 from jujubehall.platform.adapter import wire
@@ -66,8 +65,7 @@
 
     def render(self, request: Any) -> int:
         """Starts to handle a request; called by Twisted once the request is complete."""
-        Deferred.fromCoroutine(self._serve(request))
-        return NOT_DONE_YET
+        return start_handler(request, self._serve(request))
 
     async def _serve(self, request: Any) -> None:
         disconnects: list[object] = []
--- a/src/jujubehall/platform/adapter/placement_api.py
+++ b/src/jujubehall/platform/adapter/placement_api.py
@@ -9,11 +9,10 @@
 import structlog
 
 from result import Err
-from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
 
 from jujubehall.http.channel import retry_after_seconds
+from jujubehall.http.request_handling import start_handler
 from jujubehall.platform.adapter.job_api import STATUS_BY_OUTCOME
 from jujubehall.platform.adapter.job_api import decode_submission
 from jujubehall.platform.adapter.job_api import parse_job_id
@@ -44,8 +43,7 @@
 
     def render_POST(self, request: Any) -> int:  # noqa: N802
         """Starts to handle a request; called by Twisted once the request is complete."""
-        Deferred.fromCoroutine(self._serve(request))
-        return NOT_DONE_YET
+        return start_handler(request, self._serve(request))
 
     async def _serve(self, request: Any) -> None:
         disconnects: list[object] = []
--- a/tests/services/fleet/test_placement_preview.py
+++ b/tests/services/fleet/test_placement_preview.py
@@ -38,6 +38,7 @@
     request.write = written.append
     request.finish = lambda: None
     request.notifyFinish = Deferred
+    request.end_handling = lambda: None
     request.method, request.path = b"POST", f"/locate/normal/{JOB}".encode()
     PlacementResource(site.hosts[host].site_host.admission).render_POST(request)
     assert site.run_until(lambda: bool(written), 5.0)
