Limit what the HTTP library keeps of heads, trailers and queries

Callers saw an entry host end although no body was large: 20,000 headers behind a chunked body (60 KB on the wire, 2 MB in memory for each connection), and one connection that sends header names never seen before, 15 KB each (Twisted keeps up to 10,000 of them for the life of the process).

Cause: limits counted bytes on the wire only, and Twisted also parses cookies, queries and forms into objects many times their size, which nothing here uses. Now there are limits on the number of headers (100), on a header's name (256 bytes), on the request line (8 KB), on trailers (1 KB) and on the fields of a query (64); cookies and forms aren't parsed, and paths in log lines are cut.

--- a/src/jujubehall/http/channel.py
+++ b/src/jujubehall/http/channel.py
@@ -36,6 +36,9 @@
 HEADER_BYTES = 320
 """Memory of a header beside its name and value."""
 
+TRAILER_FACTOR = 32
+"""Memory of the headers behind a chunked body in relation to their bytes on the wire."""
+
 UNSENT_PART_BYTES = 64
 """Memory of each part of an unsent response beside its bytes."""
 
@@ -55,6 +58,7 @@
         super().__init__()
         self.limits = limits
         self.totalHeadersSize = limits.header_bytes
+        self.maxHeaders = limits.headers
         self.MAX_LENGTH = limits.header_bytes
         self._site = site
         self._is_refused = False
@@ -138,17 +142,41 @@
         if self._is_refused:
             return
         self._begin_receiving()
+        is_request_line = not self._head_bytes
         self._head_bytes += len(line) + len(self.delimiter)
         if self._head_bytes > self.limits.header_bytes:
             self._refuse_head()
+        elif is_request_line and len(line) > self.limits.request_line_bytes:
+            limit = self.limits.request_line_bytes
+            self.refuse(414, f"the request line is over {limit} bytes", READ_REQUEST_STEP)
         else:
             super().lineReceived(line)
 
     def headerReceived(self, line: bytes) -> bool:  # noqa: N802
-        """Counts the headers; called by Twisted."""
+        """Handles a header and checks the length of its name; called by Twisted."""
+        if self._is_refused:
+            return False
+        # Twisted keeps the names of headers for the life of the process.
+        if line.find(b":") > self.limits.header_name_bytes:
+            limit = self.limits.header_name_bytes
+            self.refuse(431, f"the name of a header is over {limit} bytes", READ_REQUEST_STEP)
+            return False
         self._header_count += 1
+        if self._header_count > self.limits.headers:
+            limit = self.limits.headers
+            self.refuse(431, f"there are more than {limit} headers", READ_REQUEST_STEP)
+            return False
         return bool(super().headerReceived(line))
 
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Handles the end of the headers; called by Twisted."""
+        if self._is_refused:
+            return
+        decoder: Any = self._transferDecoder
+        if self.length is None and decoder is not None:
+            decoder._maxTrailerHeadersSize = self.limits.trailer_bytes
+        super().allHeadersReceived()
+
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handles bytes of the body, or of the next pipelined request; called by Twisted."""
         if not self._is_refused:
@@ -185,6 +213,8 @@
             CONNECTION_BYTES + HEAD_FACTOR * self._head_bytes + HEADER_BYTES * self._header_count
         )
         used_bytes += sum(request.received_bytes for request in self.requests)
+        if getattr(self._transferDecoder, "state", "") == "TRAILER":
+            used_bytes += TRAILER_FACTOR * self.limits.trailer_bytes
         if unsent_bytes(self.transport):
             used_bytes += SOCKET_BUFFER_BYTES + unsent_bytes(self.transport)
             used_bytes += UNSENT_PART_BYTES * len(getattr(self.transport, "_tempDataBuffer", ()))
--- a/src/jujubehall/http/request.py
+++ b/src/jujubehall/http/request.py
@@ -5,6 +5,7 @@
 from io import BytesIO
 from typing import TYPE_CHECKING
 from typing import Any
+from urllib.parse import parse_qs
 
 from twisted.web.http_headers import Headers
 from twisted.web.server import Request
@@ -13,6 +14,7 @@
     from jujubehall.http.request_handling import HandledRequest
     from jujubehall.http.request_handling import HandledRequests
 
+MAX_QUERY_FIELDS = 64
 READ_REQUEST_STEP = "read request"
 READ_BODY_STEP = "read body"
 
@@ -20,7 +22,8 @@
 class LimitedRequest(Request):
     """Buffers the request body in memory and refuses a body over the size limit.
 
-    Twisted would write a large body to a temporary file, but the hosts have no disks.
+    Twisted would write a large body to a temporary file, but the hosts have no disks. It would also
+    parse cookies and forms, which no interface uses.
     """
 
     channel: Any
@@ -75,6 +78,23 @@
         if self._check_size(self._received_bytes):
             self.content.write(data)
 
+    def parseCookies(self) -> None:  # noqa: N802
+        """Does nothing: no interface uses cookies. Called by Twisted."""
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
+        """Dispatches a complete request; called by Twisted."""
+        self.content.seek(0)
+        self.method, self.uri, self.clientproto = command, path, version
+        self.path, _, query = path.partition(b"?")
+        try:
+            self.args = parse_qs(query, keep_blank_values=True, max_num_fields=MAX_QUERY_FIELDS)
+        except ValueError:
+            self.channel.refuse(
+                400, f"the query has more than {MAX_QUERY_FIELDS} fields", READ_REQUEST_STEP
+            )
+            return
+        self.process()
+
     def discard_content(self) -> None:
         """Releases the memory of the headers and the body of a refused request."""
         self.requestHeaders = Headers()
--- a/src/jujubehall/platform/adapter/job_api.py
+++ b/src/jujubehall/platform/adapter/job_api.py
@@ -38,6 +38,7 @@
 TOKEN_SCHEME = "Token "
 MAX_DEADLINE_MS = 600_000
 MAX_DEADLINE_DIGITS = 18
+MAX_LOGGED_PATH_LENGTH = 256
 
 STATUS_BY_OUTCOME = {
     Outcome.ACCEPTED: 200,
@@ -73,7 +74,8 @@
         try:
             response = await self._dispatch(request)
         except Exception as error:
-            log.error("call handler failed", path=_decode_text(request.path), error=repr(error))
+            path = _decode_text(request.path)[:MAX_LOGGED_PATH_LENGTH]
+            log.error("call handler failed", path=path, error=repr(error))
             response = CallResponse(Outcome.UNKNOWN, "internal error")
         if not disconnects:
             self._write_response(request, response)
--- a/src/jujubehall/services/fleet/admission.py
+++ b/src/jujubehall/services/fleet/admission.py
@@ -66,6 +66,7 @@
 MIN_REFUSAL_TIMEOUT_MS = 1_500
 """Callers that wait less long are not refused for load: asking takes time that the write needs."""
 
+MAX_LOGGED_SEGMENT_LENGTH = 64
 REFUSAL_TIMEOUT_DIVISOR = 3
 """Part of the caller's timeout in which a refusal must be settled; else the job is admitted."""
 
@@ -423,7 +424,7 @@
 
 
 def _last_segment(path: str) -> str:
-    return path.rpartition("/")[2]
+    return path.rpartition("/")[2][:MAX_LOGGED_SEGMENT_LENGTH]
 
 
 def _to_response(write_result: StoreWriteSettled) -> CallResponse:
--- a/tests/http/bad_inputs.py
+++ b/tests/http/bad_inputs.py
@@ -161,6 +161,41 @@
         "read request",
         "over 2048 bytes",
     ),
+    BadInput(
+        "request line over its own limit",
+        http("GET", "/" + "a" * 1_200),
+        414,
+        "read request",
+        "over 1024 bytes",
+    ),
+    BadInput(
+        "too many headers",
+        http("GET", "/healthz", b"", "".join(f"X-{n}: a\r\n" for n in range(100))),
+        431,
+        "read request",
+        "more than 100 headers",
+    ),
+    BadInput(
+        "name of a header over the limit",
+        http("GET", "/healthz", b"", f"{'X' * 300}: a\r\n"),
+        431,
+        "read request",
+        "over 256 bytes",
+    ),
+    BadInput(
+        "too many fields in the query",
+        http("GET", "/healthz?" + "&".join(f"{n}=1" for n in range(65))),
+        400,
+        "read request",
+        "more than 64 fields",
+    ),
+    BadInput(
+        "headers behind a chunked body over the limit",
+        CHUNKED.encode() + b"0\r\n" + b"X: a\r\n" * 200,
+        400,
+        "read request",
+        "malformed HTTP",
+    ),
     BadInput(
         "no HTTP at all", b"\x16\x03\x01 hello\r\n\r\n", 400, "read request", "malformed HTTP"
     ),
--- a/tests/http/conftest.py
+++ b/tests/http/conftest.py
@@ -16,6 +16,7 @@
 LIMITS = HttpLimits(
     connections=8,
     header_bytes=2_048,
+    request_line_bytes=1_024,
     body_bytes=4_096,
     receive_timeout_ms=500,
     idle_timeout_ms=60_000,
--- a/tests/http/test_shared_limits.py
+++ b/tests/http/test_shared_limits.py
@@ -101,6 +101,14 @@
     assert b'{"size":262144}' in transport.value()
 
 
+@pytest.mark.parametrize("kind", ["multipart/form-data", "application/x-www-form-urlencoded"])
+def test_body_is_not_parsed_as_a_form(server: Server, kind: str) -> None:
+    channel, transport = server.open()
+    head = LARGE_HEAD.replace(b"Host", f"Content-Type: {kind}\r\nHost".encode())
+    channel.dataReceived(head + b"a&" * (BODY_BYTES // 2))
+    assert b'{"size":262144}' in transport.value()
+
+
 def test_incomplete_bodies_are_refused_for_memory_and_have_not_run(server: Server) -> None:
     opened = [server.open() for _ in range(30)]
     for channel, _ in opened:
