Apply the shared limits of connections to jujubehalld

Callers saw the same with jujubehalld as with entry hosts on the operators' platform: 300 clients with bodies of legal size take it to 143 MB, with trailers to 512 MB, and unread responses keep it from answering for over 30 s.

Cause: as there, limits for each connection only. The server is the same; its connections now share memory and input too. memory_mb in the settings says what the machine has, else the operating system does.

--- a/src/jujubehall/daemon/process.py
+++ b/src/jujubehall/daemon/process.py
@@ -22,6 +22,8 @@
 from jujubehall.daemon.metrics_collector import MetricsCollector
 from jujubehall.endpoints.client import EndpointClient
 from jujubehall.entry_hosts.zmq_mesh import ZmqMesh
+from jujubehall.http.capacity import make_http_capacity
+from jujubehall.http.server import listen_tcp
 from jujubehall.http.server import make_http_site
 from jujubehall.identifiers import Incarnation
 from jujubehall.operators.interface import OperatorInterface
@@ -68,7 +70,7 @@
     def listen(self, host: str, port: int, site: Any) -> None:
         """Opens the HTTP port; raises ``CannotListenError`` if it is in use."""
         self._site = site
-        self._port = reactor.listenTCP(port, site, interface=host)
+        self._port = listen_tcp(reactor, port, site, host)
 
     def run(self) -> None:
         """Runs the reactor until the shutdown is complete."""
@@ -154,6 +156,7 @@
         (operator_routes, OperatorInterface(host, process.begin_shutdown)),
         (monitoring_routes, MonitoringInterface(host, MetricsCollector(host, platform).collect)),
         limits=settings.limits,
+        capacity=make_http_capacity(reactor, settings.memory_mb),
     )
     try:
         process.listen(listen.host, listen.http_port, site)
--- a/src/jujubehall/daemon/settings.py
+++ b/src/jujubehall/daemon/settings.py
@@ -55,6 +55,9 @@
     """Mesh addresses of entry hosts to ask for the configuration while the platform is down."""
 
     limits: HttpLimits = HttpLimits()
+    memory_mb: Annotated[int, msgspec.Meta(ge=64, le=1_048_576)] = 0
+    """Memory of the machine; without it, what the operating system reports."""
+
     stop_timeout_ms: Annotated[int, msgspec.Meta(ge=0, le=600_000)] = 30_000
     """How long a graceful shutdown waits for requests in progress."""
 
--- a/src/jujubehall/testing/local_site.py
+++ b/src/jujubehall/testing/local_site.py
@@ -50,7 +50,7 @@
     """Context manager that starts the processes of a site and kills them all on exit.
 
     With ``autostart=False`` the caller starts each process. ``limits`` are the HTTP limits of the
-    entry hosts.
+    entry hosts, ``memory_mb`` the memory that they take their machines to have.
 
     >>> with LocalSite(site_file) as site:
     ...     site.wait_until_ready()
@@ -58,11 +58,17 @@
     """
 
     def __init__(
-        self, site: SiteFile, *, autostart: bool = True, limits: HttpLimits | None = None
+        self,
+        site: SiteFile,
+        *,
+        autostart: bool = True,
+        limits: HttpLimits | None = None,
+        memory_mb: int | None = None,
     ) -> None:
         self.site = site
         self._autostart = autostart
         self._limits = limits or HttpLimits()
+        self._memory_mb = memory_mb
         self._http = httpx.Client(trust_env=False, verify=False)
         self._directory = TemporaryDirectory(prefix="jujubehall-")
         # Written only once, because a stand-in may read the file while the next one is started.
@@ -115,13 +121,14 @@
         """Returns the contents of the settings file of an entry host."""
         number = int(name.rsplit("-", 1)[1])
         http_port, mesh_port = self.site.entry_host_ports(number)
-        return {
+        settings = {
             "name": name,
             "zone": self.site.zone(number),
             "platform": self.site.platform_address,
             "listen": {"host": LOOPBACK, "http_port": http_port, "mesh_port": mesh_port},
             "limits": msgspec.to_builtins(self._limits),
         }
+        return settings if self._memory_mb is None else settings | {"memory_mb": self._memory_mb}
 
     def wait_until_ready(self, names: list[str] | None = None) -> None:
         """Waits until the started stand-ins respond and the named entry hosts are ready.
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -43,6 +43,7 @@
         "zone": 3,
         "platfrom": "x",
         "stop_timeout_ms": -1,
+        "memory_mb": 10,
         "platform": "10.0.0.1",
     }
     invalid["listen"] = {"host": "0.0.0.0", "http_port": 70_000, "odd key": 1}
@@ -55,6 +56,7 @@
         "$.listen.http_port: 70000 is greater than the maximum of 65535",
         "$.listen.mesh_port: is missing",
         '$.listen["odd key"]: unknown key',
+        "$.memory_mb: 10 is less than the minimum of 64",
         '$.platform: "10.0.0.1" is not a base URL such as http://10.0.0.1:8500',
         "$.platfrom: unknown key",
         "$.stop_timeout_ms: -1 is less than the minimum of 0",
--- a/tests/platform/adapter/test_settings.py
+++ b/tests/platform/adapter/test_settings.py
@@ -54,6 +54,13 @@
     assert load_site_settings(path).unwrap().limits.capacity == HostCapacity(2_151, 200)
 
 
+def test_memory_and_descriptors_of_the_machine_are_loaded(tmp_path: Path) -> None:
+    path = tmp_path / "local.toml"
+    path.write_text(VALID_SETTINGS + "[limits]\nmemoryMb = 160\nmaxFds = 1638\n")
+    limits = load_site_settings(path).unwrap().limits
+    assert (limits.memory_mb, limits.descriptors) == (160, 1_638)
+
+
 @pytest.mark.parametrize(
     ("before", "after", "expected_text"),
     [
