--- a/tests/crowds/test_site_crowds.py
+++ b/tests/crowds/test_site_crowds.py
@@ -7,7 +7,6 @@
 
 from typing import TYPE_CHECKING
 
-import httpx
 import pytest
 
 from tests.crowds.crowd import Crowd
@@ -15,6 +14,8 @@
 from tests.crowds.misbehaviour import Misbehaviour
 from tests.crowds.misbehaviour import kinds
 from tests.crowds.misbehaviour import submissions
+from tests.crowds.ordinary_caller import JOB_PATH
+from tests.crowds.ordinary_caller import is_accepted
 from tests.crowds.process_usage import MIB
 from tests.crowds.process_usage import ProcessUsage
 from tests.platform.adapter.entry_host_process import JOB
@@ -40,7 +41,6 @@
 """
 ELECTED = "elected owner"
 PORTS = (PORT, READINESS_PORT, METRICS_PORT)
-JOB_PATH = "/hold/00000000000000c1"
 
 
 @pytest.fixture
@@ -131,16 +131,3 @@
     assert host.process.poll() is None, host.log[-2_000:]
     assert peak.memory_bytes <= MEMORY_MB * MIB
     assert peak.descriptors <= DESCRIPTORS
-
-
-def is_accepted(host: EntryHostProcess) -> bool:
-    """Submits a job as an ordinary caller, which tries again after a refusal or a lost call."""
-    try:
-        response = host.call("POST", JOB_PATH, json=JOB)
-    except httpx.TransportError:
-        return False
-    if response.status_code == 200:
-        return True
-    assert response.status_code in (429, 503)
-    assert int(response.headers["Retry-After"]) >= 1
-    return False
