--- a/tests/crowds/random_crowds.py
+++ b/tests/crowds/random_crowds.py
@@ -22,8 +22,9 @@
 from tests.crowds.misbehaviour import submissions
 from tests.crowds.ordinary_caller import JOB_PATH
 from tests.crowds.ordinary_caller import is_accepted
-from tests.crowds.process_usage import MIB
-from tests.crowds.process_usage import ProcessUsage
+from tests.crowds.small_machine import LIMITS
+from tests.crowds.small_machine import check_limits
+from tests.crowds.small_machine import usage_of
 from tests.platform.adapter.entry_host_process import METRICS_PORT
 from tests.platform.adapter.entry_host_process import PORT
 from tests.platform.adapter.entry_host_process import READINESS_PORT
@@ -32,12 +33,6 @@
 from tests.platform.adapter.entry_host_process import start_fake_platform
 from tests.platform.adapter.entry_host_process import wait_until
 
-MEMORY_MB = 96
-DESCRIPTORS = 700
-LIMITS = f"""memoryMb = {MEMORY_MB}
-maxFds = {DESCRIPTORS}
-"""
-PORTS = (PORT, READINESS_PORT, METRICS_PORT)
 CROWDS = 4
 CLEAN_EXITS = (0, 1)
 """A planned stop, or one that ran out of time for the calls in progress."""
@@ -50,7 +45,7 @@
         host = EntryHostProcess(directory, seed % 100, platform.store, LIMITS)
         crowds.callback(host.kill)
         wait_until(host.is_ready)
-        usage = ProcessUsage(host.process.pid, [(host.ip, each) for each in PORTS])
+        usage = usage_of(host)
         for _ in range(CROWDS):
             port = random.choice((PORT, PORT, PORT, READINESS_PORT, METRICS_PORT))
             crowd = Crowd((host.ip, port), choose_kind(random), usage.sample)
@@ -62,8 +57,7 @@
             assert host.process.poll() is None, host.log[-2_000:]
             wait_until(lambda: is_accepted(host))
         peak = usage.peak()
-        assert peak.memory_bytes <= MEMORY_MB * MIB, peak
-        assert peak.descriptors <= DESCRIPTORS, peak
+        check_limits(peak)
         host.process.send_signal(signal.SIGTERM)
         assert host.process.wait(TIMEOUT_S) in CLEAN_EXITS, host.log[-2_000:]
 
--- a/tests/crowds/test_daemon_crowds.py
+++ b/tests/crowds/test_daemon_crowds.py
@@ -14,8 +14,9 @@
 from jujubehall.workers.messages import Resources
 from tests.crowds.crowd import Crowd
 from tests.crowds.misbehaviour import kinds
-from tests.crowds.process_usage import MIB
 from tests.crowds.process_usage import ProcessUsage
+from tests.crowds.small_machine import MEMORY_MB
+from tests.crowds.small_machine import check_limits
 from tests.end_to_end.calls import retry_slot_hold_until_completed
 
 if TYPE_CHECKING:
@@ -25,9 +26,7 @@
 
 pytestmark = pytest.mark.crowd
 
-MEMORY_MB = 96
 CONNECTIONS = 300
-DESCRIPTORS = 700
 ENTRY_HOST = "entry-0"
 
 
@@ -58,5 +57,4 @@
         retry_slot_hold_until_completed(site, ENTRY_HOST, "beside-the-crowd")
         peak = usage.peak()
     assert ENTRY_HOST in site.running_processes
-    assert peak.memory_bytes <= MEMORY_MB * MIB
-    assert peak.descriptors <= DESCRIPTORS
+    check_limits(peak)
--- a/tests/crowds/test_site_crowds.py
+++ b/tests/crowds/test_site_crowds.py
@@ -16,8 +16,9 @@
 from tests.crowds.misbehaviour import submissions
 from tests.crowds.ordinary_caller import JOB_PATH
 from tests.crowds.ordinary_caller import is_accepted
-from tests.crowds.process_usage import MIB
-from tests.crowds.process_usage import ProcessUsage
+from tests.crowds.small_machine import LIMITS
+from tests.crowds.small_machine import check_limits
+from tests.crowds.small_machine import usage_of
 from tests.platform.adapter.entry_host_process import JOB
 from tests.platform.adapter.entry_host_process import METRICS_PORT
 from tests.platform.adapter.entry_host_process import PORT
@@ -34,13 +35,7 @@
 
 pytestmark = pytest.mark.crowd
 
-MEMORY_MB = 96
-DESCRIPTORS = 700
-LIMITS = f"""memoryMb = {MEMORY_MB}
-maxFds = {DESCRIPTORS}
-"""
 ELECTED = "elected owner"
-PORTS = (PORT, READINESS_PORT, METRICS_PORT)
 
 
 @pytest.fixture
@@ -121,7 +116,7 @@
     after_press: Callable[[], object] = lambda: None,
 ) -> None:
     """Checks that the host stays within its limits and serves a caller beside the crowd."""
-    usage = ProcessUsage(host.process.pid, [(host.ip, each) for each in PORTS])
+    usage = usage_of(host)
     with Crowd((host.ip, port), kind, usage.sample) as crowd:
         crowd.press()
         after_press()
@@ -129,5 +124,4 @@
         wait_until(lambda: is_accepted(host))
         peak = usage.peak()
     assert host.process.poll() is None, host.log[-2_000:]
-    assert peak.memory_bytes <= MEMORY_MB * MIB
-    assert peak.descriptors <= DESCRIPTORS
+    check_limits(peak)
