--- a/review/common-3/small_site.py
+++ b/review/common-3/small_site.py
@@ -255,6 +255,14 @@
         finally:
             connection.close()
 
+    def memory_mb(self, number: int) -> float:
+        """Returns the resident memory of an entry host; 0 if it has ended."""
+        try:
+            pages = Path(f"/proc/{self.fronts[f'front-{number}'].pid}/statm").read_text().split()[1]
+        except (OSError, IndexError):
+            return 0.0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     def events(self) -> list[dict[str, Any]]:
         """Returns what the minions have recorded so far."""
         if not self.record.exists():
@@ -295,12 +303,17 @@
 
 
 def run_case(
-    here: Path, subnet: int, run: Callable[[Site, Record], bool], log_words: tuple[str, ...] = ()
+    here: Path,
+    subnet: int,
+    run: Callable[[Site, Record], bool],
+    log_words: tuple[str, ...] = (),
+    adds_to_record: bool = False,
 ) -> int:
     """Runs a case in a temporary folder, writes its record and returns its exit code.
 
     ``run`` returns whether the rule was broken. Lines of the entry hosts' logs that contain one of
-    ``log_words`` are added to the record.
+    ``log_words`` are added to the record. With ``adds_to_record``, the record is added to that of the
+    part of the case that ran before.
     """
     record = Record()
     broken: bool | None = None
@@ -322,6 +335,7 @@
                             record.lines.append(f"log of {log.stem}: {line}")
         except (CannotRunError, OSError, ValueError) as error:
             record.note(f"the case could not run: {error}")
-    (here / "record.txt").write_text("\n".join(record.lines) + "\n")
+    with (here / "record.txt").open("a" if adds_to_record else "w") as file:
+        file.write("\n".join(record.lines) + "\n")
     print("\n".join(record.lines))
     return 2 if broken is None else int(broken)
