--- a/review/12/rack.py
+++ b/review/12/rack.py
@@ -17,7 +17,7 @@
 from small_site import CannotRunError  # noqa: E402
 from small_site import Record  # noqa: E402
 from small_site import Site  # noqa: E402
-from small_site import run_case  # noqa: E402
+from small_site import run_case  # noqa: E402, F401
 from small_site import wait_until  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -106,7 +106,3 @@
     _, shown = site.request(1, "GET", f"/urgent/{URGENT_JOB}")
     record.note(f"GET of the urgent job 20 s after its 200: {shown}")
     return len(begun) < TASKS or max(begun.values()) > RECLAIM_MS / 1000
-
-
-if __name__ == "__main__":
-    sys.exit(run_case(HERE, 62, run, adds_to_record=True))
--- a/review/common-3/small_site.py
+++ b/review/common-3/small_site.py
@@ -317,7 +317,8 @@
     """
     record = Record()
     broken: bool | None = None
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as folder:
         try:
             site = Site(Path(folder), subnet)
