Count reserved and stray tasks against the limit of tasks per worker

Cause: remaining_task_limit counted placements only. Tasks of a step that isn't a gang are groups of their own, so that several groups reserved the worker that was preempted for the first of them, and each started as soon as its capacity was free, without the limit being asked again.

The limit now counts what is placed, reserved by others, being stopped, or running without a placement (a late run that is stopped as orphaned). It is asked when workers are chosen, when reserved capacity becomes free, and, with pool, label, draining and maintenance, just before a start is sent. A reservation counts as well where fillers are kept apart from tasks with a latency target, and ends when a run of its group is adopted.

--- a/src/jujubehall/core/fleet/groups.py
+++ b/src/jujubehall/core/fleet/groups.py
@@ -50,6 +50,10 @@
     """The workers that have crashed under its runs; stored before the next run is started."""
 
 
+StepKey = tuple["FleetJob", int, int]
+"""A job, an occurrence of it and a step."""
+
+
 class Placement:
     """A run of a task on a worker."""
 
@@ -140,6 +144,11 @@
         base = f"{self.occurrence}.{self.step}"
         return base if self.request.is_gang else f"{base}.{self.indexes.start}"
 
+    @property
+    def step_key(self) -> StepKey:
+        """The step that it belongs to, within one occurrence of its job."""
+        return (self.job, self.occurrence, self.step)
+
     @property
     def occupied_resources(self) -> Resources:
         """Resources that one task occupies on its worker.
@@ -259,6 +268,10 @@
         for worker in chosen.values():
             worker.reserve(self, self.occupied_resources)
 
+    def count_reserved_on(self, worker: FleetWorker) -> int:
+        """Returns for how many of its tasks capacity is reserved on the worker."""
+        return sum(each is worker for each in self.reserved_workers.values())
+
     def release_reservation(self) -> None:
         """Releases the reservation of the group."""
         for worker in self.reserved_workers.values():
--- a/src/jujubehall/core/fleet/placement.py
+++ b/src/jujubehall/core/fleet/placement.py
@@ -7,6 +7,10 @@
 
 from jujubehall.core.fleet.best_fit import fit_key
 from jujubehall.core.fleet.expected_end import preference_among
+from jujubehall.core.fleet.suitability import find_unsuitability
+from jujubehall.core.fleet.suitability import has_latency_conflict
+from jujubehall.core.fleet.suitability import is_in_pool
+from jujubehall.core.fleet.task_limits import remaining_task_limit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -32,56 +36,20 @@
         worker
         for worker in workers
         if queue is not None
-        and _is_in_pool(group, worker)
+        and find_unsuitability(group, worker) is None
         and group.request.needs.fits_in(worker.listed.capacity)
         and worker.accepts_work(now_ms)
         and not worker.hosts_suspect_start(now_ms)
-        and not _has_latency_conflict(group, worker)
+        and not has_latency_conflict(group, worker)
         and (not queue.asks_for_advice or _has_ticket(group, worker, now_ms))
     ]
 
 
-def _is_in_pool(group: TaskGroup, worker: FleetWorker) -> bool:
-    """Returns whether the worker is in the pool of the group's queue and has the required label."""
-    queue = group.job.queue
-    label = group.request.required_label
-    return (
-        queue is not None
-        and worker.listed.pool == queue.pool
-        and (not label or label in worker.listed.labels)
-    )
-
-
-def _has_latency_conflict(group: TaskGroup, worker: FleetWorker) -> bool:
-    """Returns whether a filler task and a task with a latency target would share the worker."""
-    request = group.request
-    if request.is_filler:
-        return any(other.request.target_latency_ms for other, _ in worker.placements)
-    if request.target_latency_ms:
-        return any(other.request.is_filler for other, _ in worker.placements)
-    return False
-
-
 def _has_ticket(group: TaskGroup, worker: FleetWorker, now_ms: int) -> bool:
     tickets = group.job.tickets(group.occurrence, group.step)
     return tickets.find(worker.name, worker.incarnation, now_ms) is not None
 
 
-def remaining_task_limit(group: TaskGroup, worker: FleetWorker) -> int:
-    """Returns how many more tasks of the group's step may be placed on the worker."""
-    limit = group.request.tasks_per_worker
-    if not limit:
-        return len(group.indexes)
-    placed = sum(
-        1
-        for other, _ in worker.placements
-        if other.job is group.job
-        and other.occurrence == group.occurrence
-        and other.step == group.step
-    )
-    return max(0, limit - placed)
-
-
 def can_be_local(group: TaskGroup, workers: Iterable[FleetWorker]) -> bool:
     """Returns whether one rack, that of its data if it has any, would hold the whole group if empty.
 
@@ -98,7 +66,7 @@
         is_staying = worker.is_listed and not (
             worker.listed.is_draining or worker.is_zone_evacuated
         )
-        if is_staying and _is_in_pool(group, worker) and request.data_rack in ("", rack):
+        if is_staying and is_in_pool(group, worker) and request.data_rack in ("", rack):
             copies = group.occupied_resources.count_fitting(worker.listed.capacity)
             copies = min(copies, request.tasks_per_worker or copies)
             copies_by_rack[rack] = copies_by_rack.get(rack, 0) + copies
--- a/src/jujubehall/core/fleet/placement_preview.py
+++ b/src/jujubehall/core/fleet/placement_preview.py
@@ -20,6 +20,7 @@
 from jujubehall.core.fleet.preemption import PreemptionPlanner
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
 from jujubehall.core.fleet.queue_order import QueueOrder
+from jujubehall.core.fleet.task_limits import remaining_task_limit
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import RackName
 from jujubehall.identifiers import WorkerName
@@ -205,8 +206,9 @@
         while count > 0 and (found := choose_workers(group, candidates, self._now_ms, True)):
             worker = next(iter(found.values()))
             fitting = min(count, group.occupied_resources.count_fitting(worker.free))
-            limit = group.request.tasks_per_worker
-            chosen[worker.name] = max(1, min(fitting, limit) if limit else fitting)
+            if group.request.tasks_per_worker:
+                fitting = min(fitting, remaining_task_limit(group, worker))
+            chosen[worker.name] = max(1, fitting)
             count -= chosen[worker.name]
             candidates.remove(worker)
         return chosen
--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -11,7 +11,7 @@
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.expected_end import preference_among
 from jujubehall.core.fleet.groups import Phase
-from jujubehall.core.fleet.placement import remaining_task_limit
+from jujubehall.core.fleet.task_limits import remaining_task_limit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/jujubehall/core/fleet/reconciliation.py
+++ b/src/jujubehall/core/fleet/reconciliation.py
@@ -11,7 +11,6 @@
 from jujubehall.core.fleet.lost_workers import lost_worker
 from jujubehall.core.fleet.reports import EndKind
 from jujubehall.core.fleet.reports import TaskId
-from jujubehall.core.fleet.resources import NO_RESOURCES
 from jujubehall.core.fleet.slowness import assess_worker
 
 if TYPE_CHECKING:
@@ -88,14 +87,14 @@
         self._note_incarnation()
         self._remove_runs_of_previous_incarnation()
         self._apply_new_ends()
-        untracked = NO_RESOURCES
+        untracked = []
         reported = set()
         for running in self._report.running:
             reported.add((running.task, running.run))
             orphaned_group = self._apply_running(running)
             if orphaned_group is not None:
-                untracked = untracked + orphaned_group.occupied_resources
-        self._worker.set_untracked_usage(untracked)
+                untracked.append(orphaned_group)
+        self._worker.set_untracked_runs(untracked)
         if self._report.lists_all_ends:
             self._remove_missing(reported)
         assess_worker(self._worker, self._now_ms)
@@ -279,6 +278,7 @@
         adopted = Placement(self._worker, running.run, self._now_ms, is_from_scratch=False)
         adopted.incarnation = self._report.incarnation
         group.run = max(group.run, running.run)
+        group.release_reservation()
         group.add_placement(running.task.position, adopted)
         self._confirm(group, adopted, running)
         if group.request.is_gang:
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -21,6 +21,7 @@
 from jujubehall.core.fleet.relocation import should_evacuate
 from jujubehall.core.fleet.relocation import should_relocate
 from jujubehall.core.fleet.slowness import PeerDurations
+from jujubehall.core.fleet.task_limits import remaining_task_limit
 from jujubehall.core.fleet.worker_candidates import WorkerCandidates
 from jujubehall.core.fleet.worker_candidates import needs_proven_workers
 
@@ -382,7 +383,11 @@
 
         Returns True if the reservation is no longer usable and the group needs a new placement.
         """
-        usable = all(worker in workers for worker in group.reserved_workers.values())
+        usable = all(
+            worker in workers
+            and group.count_reserved_on(worker) <= remaining_task_limit(group, worker)
+            for worker in group.reserved_workers.values()
+        )
         if usable and all(
             worker.reserved_for(group).fits_in(worker.free_for(group))
             for worker in group.reserved_workers.values()
--- a/src/jujubehall/core/fleet/workers.py
+++ b/src/jujubehall/core/fleet/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -17,8 +18,11 @@
 from jujubehall.identifiers import ZoneName
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from jujubehall.core.fleet.crash_history import Crash
     from jujubehall.core.fleet.groups import Placement
+    from jujubehall.core.fleet.groups import StepKey
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.reports import EndedTask
 
@@ -84,6 +88,10 @@
 
         self.backoff_until_ms = 0
         self._untracked_usage: Resources = NO_RESOURCES
+        self.untracked_tasks: Counter[StepKey] = Counter()
+        """Numbers of the runs on the worker that have no placement in the scheduling state, by
+        step."""
+
         self.failure_history = FailureHistory()
         self.has_reported = False
         self.has_unlisted_ends = False
@@ -267,14 +275,23 @@
                 taken = taken + amount
         return taken
 
+    @property
+    def reserving_groups(self) -> Collection[TaskGroup]:
+        """The groups for which resources are reserved on the worker."""
+        return self._reserved.keys()
+
     def update_listing(self, listed: ListedWorker) -> None:
         """Replaces the worker's entry in the list of workers."""
         self.listed = listed
         self._free = None
 
-    def set_untracked_usage(self, amount: Resources) -> None:
-        """Sets the resources used by runs that have no placement in the scheduling state."""
-        self._untracked_usage = amount
+    def set_untracked_runs(self, groups: Collection[TaskGroup]) -> None:
+        """Sets the groups of the runs that have no placement in the scheduling state, one for each."""
+        usage = NO_RESOURCES
+        for group in groups:
+            usage = usage + group.occupied_resources
+        self._untracked_usage = usage
+        self.untracked_tasks = Counter(group.step_key for group in groups)
         self._free = None
 
     def reserve(self, group: TaskGroup, amount: Resources) -> None:
--- a/src/jujubehall/services/fleet/worker_commands.py
+++ b/src/jujubehall/services/fleet/worker_commands.py
@@ -10,6 +10,7 @@
 
 from jujubehall.core.fleet.groups import Phase
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
+from jujubehall.core.fleet.suitability import find_start_obstacle
 from jujubehall.errors import Failure
 from jujubehall.errors import FailureKind
 from jujubehall.metrics import GROUP_STOPS
@@ -108,7 +109,7 @@
         if not all(each.phase is Phase.STARTING for each in placements):
             self.discard_starts(group, run)
             return
-        refusals = {each.worker.name: self._zone_refusal(group, each) for each in placements}
+        refusals = {each.worker.name: self._start_refusal(group, each) for each in placements}
         if any(refusals.values()):
             log.info(
                 "group not started",
@@ -218,9 +219,9 @@
             # The start may have waited for others, and the capacity may have shrunk meanwhile.
             self._abandon_start(group, index, placement, "the worker has too little capacity now")
             return False
-        zone_refusal = self._zone_refusal(group, placement)
-        if zone_refusal is not None:
-            self._abandon_start(group, index, placement, zone_refusal)
+        refusal = self._start_refusal(group, placement)
+        if refusal is not None:
+            self._abandon_start(group, index, placement, refusal)
             return False
         session = self._owner.session(worker)
         until_ms = session.lease_until_ms() if session is not None else None
@@ -258,7 +259,11 @@
             await self._handle_start_failure(group, index, placement, outcome.err_value)
         return is_answered
 
-    def _zone_refusal(self, group: TaskGroup, placement: Placement) -> str | None:
+    def _start_refusal(self, group: TaskGroup, placement: Placement) -> str | None:
+        """Returns why the start must not be sent although the worker was chosen, or None."""
+        obstacle = find_start_obstacle(group, placement.worker)
+        if obstacle is not None:
+            return obstacle.value
         evacuations = self._owner.zone_evacuations
         return None if evacuations is None else evacuations.refusal(group, placement)
 
