Reclaim guarantees from all work that isn't within a guarantee

Cause: what is worth stopping and what a team can demand were one decision. Its exceptions (services, plans only in the data's rack or in one rack, expected ends, reservations, fillers, slow workers) held for guaranteed work too. Reclaiming is now a decision of its own, made when nothing else has helped, in which only conditions count.

A task on a worker that is known to be unreachable counts as unavailable.

test_no_more_tasks_of_a_service_are_stopped_than_may_be_unavailable set up such a service on a site all of which is guaranteed, where it isn't placed any more. It now runs without guarantees, with the same checks.

--- a/src/jujubehall/core/maintenance/disruption.py
+++ b/src/jujubehall/core/fleet/disruption.py
@@ -8,26 +8,38 @@
 from jujubehall.core.fleet.progress import COMPLETE_PERCENT
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from jujubehall.core.fleet.groups import TaskGroup
 
 
-def may_disrupt(group: TaskGroup) -> bool:
-    """Returns whether the tasks of ``group`` may be stopped now.
+def is_limited_service(group: TaskGroup) -> bool:
+    """Returns whether the group belongs to a service of which only some tasks may be stopped."""
+    return bool(group.request.max_unavailable) and group.request.runs_until_cancelled
+
+
+def may_disrupt(group: TaskGroup, planned: Iterable[TaskGroup] = ()) -> bool:
+    """Returns whether the tasks of ``group`` may be stopped now, together with ``planned`` ones.
 
     Stopping them must not leave more than ``max_unavailable`` tasks of the service's step
     unavailable, including those that are unavailable already. A service without such a limit may
     be stopped at any time, like other work.
     """
-    max_unavailable = group.request.max_unavailable
-    if not max_unavailable or not group.request.runs_until_cancelled:
+    if not is_limited_service(group):
         return True
+    stopped = {group, *planned}
     unavailable = sum(
         1
         for each in group.job.groups[group.occurrence, group.step]
         for index in each.indexes
-        if each is group or not _is_available(each, index)
+        if each in stopped or not _is_available(each, index)
     )
-    return unavailable <= max_unavailable
+    return unavailable <= group.request.max_unavailable
+
+
+def count_available(group: TaskGroup) -> int:
+    """Returns how many tasks of the group are at work, as far as known."""
+    return sum(_is_available(group, index) for index in group.indexes)
 
 
 def _is_available(group: TaskGroup, index: int) -> bool:
@@ -36,4 +48,5 @@
         placement is not None
         and placement.phase is Phase.RUNNING
         and placement.progress.percent >= COMPLETE_PERCENT
+        and placement.worker.is_reachable
     )
--- a/src/jujubehall/core/fleet/placement.py
+++ b/src/jujubehall/core/fleet/placement.py
@@ -23,13 +23,17 @@
 
 
 def eligible_workers(
-    group: TaskGroup, workers: Iterable[FleetWorker], now_ms: int
+    group: TaskGroup,
+    workers: Iterable[FleetWorker],
+    now_ms: int,
+    allow_conflicts: bool = False,
 ) -> list[FleetWorker]:
     """Returns the workers that may run the group's tasks and that accept new tasks.
 
     The pool of the queue, the required label, the capacity of the worker and, where the queue
     requires one, a valid ticket decide this. Free capacity isn't considered. Nothing is started
-    beside a run that is just starting and may crash the worker.
+    beside a run that is just starting and may crash the worker. Unless ``allow_conflicts`` is set,
+    nothing there may be in conflict with the group, see ``has_latency_conflict``.
     """
     queue = group.job.queue
     return [
@@ -40,7 +44,7 @@
         and group.request.needs.fits_in(worker.listed.capacity)
         and worker.accepts_work(now_ms)
         and not worker.hosts_suspect_start(now_ms)
-        and not has_latency_conflict(group, worker)
+        and (allow_conflicts or not has_latency_conflict(group, worker))
         and (not queue.asks_for_advice or _has_ticket(group, worker, now_ms))
     ]
 
--- a/src/jujubehall/core/fleet/placement_preview.py
+++ b/src/jujubehall/core/fleet/placement_preview.py
@@ -13,13 +13,16 @@
 import msgspec
 
 from jujubehall.core.fleet.delay_cost import DelayCost
+from jujubehall.core.fleet.guarantee_room import GuaranteeRoom
 from jujubehall.core.fleet.jobs import FleetJob
+from jujubehall.core.fleet.occupants import WorkerOccupants
 from jujubehall.core.fleet.placement import can_be_local
 from jujubehall.core.fleet.placement import choose_workers
 from jujubehall.core.fleet.placement import eligible_workers
 from jujubehall.core.fleet.preemption import PreemptionPlanner
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
 from jujubehall.core.fleet.queue_order import QueueOrder
+from jujubehall.core.fleet.reclaiming import ReclaimPlanner
 from jujubehall.core.fleet.task_limits import remaining_task_limit
 from jujubehall.identifiers import JobId
 from jujubehall.identifiers import RackName
@@ -29,6 +32,7 @@
     from collections.abc import Iterable
 
     from jujubehall.core.fleet.groups import TaskGroup
+    from jujubehall.core.fleet.preemption import PreemptionPlan
     from jujubehall.core.fleet.requests import AcceptedJob
     from jujubehall.core.fleet.state import FleetState
     from jujubehall.core.fleet.workers import FleetWorker
@@ -61,6 +65,7 @@
     NOT_ELIGIBLE = "has no ticket, or runs work that excludes it"
     DEGRADED = "is slow or stalled"
     OCCUPIED = "has no free capacity"
+    KEPT_FOR_GUARANTEES = "is kept for guarantees, since the task could not be stopped in time"
     NOT_CHOSEN = "was not needed, or is in a rack that the step would not fit in"
 
 
@@ -143,6 +148,7 @@
         self._order = order
         self._delay_cost = delay_cost
         self._now_ms = now_ms
+        self._room = GuaranteeRoom(fleet_state, order)
 
     def step(self, job: FleetJob, number: int) -> StepPreview:
         """Returns what would happen to one step of the first occurrence."""
@@ -156,6 +162,7 @@
         workers = self._fleet_state.workers.values()
         eligible = eligible_workers(group, workers, self._now_ms)
         healthy = [each for each in eligible if not each.is_degraded(self._now_ms)]
+        healthy = self._room.leaving_room(group, healthy)
         warm = [each for each in healthy if not each.is_cold(self._now_ms)]
         chosen = self._choose(groups, warm) or self._choose(groups, healthy)
         passed_over = Counter(
@@ -167,11 +174,7 @@
             return StepPreview(
                 number, tasks, Verdict.STARTS, chosen, self._racks(chosen), passed_over
             )
-        plan = (
-            PreemptionPlanner(self._now_ms, self._order, self._delay_cost).find(group, healthy)
-            if job.priority == HIGHEST_PRIORITY
-            else None
-        )
+        plan = self._plan(group, healthy) if job.priority == HIGHEST_PRIORITY else None
         if plan is None:
             verdict = Verdict.WAITS_FOR_CAPACITY if eligible else Verdict.IMPOSSIBLE
             return StepPreview(number, tasks, verdict, passed_over=passed_over)
@@ -187,6 +190,15 @@
             round(plan.wait_ms),
         )
 
+    def _plan(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
+        occupants = WorkerOccupants(self._now_ms, self._delay_cost)
+        planner = PreemptionPlanner(self._now_ms, self._order, self._delay_cost, occupants)
+        plan = planner.find(group, workers)
+        if plan is None and self._order.is_guaranteed(group):
+            reclaim_planner = ReclaimPlanner(self._order, planner, occupants)
+            plan = reclaim_planner.find([group], workers).get(group)
+        return plan
+
     def _choose(self, groups: list[TaskGroup], workers: list[FleetWorker]) -> dict[WorkerName, int]:
         """Returns the number of tasks by worker: of the whole gang, or of single tasks that fit."""
         group = groups[0]
@@ -243,4 +255,6 @@
             return Exclusion.DEGRADED
         if not group.occupied_resources.fits_in(worker.free):
             return Exclusion.OCCUPIED
+        if not self._room.leaves_room(group, [worker]):
+            return Exclusion.KEPT_FOR_GUARANTEES
         return Exclusion.NOT_CHOSEN
--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -10,24 +10,27 @@
 
 from jujubehall.core.fleet.decisions import StopGroup
 from jujubehall.core.fleet.expected_end import preference_among
-from jujubehall.core.fleet.groups import Phase
+from jujubehall.core.fleet.suitability import conflicts_in_latency
+from jujubehall.core.fleet.suitability import has_latency_conflict
+from jujubehall.core.fleet.suitability import has_reserved_conflict
 from jujubehall.core.fleet.task_limits import remaining_task_limit
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from jujubehall.core.fleet.decisions import StopReason
     from jujubehall.core.fleet.delay_cost import DelayCost
-    from jujubehall.core.fleet.delay_cost import StopLoss
-    from jujubehall.core.fleet.groups import Placement
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.jobs import FleetJob
+    from jujubehall.core.fleet.occupants import WorkerOccupants
     from jujubehall.core.fleet.queue_order import QueueOrder
-    from jujubehall.core.fleet.resources import Resources
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import RackName
 
+    MayStop = Callable[[TaskGroup], bool]
+
 RESTART_COST_MS = 300
 """Cost of preempting a task even if its checkpoint is saved, in milliseconds of its work: the stop,
 the wait for free capacity and the restore."""
@@ -49,10 +52,6 @@
 (400 ms) within the 2.9 s in which guaranteed work has to start on the sites, even if the expected
 capacity did not become free."""
 
-COMPLETION_MARGIN_MS = 150
-"""Added to the expected remaining time of a task: the report of its end takes a few milliseconds,
-and progress is only reported in whole percent."""
-
 EXPECTED_STOP_MS = 200
 """Expected time until preempted work has ended: half the site's limit for a stop."""
 
@@ -72,16 +71,6 @@
     """Whether the workers are fast enough for the group to end in time."""
 
 
-class _Occupant(NamedTuple):
-    """The tasks of one group on one worker that are not being stopped."""
-
-    loss: StopLoss
-    group: TaskGroup
-    needs: Resources
-    remaining_ms: float | None
-    """Expected time until its last task finishes; None if unknown."""
-
-
 class _Option(NamedTuple):
     """The additional cost of placing one more task on a worker."""
 
@@ -108,22 +97,15 @@
 
 
 class PreemptionPlanner:
-    """Plans preemption for the urgent groups of one scheduling round.
+    """Plans preemption for the urgent groups of one scheduling round."""
 
-    Every urgent group of a burst examines all workers, so the occupants of a worker are cached for
-    the round and recomputed only after a change on that worker.
-    """
-
-    def __init__(self, now_ms: int, order: QueueOrder, delay_cost: DelayCost) -> None:
+    def __init__(
+        self, now_ms: int, order: QueueOrder, delay_cost: DelayCost, occupants: WorkerOccupants
+    ) -> None:
         self._now_ms = now_ms
         self._order = order
         self._delay_cost = delay_cost
-        self._occupants: dict[FleetWorker, list[_Occupant]] = {}
-
-    def invalidate(self, group: TaskGroup) -> None:
-        """Drops cached occupants of the group's workers after its tasks were placed or stopped."""
-        for placement in group.placements.values():
-            self._occupants.pop(placement.worker, None)
+        self._occupants = occupants
 
     def find(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
         """Returns the cheapest plan to place the group by preempting less urgent work, or None.
@@ -147,6 +129,38 @@
         plan = self._find(group, workers, self._delay_cost.loss_if_late(group))
         return plan if plan is not None and plan.is_in_time else None
 
+    def find_anywhere(
+        self, group: TaskGroup, workers: list[FleetWorker], may_stop: MayStop, tasks: range
+    ) -> PreemptionPlan | None:
+        """Returns the cheapest plan to place tasks like those of the group, or None.
+
+        Any group of which ``may_stop`` is true may be stopped, whatever it costs. The rack of the data
+        and the wish for a single rack only matter among plans that don't need more. ``tasks`` are the
+        keys of the plan's workers: the group's indexes, or one for each group of its step.
+
+        A plan is found whenever there is capacity for the tasks with all these groups stopped.
+        """
+        plans = [
+            plan
+            for rack in self._preferred_racks(group, workers)
+            if (plan := self._cheapest_plan(group, rack, may_stop, tasks)) is not None
+        ]
+        plan = min(plans, key=lambda each: self._rank(each, group), default=None)
+        if plan is None:
+            plan = self._cheapest_plan(group, workers, may_stop, tasks)
+        if plan is not None and len(plan.victims) > 1:
+            plan = self._without_unneeded(group, plan)
+        return plan
+
+    def _preferred_racks(
+        self, group: TaskGroup, workers: list[FleetWorker]
+    ) -> list[list[FleetWorker]]:
+        """Returns the workers of each rack in which the group would rather be, if it matters."""
+        racks = _by_rack(workers)
+        if group.request.data_rack:
+            return [racks.get(group.request.data_rack, [])]
+        return list(racks.values()) if group.request.prefers_one_rack else []
+
     def _find(
         self, group: TaskGroup, workers: list[FleetWorker], max_loss: float
     ) -> PreemptionPlan | None:
@@ -160,22 +174,23 @@
         return plan
 
     def _find_cheapest(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
+        def may_stop(other: TaskGroup) -> bool:
+            return self._order.may_preempt(group, other)
+
+        racks = _by_rack(workers)
         if group.request.data_rack:
-            local_workers = [
-                worker for worker in workers if worker.listed.rack == group.request.data_rack
-            ]
-            return self._cheapest_plan(group, local_workers)
-        racks: dict[RackName, list[FleetWorker]] = {}
-        for worker in workers:
-            racks.setdefault(worker.listed.rack, []).append(worker)
-        plans = [self._cheapest_plan(group, rack) for rack in racks.values()]
+            local_workers = racks.get(group.request.data_rack, [])
+            return self._cheapest_plan(group, local_workers, may_stop, group.indexes)
+        plans = [
+            self._cheapest_plan(group, rack, may_stop, group.indexes) for rack in racks.values()
+        ]
         best_plan = min(
             (plan for plan in plans if plan is not None),
             key=lambda plan: self._rank(plan, group),
             default=None,
         )
         if best_plan is None and not group.request.prefers_one_rack:
-            best_plan = self._cheapest_plan(group, workers)
+            best_plan = self._cheapest_plan(group, workers, may_stop, group.indexes)
         return best_plan
 
     def _rank(self, plan: PreemptionPlan, group: TaskGroup) -> tuple[float, int]:
@@ -184,16 +199,18 @@
         slowest = max(each.speed.speed_class for each in plan.workers.values())
         return (plan.cost + late_cost, slowest)
 
-    def _cheapest_plan(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
+    def _cheapest_plan(
+        self, group: TaskGroup, workers: list[FleetWorker], may_stop: MayStop, tasks: range
+    ) -> PreemptionPlan | None:
         """Returns the better of two plans: on workers that are fast enough, or on all workers."""
         preference = preference_among(group, workers, self._now_ms, EXPECTED_STOP_MS)
         fast = [each for each in workers if preference.is_in_time([each])]
-        fast_plan = self._cheapest_plan_on(group, fast)
+        fast_plan = self._cheapest_plan_on(group, fast, may_stop, tasks)
         if len(fast) == len(workers):
             return fast_plan
         if fast_plan is not None and fast_plan.cost <= self._delay_cost.loss_if_late(group):
             return fast_plan
-        plan = self._cheapest_plan_on(group, workers)
+        plan = self._cheapest_plan_on(group, workers, may_stop, tasks)
         if plan is not None:
             plan = plan._replace(is_in_time=preference.is_in_time(plan.workers.values()))
         if plan is None or (
@@ -203,30 +220,35 @@
         return plan
 
     def _cheapest_plan_on(
-        self, group: TaskGroup, workers: list[FleetWorker]
+        self, group: TaskGroup, workers: list[FleetWorker], may_stop: MayStop, tasks: range
     ) -> PreemptionPlan | None:
         """Returns the cheapest of the plans that preempt now or wait for work that ends soon."""
-        cheapest = self._plan(group, workers, 0.0)
+        cheapest = self._plan(group, workers, 0.0, may_stop, tasks)
         for share in WAIT_SLACK_SHARES:
             max_wait_ms = _max_wait_ms(group, self._now_ms, share)
             if max_wait_ms <= 0 or (cheapest is not None and not cheapest.victims):
                 return cheapest
             if not self._has_work_ending_within(workers, max_wait_ms):
                 continue
-            plan = self._plan(group, workers, max_wait_ms)
+            plan = self._plan(group, workers, max_wait_ms, may_stop, tasks)
             if cheapest is None or (plan is not None and plan.cost < cheapest.cost):
                 cheapest = plan
         return cheapest
 
     def _has_work_ending_within(self, workers: list[FleetWorker], limit_ms: float) -> bool:
         return any(
-            _ends_within(occupant, limit_ms)
+            occupant.ends_within(limit_ms)
             for worker in workers
-            for occupant in self._occupants_of(worker)
+            for occupant in self._occupants.of(worker)
         )
 
     def _plan(
-        self, group: TaskGroup, workers: list[FleetWorker], max_wait_ms: float
+        self,
+        group: TaskGroup,
+        workers: list[FleetWorker],
+        max_wait_ms: float,
+        may_stop: MayStop,
+        tasks: range,
     ) -> PreemptionPlan | None:
         wait_ms = 0.0
         victims: set[TaskGroup] = set()
@@ -234,10 +256,10 @@
         placed_counts: dict[FleetWorker, int] = {}
         options: dict[FleetWorker, _Option] = {}
         stale = set(workers)
-        for index in group.indexes:
+        for task in tasks:
             for worker in stale:
                 option = self._find_option(
-                    group, worker, placed_counts.get(worker, 0), victims, max_wait_ms
+                    group, worker, placed_counts.get(worker, 0), victims, max_wait_ms, may_stop
                 )
                 if option is None:
                     options.pop(worker, None)
@@ -247,7 +269,7 @@
                 return None
             best = min(options.values(), key=_option_key)
             victims |= best.victims
-            chosen[index] = best.worker
+            chosen[task] = best.worker
             wait_ms = max(wait_ms, best.wait_ms)
             placed_counts[best.worker] = placed_counts.get(best.worker, 0) + 1
             stale = {best.worker}
@@ -289,11 +311,13 @@
         wait_ms: float,
     ) -> bool:
         required = group.occupied_resources.times(placed)
-        if required.fits_in(worker.free_for(group)):
+        if required.fits_in(worker.free_for(group)) and not has_latency_conflict(group, worker):
             return True
         retained = worker.untracked_usage + worker.reserved_for_others(group)
-        for occupant in self._occupants_of(worker):
-            if occupant.group not in victims and not _ends_within(occupant, wait_ms):
+        for occupant in self._occupants.of(worker):
+            if occupant.group not in victims and not occupant.ends_within(wait_ms):
+                if conflicts_in_latency(group, occupant.group):
+                    return False
                 retained = retained + occupant.needs
         return required.fits_in(worker.listed.capacity.minus(retained))
 
@@ -314,6 +338,7 @@
         placed: int,
         victims: set[TaskGroup],
         max_wait_ms: float,
+        may_stop: MayStop,
     ) -> _Option | None:
         if group.request.tasks_per_worker and placed >= remaining_task_limit(group, worker):
             return None
@@ -321,30 +346,39 @@
         if not required.fits_in(worker.listed.capacity):
             return None
         retained = worker.untracked_usage + worker.reserved_for_others(group)
-        preemptible = []
-        reclaimable = []
+        lower_priority = []
+        others = []
         wait_ms = 0.0
-        fits_now = required.fits_in(worker.free_for(group))
-        for occupant in () if fits_now else self._occupants_of(worker):
+        has_conflict = has_latency_conflict(group, worker)
+        if has_conflict and has_reserved_conflict(group, worker):
+            return None
+        fits_now = not has_conflict and required.fits_in(worker.free_for(group))
+        for occupant in () if fits_now else self._occupants.of(worker):
             if occupant.group in victims:
                 continue
-            if _ends_within(occupant, max_wait_ms):
+            if occupant.ends_within(max_wait_ms):
                 wait_ms = max(wait_ms, occupant.remaining_ms or 0.0)
                 continue
-            retained = retained + occupant.needs
             other = occupant.group
-            if other.request.runs_until_cancelled:
-                continue
-            if other.job.priority > group.job.priority:
-                preemptible.append(occupant)
-            elif self._order.may_reclaim(group, other):
-                reclaimable.append(occupant)
+            is_in_conflict = has_conflict and conflicts_in_latency(group, other)
+            retained = retained + occupant.needs
+            if not may_stop(other):
+                if is_in_conflict:
+                    return None
+            elif other.job.priority > group.job.priority:
+                lower_priority.append((not is_in_conflict, occupant))
+            else:
+                others.append((not is_in_conflict, occupant))
         capacity = worker.listed.capacity
         new_victims = []
         stopped_jobs = {each.job for each in victims}
         cost = 0.0
-        for occupant in preemptible + reclaimable:
-            if required.fits_in(capacity.minus(retained)):
+        stoppable = lower_priority + others
+        if has_conflict:
+            # Work that may not share the worker is stopped first, whatever it occupies.
+            stoppable.sort(key=lambda each: each[0])
+        for is_optional, occupant in stoppable:
+            if is_optional and required.fits_in(capacity.minus(retained)):
                 break
             new_victims.append(occupant.group)
             cost += occupant.loss.waste
@@ -356,32 +390,6 @@
             return None
         return _Option(WASTE_WEIGHT * cost, worker, frozenset(new_victims), wait_ms)
 
-    def _occupants_of(self, worker: FleetWorker) -> list[_Occupant]:
-        """Returns the occupants of a worker that are not being stopped, cheapest to stop first."""
-        cached = self._occupants.get(worker)
-        if cached is None:
-            cached = self._occupants[worker] = self._compute_occupants(worker)
-        return cached
-
-    def _compute_occupants(self, worker: FleetWorker) -> list[_Occupant]:
-        placements: dict[TaskGroup, list[Placement]] = {}
-        for (group, _), placement in worker.placements.items():
-            if placement.phase is not Phase.STOPPING:
-                placements.setdefault(group, []).append(placement)
-        occupants = [
-            _Occupant(
-                self._delay_cost.stop_loss(group),
-                group,
-                group.occupied_resources.times(len(group_placements)),
-                _remaining_ms(group_placements, self._now_ms),
-            )
-            for group, group_placements in placements.items()
-        ]
-        return sorted(
-            occupants,
-            key=lambda each: (sum(each.loss), each.group.job.id, each.group.key),
-        )
-
 
 def _option_key(option: _Option) -> tuple[float, int, str]:
     return (option.cost, option.worker.speed.speed_class, option.worker.name)
@@ -397,19 +405,8 @@
     return min(slack_share * (slack_ms - waited_ms), MAX_WAIT_MS - waited_ms)
 
 
-def _remaining_ms(placements: list[Placement], now_ms: int) -> float | None:
-    """Returns the time until all placements should have finished.
-
-    Returns None if that is unknown, a worker is stalled, or the time has passed already.
-    """
-    longest_ms = 0.0
-    for placement in placements:
-        remaining_ms = placement.progress.remaining_ms(now_ms)
-        if remaining_ms is None or placement.worker.is_stalled(now_ms):
-            return None
-        longest_ms = max(longest_ms, remaining_ms + COMPLETION_MARGIN_MS)
-    return longest_ms or None
-
-
-def _ends_within(occupant: _Occupant, limit_ms: float) -> bool:
-    return occupant.remaining_ms is not None and occupant.remaining_ms <= limit_ms
+def _by_rack(workers: list[FleetWorker]) -> dict[RackName, list[FleetWorker]]:
+    racks: dict[RackName, list[FleetWorker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.listed.rack, []).append(worker)
+    return racks
--- a/src/jujubehall/core/fleet/queue_order.py
+++ b/src/jujubehall/core/fleet/queue_order.py
@@ -65,6 +65,9 @@
     negative_rate: float
     ready_since_ms: int
     job: str
+    negative_accelerators: int
+    """For guaranteed groups of one job, so that small tasks leave whole workers to large ones."""
+
     group: str
 
 
@@ -89,6 +92,9 @@
 
         self._borrowing: set[TaskGroup] = set()
         self._guaranteed: set[TaskGroup] = set()
+        self._within: set[TaskGroup] = set()
+        """Running groups within what their teams are guaranteed."""
+
         self._count_running(workers)
         self._count_waiting(waiting)
 
@@ -106,6 +112,7 @@
             -rate,
             group.ready_since_ms or 0,
             job.id,
+            -group.request.needs.accelerators if standing is Standing.GUARANTEED else 0,
             group.key,
         )
 
@@ -124,9 +131,34 @@
         """
         return group in self._guaranteed or self._has_been_passed(group)
 
+    def is_guaranteed(self, group: TaskGroup) -> bool:
+        """Returns whether a waiting group is within what its team is guaranteed."""
+        return group in self._guaranteed
+
+    def is_within_guarantee(self, group: TaskGroup) -> bool:
+        """Returns whether a running or waiting group is within what its team is guaranteed."""
+        return group in self._within or group in self._guaranteed
+
+    def may_preempt(self, group: TaskGroup, other: TaskGroup) -> bool:
+        """Returns whether ``group`` may stop ``other`` if that costs less than its own wait.
+
+        That is work of a lower priority, and, for guaranteed work, urgent work that uses more than
+        its team's share; never services.
+        """
+        if other.request.runs_until_cancelled:
+            return False
+        return other.job.priority > group.job.priority or (
+            group in self._guaranteed and other in self._borrowing
+        )
+
     def may_reclaim(self, group: TaskGroup, other: TaskGroup) -> bool:
-        """Returns whether ``group`` may preempt urgent work that uses more than its team's share."""
-        return group in self._guaranteed and other in self._borrowing
+        """Returns whether ``group`` is guaranteed and ``other`` runs outside of any guarantee.
+
+        Then ``other`` may be stopped whatever that costs, also if it is a service.
+        """
+        return group in self._guaranteed and (
+            other.job.priority != HIGHEST_PRIORITY or other in self._borrowing
+        )
 
     def _count_running(self, workers: Iterable[FleetWorker]) -> None:
         running = {
@@ -136,8 +168,7 @@
             if group.job.priority == HIGHEST_PRIORITY and not group.is_stopping
         }
         for group in sorted(running, key=_by_start):
-            if not self._take(group):
-                self._borrowing.add(group)
+            (self._within if self._take(group) else self._borrowing).add(group)
 
     def _count_waiting(self, waiting: Iterable[TaskGroup]) -> None:
         urgent = (each for each in waiting if each.job.priority == HIGHEST_PRIORITY)
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -9,8 +9,11 @@
 from jujubehall.core.fleet.decisions import StartGroup
 from jujubehall.core.fleet.decisions import StopReason
 from jujubehall.core.fleet.delay_cost import DelayCost
+from jujubehall.core.fleet.disruption import is_limited_service
 from jujubehall.core.fleet.expected_end import speed_preference
 from jujubehall.core.fleet.gang_starts import incomplete_gangs
+from jujubehall.core.fleet.guarantee_room import GuaranteeRoom
+from jujubehall.core.fleet.occupants import WorkerOccupants
 from jujubehall.core.fleet.placement import choose_workers
 from jujubehall.core.fleet.preemption import PreemptionPlanner
 from jujubehall.core.fleet.preemption import preemption_loss
@@ -18,9 +21,11 @@
 from jujubehall.core.fleet.priorities import HIGHEST_PRIORITY
 from jujubehall.core.fleet.priorities import MIN_DEFERRABLE_PRIORITY
 from jujubehall.core.fleet.queue_order import QueueOrder
+from jujubehall.core.fleet.reclaiming import ReclaimPlanner
 from jujubehall.core.fleet.relocation import should_evacuate
 from jujubehall.core.fleet.relocation import should_relocate
 from jujubehall.core.fleet.slowness import PeerDurations
+from jujubehall.core.fleet.suitability import has_latency_conflict
 from jujubehall.core.fleet.task_limits import remaining_task_limit
 from jujubehall.core.fleet.worker_candidates import WorkerCandidates
 from jujubehall.core.fleet.worker_candidates import needs_proven_workers
@@ -67,6 +72,11 @@
 """Urgent starts are sent before others, so they don't wait for them to be sent."""
 
 
+MAX_SERVICE_GROUPS = 32
+"""Groups of services that must leave room to guarantees, per round. Each examines all workers, some
+milliseconds on 816 of them."""
+
+
 class SchedulingRound:
     """Makes the scheduling decisions for one moment.
 
@@ -90,6 +100,9 @@
         self._speed_plans = 0
         """Plans made for urgent groups that could also start on slower workers."""
 
+        self._service_groups = 0
+        """Groups of services considered in this round that must leave room to guarantees."""
+
         self._awaited = 0
         """Accelerators that groups which could not be placed in this round wait for."""
 
@@ -109,7 +122,10 @@
             self._delay_cost,
             now_ms,
         )
-        self._planner = PreemptionPlanner(now_ms, self._order, self._delay_cost)
+        self._occupants = WorkerOccupants(now_ms, self._delay_cost)
+        self._planner = PreemptionPlanner(now_ms, self._order, self._delay_cost, self._occupants)
+        self._reclaim_planner = ReclaimPlanner(self._order, self._planner, self._occupants)
+        self._guarantee_room = GuaranteeRoom(fleet_state, self._order)
 
     def run(self) -> list[Decision]:
         """Runs the round and returns the decisions in the order in which to carry them out."""
@@ -123,8 +139,13 @@
         for group in waiting:
             if self._unsent_starts >= _max_unsent_starts(group):
                 continue
-            if self._step_key(group) not in self._unplaceable_steps:
-                self._schedule(group)
+            if self._step_key(group) in self._unplaceable_steps:
+                continue
+            if self._guarantee_room.applies_to(group):
+                if self._service_groups >= MAX_SERVICE_GROUPS:
+                    continue
+                self._service_groups += 1
+            self._schedule(group)
         return self._decisions
 
     def _stop_incomplete_gangs(self) -> None:
@@ -144,16 +165,14 @@
         ):
             if not should_evacuate(group, worker, self._peers, self._now_ms):
                 continue
-            has_checkpoints = group.request.saves_checkpoints
-            destination = choose_workers(
-                group, self._candidates.healthy(group), self._now_ms, relax_locality=True
-            )
-            if has_checkpoints or destination is not None:
+            may_wait = group.request.saves_checkpoints and not is_limited_service(group)
+            destination = self._choose(group, self._candidates.healthy(group), relax_locality=True)
+            if may_wait or destination is not None:
                 self._stop(group, StopReason.WORKER_LEAVES)
 
     def _stop(self, group: TaskGroup, reason: StopReason) -> None:
         self._fleet_state.mark_stopping(group)
-        self._planner.invalidate(group)
+        self._occupants.invalidate(group)
         self._decisions.append(stop_decision(group, reason, self._now_ms))
 
     def _relocate(self) -> None:
@@ -168,7 +187,7 @@
             if not should_relocate(group, self._peers, self._now_ms):
                 continue
             workers = self._candidates.healthy(group)
-            if choose_workers(group, workers, self._now_ms, relax_locality=False) is None:
+            if self._choose(group, workers, relax_locality=False) is None:
                 continue
             group.relocations += 1
             self._stop(group, StopReason.TOO_SLOW)
@@ -187,7 +206,7 @@
         healthy = self._candidates.healthy(group)
         if group.is_suspect and self._schedule_suspect(group, healthy):
             return
-        if group.reserved_workers and not self._resume_reservation(group, healthy):
+        if group.reserved_workers and not self._resume_reservation(group):
             return
         if not self._leaves_headroom(group):
             self._unplaceable_steps.add(self._step_key(group))
@@ -207,6 +226,8 @@
             return
         if self._may_relax_locality(group) and self._place(group, healthy, relax_locality=True):
             return
+        if self._order.is_guaranteed(group) and self._reclaim(group):
+            return
         # Few workers may be left to a large gang that avoids those on which it was.
         relax_locality = bool(group.avoided_workers) and self._may_relax_locality(group)
         if (
@@ -359,16 +380,27 @@
             or group.avoided_workers
             or group.reserved_workers
             or group.is_at_last_attempt
+            or self._guarantee_room.applies_to(group)
         )
         return self._candidates.best_fit(group, include_cold) if is_unconstrained else None
 
     def _place(self, group: TaskGroup, workers: list[FleetWorker], relax_locality: bool) -> bool:
-        chosen = choose_workers(group, workers, self._now_ms, relax_locality)
+        chosen = self._choose(group, workers, relax_locality)
         if chosen is None:
             return False
         self._start(group, chosen)
         return True
 
+    def _choose(
+        self, group: TaskGroup, workers: list[FleetWorker], relax_locality: bool
+    ) -> dict[int, FleetWorker] | None:
+        """Chooses free workers for the group's tasks that leave room to guarantees, or None."""
+        workers = self._guarantee_room.leaving_room(group, workers)
+        chosen = choose_workers(group, workers, self._now_ms, relax_locality)
+        if chosen is None or not self._guarantee_room.leaves_room(group, chosen.values()):
+            return None
+        return chosen
+
     def _may_relax_locality(self, group: TaskGroup) -> bool:
         if group.job.priority == HIGHEST_PRIORITY:
             return True
@@ -378,11 +410,12 @@
     def _waited_ms(self, group: TaskGroup) -> int:
         return self._now_ms - (group.ready_since_ms or self._now_ms)
 
-    def _resume_reservation(self, group: TaskGroup, workers: list[FleetWorker]) -> bool:
+    def _resume_reservation(self, group: TaskGroup) -> bool:
         """Starts a group whose reserved capacity has become free.
 
         Returns True if the reservation is no longer usable and the group needs a new placement.
         """
+        workers = self._reclaimable_workers(group)[-1]
         usable = all(
             worker in workers
             and group.count_reserved_on(worker) <= remaining_task_limit(group, worker)
@@ -390,6 +423,7 @@
         )
         if usable and all(
             worker.reserved_for(group).fits_in(worker.free_for(group))
+            and not has_latency_conflict(group, worker)
             for worker in group.reserved_workers.values()
         ):
             self._start(group, group.reserved_workers)
@@ -403,7 +437,8 @@
         self._release_reservation(group)
         self._fleet_state.record_start(group, chosen, self._now_ms)
         self._unsent_starts += len(chosen)
-        self._planner.invalidate(group)
+        self._occupants.invalidate(group)
+        self._guarantee_room.note_placed(group, chosen.values())
         if group.is_suspect:
             self._candidates.clear()
         else:
@@ -443,29 +478,86 @@
     def _preempt_for_speed(self, group: TaskGroup, workers: list[FleetWorker]) -> bool:
         """Preempts work on faster workers if the group is expected to be in time on them."""
         self._speed_plans += 1
-        plan = self._planner.find_faster(group, workers)
+        plan = self._planner.find_faster(group, self._guarantee_room.leaving_room(group, workers))
         if plan is None:
             return False
         self._carry_out(group, plan)
         return True
 
     def _preempt(self, group: TaskGroup, workers: list[FleetWorker]) -> None:
-        plan = self._planner.find(group, workers)
-        if plan is not None:
+        plan = self._planner.find(group, self._guarantee_room.leaving_room(group, workers))
+        if plan is not None and self._guarantee_room.leaves_room(group, plan.workers.values()):
             self._carry_out(group, plan)
 
+    def _reclaim(self, group: TaskGroup) -> bool:
+        """Takes what a guaranteed group needs from all work that isn't within a guarantee.
+
+        Capacity that is only reserved for such work is taken as well. Returns False if no allowed
+        stops make enough room.
+        """
+        reservations = {
+            each: (each.reserved_workers, each.reserved_until_ms)
+            for each in self._waiting
+            if each.reserved_workers and not self._order.is_guaranteed(each)
+        }
+        for each in reservations:
+            self._release_reservation(each)
+        siblings = [
+            each
+            for each in group.job.groups[group.occurrence, group.step]
+            if each is not group and self._may_be_reclaimed_with(each, group)
+        ]
+        plans: dict[TaskGroup, PreemptionPlan] = {}
+        for workers in self._reclaimable_workers(group):
+            plans = plans or self._reclaim_planner.find([group, *siblings], workers)
+        taken = {worker for plan in plans.values() for worker in plan.workers.values()}
+        for each, (reserved_workers, until_ms) in reservations.items():
+            if taken.isdisjoint(reserved_workers.values()):
+                each.reserve(reserved_workers, until_ms)
+                self._candidates.refresh(reserved_workers.values())
+        for each, plan in plans.items():
+            self._carry_out(each, plan)
+        if plans and not plans[group].victims and not plans[group].wait_ms:
+            self._resume_reservation(group)
+        return bool(plans)
+
+    def _may_be_reclaimed_with(self, group: TaskGroup, first: TaskGroup) -> bool:
+        return (
+            group.is_waiting
+            and self._order.is_guaranteed(group)
+            and not group.reserved_workers
+            and not group.is_suspect
+            and group.avoided_workers == first.avoided_workers
+        )
+
+    def _reclaimable_workers(self, group: TaskGroup) -> list[list[FleetWorker]]:
+        """Returns the workers on which capacity may be reserved for the group, best ones first.
+
+        A guaranteed group also uses workers that are slow or on which it has failed, after a while.
+        """
+        healthy = self._candidates.healthy(group, allow_conflicts=True)
+        if (
+            not self._order.is_guaranteed(group)
+            or self._waited_ms(group) < HEALTHY_WORKER_WAIT_MS
+            or needs_proven_workers(group, self._now_ms)
+        ):
+            return [healthy]
+        eligible = self._candidates.eligible(group, allow_conflicts=True)
+        return [healthy, eligible] if len(healthy) < len(eligible) else [healthy]
+
     def _carry_out(self, group: TaskGroup, plan: PreemptionPlan) -> None:
         reservation_ms = RESERVATION_TIMEOUT_MS
         if plan.wait_ms and not plan.victims:
             reservation_ms = round(plan.wait_ms)
             self._decisions.append(ReserveCapacity(group, plan.workers, reservation_ms))
         group.reserve(plan.workers, self._now_ms + reservation_ms)
+        self._guarantee_room.note_placed(group, plan.workers.values())
         self._candidates.refresh(plan.workers.values())
         for victim in sorted(plan.victims, key=lambda each: (each.job.id, each.key)):
             if victim not in self._preempted:
                 self._preempted.add(victim)
                 self._fleet_state.mark_stopping(victim)
-                self._planner.invalidate(victim)
+                self._occupants.invalidate(victim)
                 self._decisions.append(
                     stop_decision(victim, StopReason.PREEMPTED, self._now_ms, group.job.id)
                 )
--- a/src/jujubehall/core/fleet/suitability.py
+++ b/src/jujubehall/core/fleet/suitability.py
@@ -72,8 +72,18 @@
     """
     if not (group.request.is_filler or group.request.target_latency_ms):
         return False
-    others = {other for other, _ in worker.placements}.union(worker.reserving_groups) - {group}
-    return any(conflicts_in_latency(group, other) for other in others)
+    return has_reserved_conflict(group, worker) or any(
+        conflicts_in_latency(group, other) for other, _ in worker.placements if other is not group
+    )
+
+
+def has_reserved_conflict(group: TaskGroup, worker: FleetWorker) -> bool:
+    """Returns whether capacity is reserved for a group that may not share the worker."""
+    return any(
+        conflicts_in_latency(group, other)
+        for other in worker.reserving_groups
+        if other is not group
+    )
 
 
 def _find_wrong_kind(group: TaskGroup, worker: FleetWorker) -> Unsuitability | None:
--- a/src/jujubehall/core/fleet/worker_candidates.py
+++ b/src/jujubehall/core/fleet/worker_candidates.py
@@ -44,22 +44,32 @@
         self._preferences: dict[tuple[FleetJob, int, int], SpeedPreference] = {}
         self._can_be_local: dict[tuple[FleetJob, int, int], bool] = {}
 
-    def eligible(self, group: TaskGroup) -> list[FleetWorker]:
-        """Returns the workers that may run the group and accept new tasks."""
+    def eligible(self, group: TaskGroup, allow_conflicts: bool = False) -> list[FleetWorker]:
+        """Returns the workers that may run the group and accept new tasks.
+
+        With ``allow_conflicts``, also those on which other work would first have to be stopped that
+        may not share a worker with the group.
+        """
         key = _eligibility_key(group)
         if key is None:
-            return eligible_workers(group, self._fleet_state.workers.values(), self._now_ms)
+            return eligible_workers(
+                group, self._fleet_state.workers.values(), self._now_ms, allow_conflicts
+            )
         if key not in self._eligible:
             self._eligible[key] = eligible_workers(
                 group, self._fleet_state.workers.values(), self._now_ms
             )
         return self._eligible[key]
 
-    def healthy(self, group: TaskGroup) -> list[FleetWorker]:
+    def healthy(self, group: TaskGroup, allow_conflicts: bool = False) -> list[FleetWorker]:
         """Returns the healthy eligible workers that the group doesn't avoid.
 
         At its last attempt, these are at first only workers that have proved themselves.
         """
+        if allow_conflicts and _eligibility_key(group) is None:
+            eligible = self.eligible(group, allow_conflicts)
+            healthy = [each for each in eligible if not each.is_degraded(self._now_ms)]
+            return self._suitable(group, healthy)
         return self._suitable(group, self._healthy_for_all_groups(group))
 
     def preferred(self, group: TaskGroup) -> list[FleetWorker]:
--- a/src/jujubehall/core/maintenance/wave_plan.py
+++ b/src/jujubehall/core/maintenance/wave_plan.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from jujubehall.core.fleet.disruption import may_disrupt
 from jujubehall.core.fleet.preemption import preemption_loss
-from jujubehall.core.maintenance.disruption import may_disrupt
 from jujubehall.core.maintenance.wave import MachineState
 
 if TYPE_CHECKING:
--- a/tests/core/maintenance/test_wave_plan.py
+++ b/tests/core/maintenance/test_wave_plan.py
@@ -17,6 +17,7 @@
 from jujubehall.identifiers import MachineName
 from jujubehall.identifiers import WaveNumber
 from jujubehall.identifiers import WorkerName
+from tests.core.fleet.small_site import CONFIGURATION
 from tests.core.fleet.small_site import EIGHT_GPUS
 from tests.core.fleet.small_site import OVERNIGHT
 from tests.core.fleet.small_site import SmallSite
@@ -131,6 +132,10 @@
 
 def test_no_more_tasks_of_a_service_are_stopped_than_may_be_unavailable() -> None:
     site = SmallSite(workers=2)
+    # Such a service isn't placed on accelerators that are guaranteed.
+    site.fleet_state.apply_configuration(
+        msgspec.structs.replace(CONFIGURATION, version=2, teams=())
+    )
     service = step(tasks=2, needs=EIGHT_GPUS, runs_until_cancelled=True, max_unavailable=1)
     site.submit("service", service)
     groups = site.start_groups()
