--- a/src/jujubehall/testing/virtual/fleet/site.py
+++ b/src/jujubehall/testing/virtual/fleet/site.py
@@ -332,6 +332,7 @@
     def cancel(self, job: JobId, queue: str = "normal", host: int = 0) -> CallResponse:
         """Cancels a job through an entry host."""
         target = self.hosts[host]
+        self.run_recorder.services.cancelled_jobs.add(job)
         admitted = self.check_admission(target, f"/{queue}/{job}")
         if isinstance(admitted, CallResponse):
             return admitted
--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -69,6 +69,9 @@
 
 MAX_CRASHES = 3
 
+UNAVAILABLE_NOTICE_MS = 4_500
+"""Time after which a task of a service that isn't at work counts as away, for whatever cause."""
+
 CAPACITY_NOTICE_MS = 4_500
 """Time after which starts must respect a capacity that has shrunk."""
 
@@ -108,6 +111,76 @@
         self.is_broken = self.is_broken or (self.is_complete and not is_done)
 
 
+class ServiceRecorder:
+    """Record of when the tasks of services were at work, to check the limits of unavailable tasks."""
+
+    def __init__(self, violations: list[str]) -> None:
+        self._violations = violations
+        self._started_ms: dict[TaskId, int] = {}
+        """When the present run of each task started."""
+
+        self._away_since_ms: dict[TaskId, int] = {}
+        """When the last run of each task ended."""
+
+        self.cancelled_jobs: set[JobId] = set()
+        """Jobs whose cancellation has been sent; all of their tasks may be stopped."""
+
+        self._stopping: set[TaskId] = set()
+        self._stopped: set[TaskId] = set()
+        """Tasks that were stopped and haven't been at work since."""
+
+    def start(self, task: TaskId, now_ms: int) -> None:
+        """Records the start of a task."""
+        self._started_ms[task] = now_ms
+
+    def end(self, task: TaskId, now_ms: int) -> None:
+        """Records the end of a task's run."""
+        started_ms = self._started_ms.get(task)
+        if started_ms is None:
+            return
+        if task in self._stopping:
+            self._stopped.add(task)
+        elif now_ms - started_ms >= SERVICE_STARTUP_MS:
+            self._stopped.discard(task)
+        self._stopping.discard(task)
+        del self._started_ms[task]
+        self._away_since_ms[task] = now_ms
+
+    def stop(self, task: TaskId, step: StepRequest, now_ms: int) -> None:
+        """Records a stop, and a violation if the limit is used up by others that are away.
+
+        Others are away after a stop, and after not having been at work for some seconds.
+        """
+        others = [
+            task._replace(position=position)
+            for position in range(step.tasks)
+            if position != task.position
+        ]
+        away = sum(self._is_away(each, now_ms) for each in others)
+        is_disrupted = self._is_at_work(task, now_ms) and task.job not in self.cancelled_jobs
+        if is_disrupted and 0 < step.max_unavailable <= away:
+            self._violations.append(
+                f"{now_ms} ms: {task} is stopped while {away} others are away, "
+                f"limit {step.max_unavailable}"
+            )
+        self._stopping.add(task)
+
+    def _is_at_work(self, task: TaskId, now_ms: int) -> bool:
+        started_ms = self._started_ms.get(task)
+        return (
+            started_ms is not None
+            and now_ms - started_ms >= SERVICE_STARTUP_MS
+            and task not in self._stopping
+        )
+
+    def _is_away(self, task: TaskId, now_ms: int) -> bool:
+        if self._is_at_work(task, now_ms):
+            return False
+        if task in self._stopping or task in self._stopped:
+            return True
+        return now_ms - self._away_since_ms.get(task, 0) >= UNAVAILABLE_NOTICE_MS
+
+
 class TaskRunRecorder:
     """Record of the runs on all workers, with the violations of invariants found in it."""
 
@@ -133,6 +206,7 @@
         """Each start with its time in ms, in the order of time."""
 
         self.violations: list[str] = []
+        self.services = ServiceRecorder(self.violations)
         self.evacuated_ms: dict[ZoneName, int] = {}
         """When each of the evacuated zones was evacuated."""
 
@@ -197,9 +271,10 @@
         if self._last_started_ms.get(task, 0) > ended_ms:
             self.violations.append(f"{ended_ms} ms: {task} was done but was started again later")
 
-    def end(self, task: TaskId, worker: WorkerName) -> None:
+    def end(self, task: TaskId, worker: WorkerName, now_ms: int) -> None:
         """Records the end of a run."""
         self.running.get(task, set()).discard(worker)
+        self.services.end(task, now_ms)
 
 
 class VirtualWorker:
@@ -305,7 +380,7 @@
 
     def _lose_everything(self) -> None:
         for run in list(self._runs.values()):
-            self._recorder.end(run.task, self.listed.name)
+            self._recorder.end(run.task, self.listed.name, self._site_time_ms)
             if run.step.is_gang:
                 self._gang_run(run).remove(run.task.position, is_done=False)
         self._crashes_at_s = None
@@ -337,6 +412,7 @@
             return Err(StartRefusal(RefusalReason.SUPERSEDED_RUN))
         step = self._find_step(command.task)
         self._check_capacity(command.task, step)
+        self._check_task_limit(command.task, step)
         run = _Run(command.task, command.run, step, self.now_ms)
         run.checkpoint = command.checkpoint
         saved_ms = int(command.checkpoint or 0)
@@ -344,6 +420,8 @@
         self._runs[command.task] = run
         self.last_started_ms = self._site_time_ms
         self._recorder.start(command.task, self.listed.name, self._site_time_ms)
+        if step.runs_until_cancelled:
+            self._recorder.services.start(command.task, self._site_time_ms)
         self._recorder.check_zone(command.task, self.listed.zone, self._site_time_ms)
         if step.is_gang:
             self._gang_run(run).add(run.task.position, step.tasks)
@@ -362,6 +440,8 @@
         self._highest_token = token
         run = self._runs.get(task)
         if run is not None and run.number <= number:
+            if run.step.runs_until_cancelled and run.stops_ms is None:
+                self._recorder.services.stop(task, run.step, self._site_time_ms)
             run.stops_ms = run.stops_ms or self.now_ms + TASK_STOP_MS
         else:
             self._last_run_numbers[task] = max(self._last_run_numbers.get(task, 0), number)
@@ -473,7 +553,7 @@
 
     def _end_run(self, run: _Run, kind: EndKind) -> None:
         del self._runs[run.task]
-        self._recorder.end(run.task, self.listed.name)
+        self._recorder.end(run.task, self.listed.name, self._site_time_ms)
         if run.step.is_gang:
             self._gang_run(run).remove(run.task.position, is_done=kind is EndKind.DONE)
         if kind is EndKind.GANG_INCOMPLETE:
@@ -500,6 +580,14 @@
             self._leases_until_ms, min(until_ms, self.now_ms + MAX_LEASE_MS)
         )
 
+    def _check_task_limit(self, task: TaskId, step: StepRequest) -> None:
+        present = sum(each[:3] == task[:3] for each in self._runs)
+        if step.tasks_per_worker and present >= step.tasks_per_worker:
+            self._recorder.violations.append(
+                f"{self._site_time_ms} ms: {task} is started beside {present} tasks of its step, "
+                f"limit {step.tasks_per_worker}"
+            )
+
     def _check_capacity(self, task: TaskId, step: StepRequest) -> None:
         used = Resources()
         for run in self._runs.values():
