--- a/src/jujubehall/core/fleet/service_stops.py
+++ b/src/jujubehall/core/fleet/service_stops.py
@@ -2,8 +2,8 @@
 
 A service with a limit of unavailable tasks may only lose some of them at a time, so that not all of
 them can make room at once. The load that this answers: services that fill a site, and a team that
-then asks for what it is guaranteed. The first choice that comes to mind may use up the limit of a
-service without making enough room, so that the choices are searched.
+then asks for what it is guaranteed. A greedy choice may use up the limit of a service without making
+enough room, so that other choices are searched after it.
 """
 
 from __future__ import annotations
