--- a/src/jujubehall/core/fleet/service_stops.py
+++ b/src/jujubehall/core/fleet/service_stops.py
@@ -134,13 +134,7 @@
 
     def _is_allowed(self, added: list[Occupant], stops: Stops) -> bool:
         groups = {each.group for each in added}
-        return all(
-            may_disrupt(
-                group,
-                [each for each in groups | stops if each.step_key == group.step_key],
-            )
-            for group in groups
-        )
+        return all(may_disrupt(group, groups | stops) for group in groups)
 
     def _room(self, worker: FleetWorker) -> _Room | None:
         group = self._group
@@ -236,7 +230,7 @@
 
     def _allowed_of_step(self, occupants: list[Occupant], stops: Stops) -> list[Occupant]:
         """Returns the occupants, all of one step, that may be stopped together with ``stops``."""
-        planned = {each for each in stops if each.step_key == occupants[0].group.step_key}
+        planned = set(stops)
         allowed = []
         for occupant in occupants:
             if not may_disrupt(occupant.group, planned):
--- a/tests/core/fleet/test_guarantees.py
+++ b/tests/core/fleet/test_guarantees.py
@@ -140,8 +140,8 @@
     """Guards against a guaranteed gang that waits for one rack, although its rack is a wish."""
     site = make_site(rack_size=1 if kept_by == "rack" else 2, owner=16, other=0)
     fill(site, step(4, EIGHT_GPUS, expected_ms=LONG_MS), queue=NORMAL, team=OTHER)
-    tasks, limit = (2, 0) if kept_by == "rack" else (4, 1)
-    gang = step(tasks, FOUR_GPUS, is_gang=True, prefers_one_rack=True, tasks_per_worker=limit)
+    tasks, needs, limit = (2, EIGHT_GPUS, 0) if kept_by == "rack" else (4, FOUR_GPUS, 1)
+    gang = step(tasks, needs, is_gang=True, prefers_one_rack=True, tasks_per_worker=limit)
     assert has_begun(reclaim(site, gang))
 
 
