Reclaiming: shorter calls and one way to measure room

A demand is passed as one value to the planner, the room of one and of several workers is measured in the same way, and displaced reservations have a function of their own. No change of behaviour: tests/core, tests/benchmarks and the soak of services pass.

--- a/src/jujubehall/core/fleet/guarantee_room.py
+++ b/src/jujubehall/core/fleet/guarantee_room.py
@@ -69,9 +69,7 @@
 
     def leaving_room(self, group: TaskGroup, workers: list[FleetWorker]) -> list[FleetWorker]:
         """Returns the workers on which a task of the group takes no room from guarantees."""
-        if not self.applies_to(group) or not workers:
-            return workers
-        if _may_be_stopped_itself(group):
+        if not workers or not self._must_leave_room(group):
             return workers
         pool = self._pool(workers[0].listed.pool)
         return [each for each in workers if pool.takes_no_room(group, [each])]
@@ -79,11 +77,8 @@
     def leaves_room(self, group: TaskGroup, chosen: Iterable[FleetWorker]) -> bool:
         """Returns whether all tasks of the group together take no room on the chosen workers."""
         chosen = list(chosen)
-        return (
-            not self.applies_to(group)
-            or not chosen
-            or _may_be_stopped_itself(group)
-            or self._pool(chosen[0].listed.pool).takes_no_room(group, chosen)
+        return not self._must_leave_room(group) or self._pool(chosen[0].listed.pool).takes_no_room(
+            group, chosen
         )
 
     def note_placed(self, group: TaskGroup, chosen: Iterable[FleetWorker]) -> None:
@@ -97,6 +92,9 @@
         else:
             self._pool(chosen[0].listed.pool).add(group, chosen)
 
+    def _must_leave_room(self, group: TaskGroup) -> bool:
+        return self.applies_to(group) and not _may_be_stopped_itself(group)
+
     def _pool(self, name: PoolName) -> _PoolRoom:
         if name not in self._pools:
             self._pools[name] = self._compute_pool(name)
@@ -146,8 +144,8 @@
         self._held: dict[FleetWorker, Resources] = {}
         """What tasks that may not be stopped in time occupy on each usable worker."""
 
-        self._left_with_task: dict[FleetWorker, dict[Resources, int]] = {}
-        """The accelerators left on a worker beside one more task, by its needs."""
+        self._left_beside_more: dict[FleetWorker, dict[Resources, int]] = {}
+        """The accelerators left on a worker if so much more is held there."""
 
         self._verdicts: dict[tuple[int, ...], bool] = {}
         for worker in workers:
@@ -158,23 +156,19 @@
         self._open = {each: _open_accelerators(each, held) for each, held in self._held.items()}
         for group in self._choose_stoppable(workers):
             for placement in group.placements.values():
-                self._release(placement.worker, group)
+                if placement.worker in self._held:
+                    held = self._held[placement.worker].minus(group.occupied_resources)
+                    self._set_held(placement.worker, held)
         self._room = self._measure(sorted(self._open.values()))
 
     def takes_no_room(self, group: TaskGroup, chosen: list[FleetWorker]) -> bool:
         """Returns whether there is as much room if a task of the group is added to each worker."""
-        if len(chosen) == 1:
-            before = [self._open.get(chosen[0], 0)]
-            after = [self._left_beside(group.occupied_resources, chosen[0])]
-        else:
-            counts = Counter(chosen)
-            before = [self._open.get(each, 0) for each in counts]
-            after = [
-                _open_accelerators(
-                    each, self._held_on(each) + group.occupied_resources.times(count)
-                )
-                for each, count in counts.items()
-            ]
+        counts = Counter(chosen)
+        before = [self._open.get(each, 0) for each in counts]
+        after = [
+            self._left_beside(group.occupied_resources.times(count), each)
+            for each, count in counts.items()
+        ]
         if before == after:
             return True
         key = (*before, *after)
@@ -190,17 +184,20 @@
         if _may_be_stopped_itself(group):
             return
         for worker in chosen:
-            self._held[worker] = self._held_on(worker) + group.occupied_resources
-            self._open[worker] = _open_accelerators(worker, self._held[worker])
-            self._left_with_task.pop(worker, None)
+            self._set_held(worker, self._held_on(worker) + group.occupied_resources)
         self._room = self._measure(sorted(self._open.values()))
         self._verdicts.clear()
 
+    def _set_held(self, worker: FleetWorker, held: Resources) -> None:
+        self._held[worker] = held
+        self._open[worker] = _open_accelerators(worker, held)
+        self._left_beside_more.pop(worker, None)
+
     def _held_on(self, worker: FleetWorker) -> Resources:
         return self._held.get(worker, NO_RESOURCES)
 
     def _left_beside(self, needs: Resources, worker: FleetWorker) -> int:
-        left = self._left_with_task.setdefault(worker, {})
+        left = self._left_beside_more.setdefault(worker, {})
         if needs not in left:
             left[needs] = _open_accelerators(worker, self._held_on(worker) + needs)
         return left[needs]
@@ -216,11 +213,6 @@
                 insort(opened, opened.pop(index) - block)
         return _Room(as_blocks, in_all)
 
-    def _release(self, worker: FleetWorker, group: TaskGroup) -> None:
-        if worker in self._held:
-            self._held[worker] = self._held[worker].minus(group.occupied_resources)
-            self._open[worker] = _open_accelerators(worker, self._held[worker])
-
     def _choose_stoppable(self, workers: list[FleetWorker]) -> Iterator[TaskGroup]:
         """Yields the tasks that may be stopped in time, those first that leave most room.
 
--- a/src/jujubehall/core/fleet/preemption.py
+++ b/src/jujubehall/core/fleet/preemption.py
@@ -23,14 +23,13 @@
     from jujubehall.core.fleet.delay_cost import DelayCost
     from jujubehall.core.fleet.groups import TaskGroup
     from jujubehall.core.fleet.jobs import FleetJob
+    from jujubehall.core.fleet.occupants import Occupant
     from jujubehall.core.fleet.occupants import WorkerOccupants
     from jujubehall.core.fleet.queue_order import QueueOrder
     from jujubehall.core.fleet.workers import FleetWorker
     from jujubehall.identifiers import JobId
     from jujubehall.identifiers import RackName
 
-    MayStop = Callable[[TaskGroup], bool]
-
 RESTART_COST_MS = 300
 """Cost of preempting a task even if its checkpoint is saved, in milliseconds of its work: the stop,
 the wait for free capacity and the restore."""
@@ -58,6 +57,17 @@
 MILLICORE_MS_PER_CORE_S = 1_000_000
 
 
+class Demand(NamedTuple):
+    """What to place, and what may be stopped for it."""
+
+    group: TaskGroup
+    tasks: range
+    """Keys of the workers in the plan: the group's indexes, or one for each task of several alike
+    groups of its step."""
+
+    may_stop: Callable[[TaskGroup], bool]
+
+
 class PreemptionPlan(NamedTuple):
     """Workers for a group, the groups to stop there, and the expected cost in value to callers."""
 
@@ -129,25 +139,22 @@
         plan = self._find(group, workers, self._delay_cost.loss_if_late(group))
         return plan if plan is not None and plan.is_in_time else None
 
-    def find_anywhere(
-        self, group: TaskGroup, workers: list[FleetWorker], may_stop: MayStop, tasks: range
-    ) -> PreemptionPlan | None:
-        """Returns the cheapest plan to place tasks like those of the group, or None.
-
-        Any group of which ``may_stop`` is true may be stopped, whatever it costs. The rack of the data
-        and the wish for a single rack only matter among plans that don't need more. ``tasks`` are the
-        keys of the plan's workers: the group's indexes, or one for each group of its step.
+    def find_anywhere(self, demand: Demand, workers: list[FleetWorker]) -> PreemptionPlan | None:
+        """Returns the cheapest plan for a demand, or None.
 
-        A plan is found whenever there is capacity for the tasks with all these groups stopped.
+        Whatever may be stopped is, at any cost, if nothing else helps. The rack of the data and the
+        wish for a single rack only matter among plans that don't need more. A plan is found whenever
+        there is capacity for the tasks with all that may be stopped stopped.
         """
+        group = demand.group
         plans = [
             plan
             for rack in self._preferred_racks(group, workers)
-            if (plan := self._cheapest_plan(group, rack, may_stop, tasks)) is not None
+            if (plan := self._cheapest_plan(demand, rack)) is not None
         ]
         plan = min(plans, key=lambda each: self._rank(each, group), default=None)
         if plan is None:
-            plan = self._cheapest_plan(group, workers, may_stop, tasks)
+            plan = self._cheapest_plan(demand, workers)
         if plan is not None and len(plan.victims) > 1:
             plan = self._without_unneeded(group, plan)
         return plan
@@ -174,23 +181,18 @@
         return plan
 
     def _find_cheapest(self, group: TaskGroup, workers: list[FleetWorker]) -> PreemptionPlan | None:
-        def may_stop(other: TaskGroup) -> bool:
-            return self._order.may_preempt(group, other)
-
+        demand = Demand(group, group.indexes, lambda other: self._order.may_preempt(group, other))
         racks = _by_rack(workers)
         if group.request.data_rack:
-            local_workers = racks.get(group.request.data_rack, [])
-            return self._cheapest_plan(group, local_workers, may_stop, group.indexes)
-        plans = [
-            self._cheapest_plan(group, rack, may_stop, group.indexes) for rack in racks.values()
-        ]
+            return self._cheapest_plan(demand, racks.get(group.request.data_rack, []))
+        plans = [self._cheapest_plan(demand, rack) for rack in racks.values()]
         best_plan = min(
             (plan for plan in plans if plan is not None),
             key=lambda plan: self._rank(plan, group),
             default=None,
         )
         if best_plan is None and not group.request.prefers_one_rack:
-            best_plan = self._cheapest_plan(group, workers, may_stop, group.indexes)
+            best_plan = self._cheapest_plan(demand, workers)
         return best_plan
 
     def _rank(self, plan: PreemptionPlan, group: TaskGroup) -> tuple[float, int]:
@@ -199,18 +201,17 @@
         slowest = max(each.speed.speed_class for each in plan.workers.values())
         return (plan.cost + late_cost, slowest)
 
-    def _cheapest_plan(
-        self, group: TaskGroup, workers: list[FleetWorker], may_stop: MayStop, tasks: range
-    ) -> PreemptionPlan | None:
+    def _cheapest_plan(self, demand: Demand, workers: list[FleetWorker]) -> PreemptionPlan | None:
         """Returns the better of two plans: on workers that are fast enough, or on all workers."""
+        group = demand.group
         preference = preference_among(group, workers, self._now_ms, EXPECTED_STOP_MS)
         fast = [each for each in workers if preference.is_in_time([each])]
-        fast_plan = self._cheapest_plan_on(group, fast, may_stop, tasks)
+        fast_plan = self._cheapest_plan_on(demand, fast)
         if len(fast) == len(workers):
             return fast_plan
         if fast_plan is not None and fast_plan.cost <= self._delay_cost.loss_if_late(group):
             return fast_plan
-        plan = self._cheapest_plan_on(group, workers, may_stop, tasks)
+        plan = self._cheapest_plan_on(demand, workers)
         if plan is not None:
             plan = plan._replace(is_in_time=preference.is_in_time(plan.workers.values()))
         if plan is None or (
@@ -220,17 +221,17 @@
         return plan
 
     def _cheapest_plan_on(
-        self, group: TaskGroup, workers: list[FleetWorker], may_stop: MayStop, tasks: range
+        self, demand: Demand, workers: list[FleetWorker]
     ) -> PreemptionPlan | None:
         """Returns the cheapest of the plans that preempt now or wait for work that ends soon."""
-        cheapest = self._plan(group, workers, 0.0, may_stop, tasks)
+        cheapest = self._plan(demand, workers, 0.0)
         for share in WAIT_SLACK_SHARES:
-            max_wait_ms = _max_wait_ms(group, self._now_ms, share)
+            max_wait_ms = _max_wait_ms(demand.group, self._now_ms, share)
             if max_wait_ms <= 0 or (cheapest is not None and not cheapest.victims):
                 return cheapest
             if not self._has_work_ending_within(workers, max_wait_ms):
                 continue
-            plan = self._plan(group, workers, max_wait_ms, may_stop, tasks)
+            plan = self._plan(demand, workers, max_wait_ms)
             if cheapest is None or (plan is not None and plan.cost < cheapest.cost):
                 cheapest = plan
         return cheapest
@@ -243,12 +244,7 @@
         )
 
     def _plan(
-        self,
-        group: TaskGroup,
-        workers: list[FleetWorker],
-        max_wait_ms: float,
-        may_stop: MayStop,
-        tasks: range,
+        self, demand: Demand, workers: list[FleetWorker], max_wait_ms: float
     ) -> PreemptionPlan | None:
         wait_ms = 0.0
         victims: set[TaskGroup] = set()
@@ -256,10 +252,10 @@
         placed_counts: dict[FleetWorker, int] = {}
         options: dict[FleetWorker, _Option] = {}
         stale = set(workers)
-        for task in tasks:
+        for task in demand.tasks:
             for worker in stale:
                 option = self._find_option(
-                    group, worker, placed_counts.get(worker, 0), victims, max_wait_ms, may_stop
+                    demand, worker, placed_counts.get(worker, 0), victims, max_wait_ms
                 )
                 if option is None:
                     options.pop(worker, None)
@@ -277,7 +273,7 @@
                 # Stopping a gang frees capacity on all its workers.
                 stale.update(each.worker for each in victim.placements.values())
             stale &= set(workers)
-        cost = self._delay_cost.loss_by_wait(group, wait_ms)
+        cost = self._delay_cost.loss_by_wait(demand.group, wait_ms)
         cost += WASTE_WEIGHT * self._loss(victims)
         return PreemptionPlan(cost, chosen, frozenset(victims), wait_ms)
 
@@ -333,21 +329,22 @@
 
     def _find_option(
         self,
-        group: TaskGroup,
+        demand: Demand,
         worker: FleetWorker,
         placed: int,
         victims: set[TaskGroup],
         max_wait_ms: float,
-        may_stop: MayStop,
     ) -> _Option | None:
+        group = demand.group
         if group.request.tasks_per_worker and placed >= remaining_task_limit(group, worker):
             return None
         required = group.occupied_resources.times(placed + 1)
         if not required.fits_in(worker.listed.capacity):
             return None
         retained = worker.untracked_usage + worker.reserved_for_others(group)
-        lower_priority = []
-        others = []
+        conflicting: list[Occupant] = []
+        lower_priority: list[Occupant] = []
+        others: list[Occupant] = []
         wait_ms = 0.0
         has_conflict = has_latency_conflict(group, worker)
         if has_conflict and has_reserved_conflict(group, worker):
@@ -359,26 +356,23 @@
             if occupant.ends_within(max_wait_ms):
                 wait_ms = max(wait_ms, occupant.remaining_ms or 0.0)
                 continue
-            other = occupant.group
-            is_in_conflict = has_conflict and conflicts_in_latency(group, other)
             retained = retained + occupant.needs
-            if not may_stop(other):
-                if is_in_conflict:
+            other = occupant.group
+            is_stoppable = demand.may_stop(other)
+            if has_conflict and conflicts_in_latency(group, other):
+                if not is_stoppable:
                     return None
-            elif other.job.priority > group.job.priority:
-                lower_priority.append((not is_in_conflict, occupant))
-            else:
-                others.append((not is_in_conflict, occupant))
+                conflicting.append(occupant)
+            elif is_stoppable:
+                is_lower = other.job.priority > group.job.priority
+                (lower_priority if is_lower else others).append(occupant)
         capacity = worker.listed.capacity
         new_victims = []
         stopped_jobs = {each.job for each in victims}
         cost = 0.0
-        stoppable = lower_priority + others
-        if has_conflict:
-            # Work that may not share the worker is stopped first, whatever it occupies.
-            stoppable.sort(key=lambda each: each[0])
-        for is_optional, occupant in stoppable:
-            if is_optional and required.fits_in(capacity.minus(retained)):
+        for number, occupant in enumerate(conflicting + lower_priority + others):
+            # Work that may not share the worker is stopped whatever it occupies.
+            if number >= len(conflicting) and required.fits_in(capacity.minus(retained)):
                 break
             new_victims.append(occupant.group)
             cost += occupant.loss.waste
--- a/src/jujubehall/core/fleet/reclaiming.py
+++ b/src/jujubehall/core/fleet/reclaiming.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from jujubehall.core.fleet.disruption import is_limited_service
+from jujubehall.core.fleet.preemption import Demand
 from jujubehall.core.fleet.service_stops import NO_STOPS
 from jujubehall.core.fleet.service_stops import ServiceStops
 
@@ -79,7 +80,8 @@
                 other in stops or not is_limited_service(other)
             )
 
-        return self._planner.find_anywhere(first, workers, may_stop, range(_count_tasks(groups)))
+        demand = Demand(first, range(_count_tasks(groups)), may_stop)
+        return self._planner.find_anywhere(demand, workers)
 
 
 def _count_tasks(groups: list[TaskGroup]) -> int:
--- a/src/jujubehall/core/fleet/scheduling_round.py
+++ b/src/jujubehall/core/fleet/scheduling_round.py
@@ -415,7 +415,7 @@
 
         Returns True if the reservation is no longer usable and the group needs a new placement.
         """
-        workers = self._reclaimable_workers(group)[-1]
+        workers = self._reservable_workers(group)
         usable = all(
             worker in workers
             and group.count_reserved_on(worker) <= remaining_task_limit(group, worker)
@@ -495,32 +495,44 @@
         Capacity that is only reserved for such work is taken as well. Returns False if no allowed
         stops make enough room.
         """
-        reservations = {
-            each: (each.reserved_workers, each.reserved_until_ms)
-            for each in self._waiting
-            if each.reserved_workers and not self._order.is_guaranteed(each)
-        }
-        for each in reservations:
-            self._release_reservation(each)
         siblings = [
             each
             for each in group.job.groups[group.occurrence, group.step]
             if each is not group and self._may_be_reclaimed_with(each, group)
         ]
-        plans: dict[TaskGroup, PreemptionPlan] = {}
-        for workers in self._reclaimable_workers(group):
-            plans = plans or self._reclaim_planner.find([group, *siblings], workers)
+        displaced = self._displace_reservations()
+        plans = self._find_reclaim_plans([group, *siblings])
         taken = {worker for plan in plans.values() for worker in plan.workers.values()}
-        for each, (reserved_workers, until_ms) in reservations.items():
-            if taken.isdisjoint(reserved_workers.values()):
-                each.reserve(reserved_workers, until_ms)
-                self._candidates.refresh(reserved_workers.values())
+        for each, (workers, until_ms) in displaced.items():
+            if taken.isdisjoint(workers.values()):
+                each.reserve(workers, until_ms)
+                self._candidates.refresh(workers.values())
         for each, plan in plans.items():
             self._carry_out(each, plan)
         if plans and not plans[group].victims and not plans[group].wait_ms:
             self._resume_reservation(group)
         return bool(plans)
 
+    def _displace_reservations(self) -> dict[TaskGroup, tuple[dict[int, FleetWorker], int]]:
+        """Releases the reservations of groups beyond guarantees; returns their workers and ends."""
+        displaced = {
+            each: (each.reserved_workers, each.reserved_until_ms)
+            for each in self._waiting
+            if each.reserved_workers and not self._order.is_guaranteed(each)
+        }
+        for each in displaced:
+            self._release_reservation(each)
+        return displaced
+
+    def _find_reclaim_plans(self, groups: list[TaskGroup]) -> dict[TaskGroup, PreemptionPlan]:
+        group = groups[0]
+        healthy = self._candidates.healthy(group, allow_conflicts=True)
+        plans = self._reclaim_planner.find(groups, healthy)
+        usable = self._reservable_workers(group)
+        if not plans and len(usable) > len(healthy):
+            plans = self._reclaim_planner.find(groups, usable)
+        return plans
+
     def _may_be_reclaimed_with(self, group: TaskGroup, first: TaskGroup) -> bool:
         return (
             group.is_waiting
@@ -530,20 +542,18 @@
             and group.avoided_workers == first.avoided_workers
         )
 
-    def _reclaimable_workers(self, group: TaskGroup) -> list[list[FleetWorker]]:
-        """Returns the workers on which capacity may be reserved for the group, best ones first.
+    def _reservable_workers(self, group: TaskGroup) -> list[FleetWorker]:
+        """Returns the workers on which capacity may be reserved for the group.
 
-        A guaranteed group also uses workers that are slow or on which it has failed, after a while.
+        After a while, a guaranteed group also uses workers that are slow or on which it has failed.
         """
-        healthy = self._candidates.healthy(group, allow_conflicts=True)
         if (
-            not self._order.is_guaranteed(group)
-            or self._waited_ms(group) < HEALTHY_WORKER_WAIT_MS
-            or needs_proven_workers(group, self._now_ms)
+            self._order.is_guaranteed(group)
+            and self._waited_ms(group) >= HEALTHY_WORKER_WAIT_MS
+            and not needs_proven_workers(group, self._now_ms)
         ):
-            return [healthy]
-        eligible = self._candidates.eligible(group, allow_conflicts=True)
-        return [healthy, eligible] if len(healthy) < len(eligible) else [healthy]
+            return self._candidates.eligible(group, allow_conflicts=True)
+        return self._candidates.healthy(group, allow_conflicts=True)
 
     def _carry_out(self, group: TaskGroup, plan: PreemptionPlan) -> None:
         reservation_ms = RESERVATION_TIMEOUT_MS
