--- a/src/jujubehall/testing/virtual/fleet/workers.py
+++ b/src/jujubehall/testing/virtual/fleet/workers.py
@@ -354,7 +354,7 @@
 
     def change_capacity(self, capacity: Resources) -> None:
         """Changes the capacity, which the list of workers shows at once."""
-        self._change_listing(capacity=capacity)
+        self.change_listing(capacity=capacity)
 
     def listing(self, delay_s: float) -> ListedWorker:
         """Returns the entry in the list of workers, which shows changes after ``delay_s``."""
@@ -364,7 +364,8 @@
                 return listed
         return self.listed
 
-    def _change_listing(self, **changes: Any) -> None:
+    def change_listing(self, **changes: Any) -> None:
+        """Changes fields of the entry, which the list of workers shows at once."""
         self._earlier_listings.append((self._time.seconds(), self.listed))
         fields = {name: getattr(self.listed, name) for name in self.listed.__struct_fields__}
         self.listed = type(self.listed)(**fields | changes)
@@ -376,7 +377,7 @@
         """
         self._lose_everything()
         self._started_s = self._time.seconds()
-        self._change_listing(incarnation=max(self.listed.incarnation + 1, self._site_time_ms))
+        self.change_listing(incarnation=max(self.listed.incarnation + 1, self._site_time_ms))
 
     def _lose_everything(self) -> None:
         for run in list(self._runs.values()):
--- a/tests/services/fleet/test_worker_commands.py
+++ b/tests/services/fleet/test_worker_commands.py
@@ -132,3 +132,27 @@
     assert all(worker.is_idle for worker in owner.site_host.owner.fleet_state.workers.values())
     assert site.run_recorder.lone_ends == []
     assert site.run_recorder.violations == []
+
+
+def test_decided_starts_are_not_sent_to_workers_that_drain_or_lose_their_label() -> None:
+    """Guards against starts that wait for others while their worker becomes unsuitable."""
+    site = make_site()
+    for host in site.hosts:
+        host.workers.commands_per_s = SLOW_HOST_COMMANDS_PER_S
+    labelled = step(tasks=TASKS, expected_ms=60_000, required_label="a")
+    site.submit(JOB, JobRequest("spec", (labelled,)))
+    site.run(1.0)
+    workers = list(site.workers.values())
+    assert sum(len(each.tasks) for each in workers) < TASKS // 2
+    unsuitable = [each for each in workers[::2] if len(each.tasks) < 8]
+    for number, worker in enumerate(unsuitable):
+        if number % 2:
+            worker.change_listing(is_draining=True)
+        else:
+            worker.change_listing(labels=frozenset())
+    # The list of workers is read again within 700 ms.
+    site.run(1.0)
+    before = [len(each.tasks) for each in unsuitable]
+    site.run(TASKS / SLOW_HOST_COMMANDS_PER_S)
+    assert unsuitable
+    assert [len(each.tasks) for each in unsuitable] == before
--- a/tests/services/fleet/test_worker_list.py
+++ b/tests/services/fleet/test_worker_list.py
@@ -44,5 +44,5 @@
 
     monkeypatch.setattr(VirtualDirectory, "list_workers", list_with_one_loss)
     name = WorkerName("w0")
-    site.workers[name]._change_listing(is_draining=True)
+    site.workers[name].change_listing(is_draining=True)
     assert site.run_until(lambda: owner.fleet_state.workers[name].listed.is_draining, DRAIN_BOUND_S)
